--- /dev/null
+++ b/parsleydrift-daemon/src/main/java/org/parsleydrift/daemon/CallerApi.java
@@ -0,0 +1,190 @@
+package org.parsleydrift.daemon;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.parsleydrift.kernel.EventLoop;
+import org.parsleydrift.kernel.Step;
+import org.parsleydrift.kernel.StepException;
+import org.parsleydrift.kernel.codec.JsonDocument;
+import org.parsleydrift.kernel.codec.JsonFaultsException;
+import org.parsleydrift.kernel.platform.StoreException;
+import org.parsleydrift.manifest.OperationSpec;
+import org.parsleydrift.node.Node;
+import org.parsleydrift.node.caller.CallerReply;
+import org.parsleydrift.node.caller.CallerRequest;
+import org.parsleydrift.node.caller.RefusalKind;
+import org.parsleydrift.program.ProgramId;
+import org.parsleydrift.wire.HttpExchange;
+import org.parsleydrift.wire.HttpHandler;
+
+/** The HTTP interface for callers and operators (docs/API.md). */
+final class CallerApi implements HttpHandler {
+    private static final String JSON = "application/json";
+    private static final String PROGRAMS = "/v1/programs/";
+    private static final String SERVICES = "/v1/services/";
+
+    private final EventLoop loop;
+    private final Node node;
+    private final PrometheusMeterRegistry meters;
+
+    CallerApi(EventLoop loop, Node node, PrometheusMeterRegistry meters) {
+        this.loop = loop;
+        this.node = node;
+        this.meters = meters;
+    }
+
+    @Override
+    public void handle(HttpExchange exchange) {
+        loop.execute(() -> {
+            try {
+                route(exchange);
+            } catch (JsonProcessingException fault) {
+                Answers.refuse(exchange, badRequest("body is not JSON: " + fault.getOriginalMessage()));
+            } catch (StepException fault) {
+                Answers.refuse(exchange, badRequest(fault.getMessage()));
+            } catch (NumberFormatException fault) {
+                Answers.refuse(exchange, badRequest("not a number: " + fault.getMessage()));
+            }
+        });
+    }
+
+    private void route(HttpExchange exchange) throws JsonProcessingException {
+        String path = exchange.path();
+        switch (exchange.method() + " " + path) {
+            case "GET /health" -> exchange.respond(200, JSON, "{\"alive\":true}\n", Map.of());
+            case "GET /ready" ->
+                exchange.respond(node.ready() ? 200 : 503, JSON, "{\"ready\":" + node.ready() + "}\n", Map.of());
+            case "GET /metrics" -> exchange.respond(200, "text/plain; version=0.0.4", meters.scrape(), Map.of());
+            case "GET /v1/status" -> exchange.respond(200, JSON, Answers.json(node.status()), Map.of());
+            case "GET /v1/entry" -> entry(exchange);
+            case "GET /v1/manifest" -> showManifest(exchange);
+            case "PUT /v1/manifest" -> submitManifest(exchange);
+            case "POST /v1/programs" -> start(exchange);
+            default -> routeByPrefix(exchange, path);
+        }
+    }
+
+    private void routeByPrefix(HttpExchange exchange, String path) throws JsonProcessingException {
+        if (path.startsWith(SERVICES) && "POST".equals(exchange.method())) {
+            callService(exchange, path.substring(SERVICES.length()));
+        } else if (path.startsWith(PROGRAMS)) {
+            routeProgram(exchange, List.of(path.substring(PROGRAMS.length()).split("/", -1)));
+        } else {
+            exchange.respond(404, JSON, "{\"error\":\"bad_request\",\"message\":\"no such path\"}\n", Map.of());
+        }
+    }
+
+    private void routeProgram(HttpExchange exchange, List<String> parts) throws JsonProcessingException {
+        ProgramId id = ProgramId.parse(parts.getFirst());
+        String action = exchange.method() + (parts.size() > 1 ? " " + parts.get(1) : "");
+        switch (action) {
+            case "GET" -> single(exchange, new CallerRequest.Explain(id));
+            case "DELETE" -> single(exchange, new CallerRequest.Cancel(id));
+            case "GET answer" ->
+                Answers.stream(
+                        exchange,
+                        loop,
+                        sink -> node.open(
+                                new CallerRequest.Attach(id, Long.parseLong(exchange.query("offset", "0"))), sink));
+            case "POST messages" -> {
+                JsonNode body = JsonDocument.MAPPER.readTree(exchange.body());
+                single(exchange, new CallerRequest.Send(id, text(body, "key"), text(body, "text")));
+            }
+            default ->
+                exchange.respond(404, JSON, "{\"error\":\"bad_request\",\"message\":\"no such path\"}\n", Map.of());
+        }
+    }
+
+    private void start(HttpExchange exchange) throws JsonProcessingException {
+        JsonNode body = JsonDocument.MAPPER.readTree(exchange.body());
+        single(exchange, new CallerRequest.Start(id(body), text(body, "agent"), text(body, "prompt")));
+    }
+
+    private void callService(HttpExchange exchange, String service) throws JsonProcessingException {
+        JsonNode body = JsonDocument.MAPPER.readTree(exchange.body());
+        OperationSpec spec = node.manifest().manifest().services().get(service);
+        if (spec != null && spec.repeatable()) {
+            node.callRepeatable(service, body.path("body").toString())
+                    .thenAccept(end -> Answers.single(exchange, new CallerReply.Answer(end.outcome(), end.answer())));
+            return;
+        }
+        single(
+                exchange,
+                new CallerRequest.CallService(
+                        id(body), service, body.path("body").toString()));
+    }
+
+    private void single(HttpExchange exchange, CallerRequest request) {
+        Runnable cancel = node.open(request, reply -> {
+            if (reply.last()) {
+                Answers.single(exchange, reply);
+            }
+        });
+        exchange.onClose(() -> loop.execute(cancel));
+    }
+
+    private void entry(HttpExchange exchange) {
+        node.entry(exchange.query("team", "any"))
+                .ifPresentOrElse(
+                        advice -> exchange.respond(200, JSON, Answers.json(advice), Map.of()),
+                        () -> Answers.refuse(
+                                exchange,
+                                new CallerReply.Refused(RefusalKind.NOT_RUN, Step.ADMIT, "self", "not ready", 1000)));
+    }
+
+    private void showManifest(HttpExchange exchange) {
+        if (node.manifest().version() == null) {
+            exchange.respond(404, JSON, "{\"error\":\"none\",\"message\":\"no manifest is in force\"}\n", Map.of());
+        } else {
+            exchange.respond(200, JSON, Answers.json(node.manifest().version()), Map.of());
+        }
+    }
+
+    private void submitManifest(HttpExchange exchange) {
+        long expected = Long.parseLong(exchange.query("expected", "-1"));
+        node.submitManifest(exchange.body(), expected).whenComplete((version, failure) -> {
+            if (failure == null) {
+                exchange.respond(200, JSON, "{\"generation\":" + version.generation() + "}\n", Map.of());
+                return;
+            }
+            Throwable cause = StepException.unwrap(failure);
+            int status = cause instanceof StoreException ? 503 : 409;
+            exchange.respond(status, JSON, Answers.json(manifestError(cause)), Map.of());
+        });
+    }
+
+    private static Map<String, Object> manifestError(Throwable cause) {
+        Map<String, Object> error = new LinkedHashMap<>();
+        boolean lost = cause instanceof StoreException;
+        error.put("error", lost ? "outcome_unknown" : "not_run");
+        if (cause instanceof StepException known) {
+            error.put("step", known.step());
+            error.put("peer", known.peer());
+        }
+        error.put("message", String.valueOf(cause.getMessage()));
+        if (cause instanceof JsonFaultsException faults) {
+            error.put("faults", faults.faults());
+        }
+        return error;
+    }
+
+    private static ProgramId id(JsonNode body) {
+        return ProgramId.parse(text(body, "ticket") + "~" + text(body, "team") + "~" + text(body, "key"));
+    }
+
+    private static String text(JsonNode body, String field) {
+        JsonNode value = body.path(field);
+        if (!value.isTextual()) {
+            throw new StepException(Step.PARSE, "caller", "field " + field + " must be a text");
+        }
+        return value.asText();
+    }
+
+    private static CallerReply.Refused badRequest(String reason) {
+        return new CallerReply.Refused(RefusalKind.BAD_REQUEST, Step.PARSE, "caller", reason, 0);
+    }
+}
--- /dev/null
+++ b/parsleydrift-daemon/src/main/java/org/parsleydrift/daemon/HttpCallClient.java
@@ -0,0 +1,63 @@
+package org.parsleydrift.daemon;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.parsleydrift.kernel.Step;
+import org.parsleydrift.kernel.StepException;
+import org.parsleydrift.kernel.codec.JsonDocument;
+import org.parsleydrift.kernel.upstream.CallClient;
+import org.parsleydrift.kernel.upstream.CallException;
+import org.parsleydrift.kernel.upstream.CallFailure;
+import org.parsleydrift.kernel.upstream.CallRequest;
+import org.parsleydrift.wire.HttpAnswer;
+import org.parsleydrift.wire.HttpClient;
+import org.parsleydrift.wire.HttpFailure;
+import org.parsleydrift.wire.HttpRequestSpec;
+
+/** Tools and plain services over HTTP. Each call has a connection of its own: see {@link HttpRequestSpec#reuse()}. */
+final class HttpCallClient implements CallClient {
+    private final HttpClient client;
+
+    HttpCallClient(HttpClient client) {
+        this.client = client;
+    }
+
+    @Override
+    public CompletableFuture<String> call(String upstream, CallRequest request, Duration timeout) {
+        byte[] body;
+        try {
+            body = JsonDocument.MAPPER.writeValueAsString(request).getBytes(StandardCharsets.UTF_8);
+        } catch (JsonProcessingException fault) {
+            return CompletableFuture.failedFuture(
+                    new CallException(Step.CALL, upstream, CallFailure.NOT_RUN, false, fault.getMessage()));
+        }
+        return client.send(new HttpRequestSpec(upstream, "POST", "/v1/calls", body, timeout, false))
+                .handle((answer, failure) -> {
+                    if (failure == null) {
+                        return good(upstream, answer);
+                    }
+                    boolean sent = !(StepException.unwrap(failure) instanceof HttpFailure known) || known.sent();
+                    throw new CallException(
+                            Step.CALL,
+                            upstream,
+                            sent ? CallFailure.UNKNOWN : CallFailure.NOT_RUN,
+                            false,
+                            StepException.unwrap(failure).getMessage());
+                });
+    }
+
+    private static String good(String upstream, HttpAnswer answer) {
+        if (answer.status() == 200) {
+            return answer.text();
+        }
+        boolean leaving = answer.status() == 503;
+        throw new CallException(
+                Step.CALL,
+                upstream,
+                leaving ? CallFailure.NOT_RUN : CallFailure.FAILED,
+                leaving,
+                "status " + answer.status());
+    }
+}
--- /dev/null
+++ b/parsleydrift-daemon/src/main/java/org/parsleydrift/daemon/HttpEngineClient.java
@@ -0,0 +1,178 @@
+package org.parsleydrift.daemon;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.ByteArrayOutputStream;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.parsleydrift.kernel.LoopTimer;
+import org.parsleydrift.kernel.Step;
+import org.parsleydrift.kernel.StepException;
+import org.parsleydrift.kernel.codec.JsonDocument;
+import org.parsleydrift.kernel.upstream.CallException;
+import org.parsleydrift.kernel.upstream.CallFailure;
+import org.parsleydrift.kernel.upstream.EngineClient;
+import org.parsleydrift.kernel.upstream.EngineMemory;
+import org.parsleydrift.kernel.upstream.TurnRequest;
+import org.parsleydrift.kernel.upstream.TurnResult;
+import org.parsleydrift.wire.HttpAnswer;
+import org.parsleydrift.wire.HttpCall;
+import org.parsleydrift.wire.HttpClient;
+import org.parsleydrift.wire.HttpFailure;
+import org.parsleydrift.wire.HttpRequestSpec;
+
+/** Model engines over HTTP: a turn is a stream of JSON lines, each naming its stream; the last one ends it. */
+final class HttpEngineClient implements EngineClient {
+    private static final Duration SILENCE = Duration.ofSeconds(4);
+    private static final Duration SHORT = Duration.ofSeconds(2);
+    private static final int RESUMES = 2;
+
+    private final HttpClient client;
+
+    HttpEngineClient(HttpClient client) {
+        this.client = client;
+    }
+
+    @Override
+    public LoopTimer turn(
+            String runner, TurnRequest request, Consumer<String> tokens, CompletableFuture<TurnResult> done) {
+        Turn turn = new Turn(runner, request, tokens, done);
+        turn.open();
+        return turn::cancel;
+    }
+
+    @Override
+    public CompletableFuture<Void> release(String runner, String owner) {
+        String target = "/v1/memory?owner=" + URLEncoder.encode(owner, StandardCharsets.UTF_8);
+        return client.send(HttpRequestSpec.of(runner, "DELETE", target, SHORT)).thenAccept(answer -> {});
+    }
+
+    @Override
+    public CompletableFuture<List<EngineMemory>> memory(String runner) {
+        return client.send(HttpRequestSpec.of(runner, "GET", "/v1/memory", SHORT))
+                .thenApply(answer -> {
+                    try {
+                        return JsonDocument.MAPPER.readValue(answer.text(), new TypeReference<List<EngineMemory>>() {});
+                    } catch (JsonProcessingException fault) {
+                        throw new CallException(Step.TURN, runner, CallFailure.FAILED, false, "bad memory list");
+                    }
+                });
+    }
+
+    /** One turn, over as many connections as it takes. Its state is guarded by itself. */
+    private final class Turn {
+        private final String runner;
+        private final TurnRequest request;
+        private final Consumer<String> tokens;
+        private final CompletableFuture<TurnResult> done;
+        private final StringBuilder text = new StringBuilder();
+        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private HttpCall call;
+        private int resumes;
+        private boolean cancelled;
+
+        private Turn(String runner, TurnRequest request, Consumer<String> tokens, CompletableFuture<TurnResult> done) {
+            this.runner = runner;
+            this.request = request;
+            this.tokens = tokens;
+            this.done = done;
+        }
+
+        private synchronized void open() {
+            if (cancelled) {
+                return;
+            }
+            line.reset();
+            ObjectNode body = JsonDocument.MAPPER.valueToTree(request);
+            body.put("skip", text.length());
+            byte[] bytes = body.toString().getBytes(StandardCharsets.UTF_8);
+            call = client.stream(new HttpRequestSpec(runner, "POST", "/v1/turns", bytes, SILENCE, true), this::take);
+            call.answer().whenComplete(this::closed);
+        }
+
+        private synchronized void cancel() {
+            cancelled = true;
+            call.cancel().run();
+        }
+
+        private synchronized void take(byte[] bytes) {
+            for (byte each : bytes) {
+                if (each == '\n') {
+                    takeLine(line.toString(StandardCharsets.UTF_8));
+                    line.reset();
+                } else {
+                    line.write(each);
+                }
+            }
+        }
+
+        private void takeLine(String json) {
+            if (done.isDone()) {
+                return;
+            }
+            try {
+                JsonNode node = JsonDocument.MAPPER.readTree(json);
+                if (!request.streamId().equals(node.path("stream").asText())) {
+                    // An answer crossed with another stream's: taking it would mix two programs' histories.
+                    fail(CallFailure.UNKNOWN, false, "line of another stream " + node.path("stream"));
+                    call.cancel().run();
+                } else if (node.path("done").asBoolean()) {
+                    finish(node);
+                } else {
+                    String piece = node.path("text").asText();
+                    text.append(piece);
+                    tokens.accept(piece);
+                }
+            } catch (JsonProcessingException fault) {
+                fail(CallFailure.UNKNOWN, false, "bad line");
+                call.cancel().run();
+            }
+        }
+
+        private void finish(JsonNode node) {
+            if (node.path("length").asInt() != text.length()) {
+                fail(CallFailure.UNKNOWN, false, "text of " + text.length() + " of " + node.path("length"));
+                return;
+            }
+            List<String> actions = new ArrayList<>();
+            node.path("actions").forEach(action -> actions.add(action.asText()));
+            done.complete(new TurnResult(
+                    text.toString(),
+                    actions,
+                    node.path("prompt_tokens").asInt(),
+                    node.path("cached_tokens").asInt(),
+                    node.path("output_tokens").asInt()));
+        }
+
+        private synchronized void closed(HttpAnswer answer, Throwable failure) {
+            if (done.isDone() || cancelled) {
+                return;
+            }
+            if (failure == null) {
+                boolean leaving = answer.status() == 503;
+                fail(leaving ? CallFailure.NOT_RUN : CallFailure.UNKNOWN, leaving, "status " + answer.status());
+                return;
+            }
+            boolean sent = !(StepException.unwrap(failure) instanceof HttpFailure known) || known.sent();
+            if (sent && resumes < RESUMES) {
+                // The connection was cut or fell silent; the engine goes on with the stream from where we are.
+                resumes++;
+                open();
+                return;
+            }
+            boolean neverSent = !sent && resumes == 0;
+            fail(neverSent ? CallFailure.NOT_RUN : CallFailure.UNKNOWN, false, String.valueOf(failure.getMessage()));
+        }
+
+        private void fail(CallFailure kind, boolean leaving, String reason) {
+            done.completeExceptionally(new CallException(Step.TURN, runner, kind, leaving, reason));
+        }
+    }
+}
--- /dev/null
+++ b/parsleydrift-daemon/src/main/java/org/parsleydrift/daemon/HttpObjectStore.java
@@ -0,0 +1,134 @@
+package org.parsleydrift.daemon;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.parsleydrift.kernel.codec.JsonDocument;
+import org.parsleydrift.kernel.platform.ObjectStore;
+import org.parsleydrift.kernel.platform.StoreException;
+import org.parsleydrift.kernel.platform.StoreFailure;
+import org.parsleydrift.kernel.platform.StoredObject;
+import org.parsleydrift.kernel.platform.VmEntry;
+import org.parsleydrift.wire.HttpAnswer;
+import org.parsleydrift.wire.HttpClient;
+import org.parsleydrift.wire.HttpRequestSpec;
+
+/** The platform's object API over HTTP. */
+final class HttpObjectStore implements ObjectStore {
+    private static final Duration SILENCE = Duration.ofSeconds(5);
+    private static final Duration WATCH_SILENCE = Duration.ofSeconds(25);
+    private static final String VERSION = "x-version";
+
+    private final HttpClient client;
+    private final String address;
+
+    HttpObjectStore(HttpClient client, String address) {
+        this.client = client;
+        this.address = address;
+    }
+
+    @Override
+    public CompletableFuture<Optional<StoredObject>> read(String key) {
+        return send("GET", object(key), new byte[0], SILENCE, key).thenApply(answer -> found(key, answer));
+    }
+
+    @Override
+    public CompletableFuture<Long> create(String key, byte[] value) {
+        return send("PUT", object(key), value, SILENCE, key).thenApply(answer -> version(key, answer));
+    }
+
+    @Override
+    public CompletableFuture<Long> update(String key, long version, byte[] value) {
+        return send("PUT", object(key) + "&version=" + version, value, SILENCE, key)
+                .thenApply(answer -> version(key, answer));
+    }
+
+    @Override
+    public CompletableFuture<Void> delete(String key) {
+        return send("DELETE", object(key), new byte[0], SILENCE, key).thenAccept(answer -> good(key, answer));
+    }
+
+    @Override
+    public CompletableFuture<List<StoredObject>> list(String prefix) {
+        return send("GET", "/v1/list?prefix=" + encoded(prefix), new byte[0], SILENCE, prefix)
+                .thenApply(answer -> {
+                    List<StoredObject> rows = new ArrayList<>();
+                    json(prefix, good(prefix, answer))
+                            .forEach(row -> rows.add(new StoredObject(
+                                    row.path("key").asText(),
+                                    row.path("version").asLong(),
+                                    new byte[0])));
+                    return rows;
+                });
+    }
+
+    @Override
+    public CompletableFuture<Optional<StoredObject>> watch(String key, long afterVersion) {
+        String target = "/v1/watch?key=" + encoded(key) + "&after=" + afterVersion;
+        return send("GET", target, new byte[0], WATCH_SILENCE, key).thenApply(answer -> found(key, answer));
+    }
+
+    @Override
+    public CompletableFuture<List<VmEntry>> vms() {
+        return send("GET", "/v1/vms", new byte[0], SILENCE, "vms").thenApply(answer -> {
+            try {
+                return JsonDocument.MAPPER.readValue(good("vms", answer).body(), new TypeReference<List<VmEntry>>() {});
+            } catch (java.io.IOException fault) {
+                throw new StoreException(StoreFailure.UNKNOWN, "vms");
+            }
+        });
+    }
+
+    private CompletableFuture<HttpAnswer> send(
+            String method, String target, byte[] body, Duration silence, String key) {
+        return client.send(new HttpRequestSpec(address, method, target, body, silence, true))
+                .exceptionally(failure -> {
+                    throw new StoreException(StoreFailure.UNKNOWN, key);
+                });
+    }
+
+    private static Optional<StoredObject> found(String key, HttpAnswer answer) {
+        if (answer.status() == 404 || answer.status() == 204) {
+            return Optional.empty();
+        }
+        long version = Long.parseLong(good(key, answer).headers().getOrDefault(VERSION, "0"));
+        return Optional.of(new StoredObject(key, version, answer.body()));
+    }
+
+    private static long version(String key, HttpAnswer answer) {
+        return json(key, good(key, answer)).path("version").asLong();
+    }
+
+    private static HttpAnswer good(String key, HttpAnswer answer) {
+        return switch (answer.status()) {
+            case 200, 201 -> answer;
+            case 409 -> throw new StoreException(StoreFailure.CONFLICT, key);
+            case 429, 503 -> throw new StoreException(StoreFailure.REFUSED, key);
+            case 404 -> throw new StoreException(StoreFailure.ABSENT, key);
+            default -> throw new StoreException(StoreFailure.UNKNOWN, key);
+        };
+    }
+
+    private static JsonNode json(String key, HttpAnswer answer) {
+        try {
+            return JsonDocument.MAPPER.readTree(answer.text());
+        } catch (JsonProcessingException fault) {
+            throw new StoreException(StoreFailure.UNKNOWN, key);
+        }
+    }
+
+    private static String object(String key) {
+        return "/v1/objects?key=" + encoded(key);
+    }
+
+    private static String encoded(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/parsleydrift-daemon/src/main/java/org/parsleydrift/daemon/ParsleydriftDaemon.java
@@ -0,0 +1,151 @@
+package org.parsleydrift.daemon;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.lang.System.Logger;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.parsleydrift.kernel.DisruptorEventLoop;
+import org.parsleydrift.kernel.LogLine;
+import org.parsleydrift.kernel.StepException;
+import org.parsleydrift.kernel.SystemClock;
+import org.parsleydrift.kernel.plugin.OutsidePlugin;
+import org.parsleydrift.kernel.plugin.PluginContext;
+import org.parsleydrift.kernel.plugin.PluginRegistry;
+import org.parsleydrift.node.Node;
+import org.parsleydrift.node.NodeEnvironment;
+import org.parsleydrift.node.NodeSettings;
+import org.parsleydrift.wire.HttpClient;
+import org.parsleydrift.wire.HttpServer;
+import org.parsleydrift.wire.NetworkThreads;
+
+/** The daemon: one on every entry VM. SIGTERM drains it. */
+public final class ParsleydriftDaemon implements AutoCloseable {
+    private static final Logger LOG = System.getLogger(ParsleydriftDaemon.class.getName());
+    private static final int USAGE = 2;
+    private static final int DRAIN_WAIT_FACTOR = 4;
+
+    private final DisruptorEventLoop loop;
+    private final NetworkThreads threads;
+    private final MessagePackLinks links;
+    private final HttpServer server;
+    private final Node node;
+    private final NodeSettings settings;
+
+    /**
+     * Starts a daemon.
+     *
+     * @param settings its settings
+     */
+    public ParsleydriftDaemon(DaemonSettings settings) {
+        this.settings = settings.nodeSettings();
+        this.loop = new DisruptorEventLoop("node", new SystemClock());
+        this.threads = new NetworkThreads("net", settings.networkThreads());
+        PrometheusMeterRegistry meters = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+        AtomicReference<Node> made = new AtomicReference<>();
+        this.links = new MessagePackLinks(threads, host(settings.link()), port(settings.link()), loop, envelope -> {
+            Node receiver = made.get();
+            if (receiver != null) {
+                receiver.receive(envelope);
+            }
+        });
+        OutsidePlugin plugin = PluginRegistry.outside(settings.plugin());
+        PluginContext context =
+                new PluginContext(loop, settings.platform(), Map.of(HttpClient.class, new HttpClient(threads)));
+        NodeEnvironment environment = new NodeEnvironment(
+                loop,
+                new MeteredObjectStore(plugin.platform(context), meters),
+                plugin.engines(context),
+                plugin.calls(context),
+                links,
+                new java.security.SecureRandom(),
+                meters);
+        CountDownLatch begun = new CountDownLatch(1);
+        loop.execute(() -> {
+            Node first = new Node(environment, this.settings);
+            first.seedPeers(settings.peers());
+            made.set(first);
+            begun.countDown();
+        });
+        await(begun);
+        this.node = made.get();
+        this.server = new HttpServer(
+                threads,
+                host(settings.http()),
+                port(settings.http()),
+                settings.maxConnections(),
+                new CallerApi(loop, node, meters));
+        LOG.log(
+                Logger.Level.INFO,
+                LogLine.of("daemon_up")
+                        .with("vm", settings.vm())
+                        .with("zone", settings.zone())
+                        .with("http", settings.http())
+                        .with("link", settings.link())
+                        .toString());
+    }
+
+    /**
+     * Runs a daemon until it is told to end.
+     *
+     * @param arguments the settings file
+     */
+    public static void main(String[] arguments) {
+        if (arguments.length != 1 || arguments[0].startsWith("-")) {
+            System.err.println("usage: parsleydriftd SETTINGS.json");
+            System.exit(arguments.length == 1 && "--help".equals(arguments[0]) ? 0 : USAGE);
+            return;
+        }
+        try {
+            ParsleydriftDaemon daemon = new ParsleydriftDaemon(DaemonSettings.read(Path.of(arguments[0])));
+            Runtime.getRuntime().addShutdownHook(new Thread(daemon::drain, "drain"));
+            new CountDownLatch(1).await();
+        } catch (StepException fault) {
+            System.err.println(LogLine.of("start_failed").failure(fault));
+            System.exit(1);
+        } catch (InterruptedException ended) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Hands all programs over and waits until no caller waits here, within limits. */
+    public void drain() {
+        CountDownLatch drained = new CountDownLatch(1);
+        loop.execute(() -> node.drain().whenComplete((done, failure) -> drained.countDown()));
+        try {
+            long limit = settings.timings().drainLimit().toSeconds() * DRAIN_WAIT_FACTOR;
+            if (!drained.await(limit, TimeUnit.SECONDS)) {
+                LOG.log(Logger.Level.WARNING, LogLine.of("drain_late").toString());
+            }
+        } catch (InterruptedException ended) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Override
+    public void close() {
+        server.close();
+        links.close();
+        threads.close();
+        loop.close();
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException ended) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static String host(String address) {
+        return address.substring(0, address.lastIndexOf(':'));
+    }
+
+    private static int port(String address) {
+        return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
+    }
+}
--- /dev/null
+++ b/parsleydrift-kernel/src/main/java/org/parsleydrift/kernel/LoopTimer.java
@@ -0,0 +1,8 @@
+package org.parsleydrift.kernel;
+
+/** A timer on an event loop. */
+@FunctionalInterface
+public interface LoopTimer {
+    /** Cancels the timer; without effect if its task has run. */
+    void cancel();
+}
--- /dev/null
+++ b/parsleydrift-kernel/src/main/java/org/parsleydrift/kernel/SystemClock.java
@@ -0,0 +1,20 @@
+package org.parsleydrift.kernel;
+
+import java.time.Clock;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+
+/** The machine's clock; the one place where real time enters. */
+public final class SystemClock implements RuntimeClock {
+    private final Clock clock = Clock.systemUTC();
+
+    @Override
+    public Instant instant() {
+        return clock.instant().truncatedTo(ChronoUnit.MILLIS);
+    }
+
+    @Override
+    public long nanos() {
+        return System.nanoTime();
+    }
+}
--- /dev/null
+++ b/parsleydrift-kernel/src/main/java/org/parsleydrift/kernel/codec/JsonFaultsException.java
@@ -0,0 +1,32 @@
+package org.parsleydrift.kernel.codec;
+
+import java.util.List;
+import java.util.stream.Collectors;
+import org.parsleydrift.kernel.Step;
+import org.parsleydrift.kernel.StepException;
+
+/** A JSON text that was refused, with every fault found in it. */
+public final class JsonFaultsException extends StepException {
+    private final transient List<JsonFault> faults;
+
+    /**
+     * Makes an error.
+     *
+     * @param step the step that read the text
+     * @param name the name of the text, a file name for example
+     * @param faults all faults
+     */
+    public JsonFaultsException(Step step, String name, List<JsonFault> faults) {
+        super(step, name, faults.stream().map(JsonFault::toString).collect(Collectors.joining("; ")));
+        this.faults = List.copyOf(faults);
+    }
+
+    /**
+     * The faults found.
+     *
+     * @return all faults, in the order of the checks
+     */
+    public List<JsonFault> faults() {
+        return faults;
+    }
+}
--- /dev/null
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/host/PlainCalls.java
@@ -0,0 +1,26 @@
+package org.parsleydrift.node.host;
+
+import org.parsleydrift.node.caller.CallerReply;
+import org.parsleydrift.program.CallOutcome;
+import org.parsleydrift.program.HistoryEntry;
+import org.parsleydrift.program.ProgramState;
+
+/** Plain calls that run at most once are kept as programs of one call; this reads their answers. */
+final class PlainCalls {
+    private static final int PARTS = 3;
+
+    private PlainCalls() {}
+
+    static CallerReply answer(ProgramState state) {
+        return state.root().history().stream()
+                .filter(entry -> entry.kind() == HistoryEntry.Kind.TOOL)
+                .findFirst()
+                .map(PlainCalls::answer)
+                .orElseGet(() -> new CallerReply.Answer(CallOutcome.NOT_RUN, state.detail()));
+    }
+
+    private static CallerReply answer(HistoryEntry entry) {
+        String[] parts = entry.text().split(" ", PARTS);
+        return new CallerReply.Answer(CallOutcome.valueOf(parts[1]), parts[2]);
+    }
+}
--- /dev/null
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/placement/Runner.java
@@ -0,0 +1,82 @@
+package org.parsleydrift.node.placement;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.parsleydrift.manifest.RunnerSpec;
+
+/** What this node knows about one runner. Confined to the node's loop. */
+final class Runner {
+    private static final int WARM_ENTRIES = 4096;
+
+    private final Map<String, Integer> warm = new LinkedHashMap<>(64, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Integer> eldest) {
+            return size() > WARM_ENTRIES;
+        }
+    };
+    private RunnerSpec spec;
+    private int running;
+    private boolean leaving;
+    private long avoidUntilNanos = Long.MIN_VALUE;
+
+    Runner(RunnerSpec spec) {
+        this.spec = spec;
+    }
+
+    RunnerSpec spec() {
+        return spec;
+    }
+
+    void spec(RunnerSpec changed) {
+        spec = changed;
+    }
+
+    String address() {
+        return spec.address();
+    }
+
+    int running() {
+        return running;
+    }
+
+    void began() {
+        running++;
+    }
+
+    void ended() {
+        running--;
+    }
+
+    boolean leaving() {
+        return leaving;
+    }
+
+    void leaving(boolean now) {
+        leaving = now;
+        if (now) {
+            warm.clear();
+        }
+    }
+
+    /** Gives the runner no new turn for a while, since it just failed one. */
+    void avoidUntil(long nanos) {
+        avoidUntilNanos = nanos;
+        warm.clear();
+    }
+
+    boolean usable(long nowNanos) {
+        return !leaving && nowNanos >= avoidUntilNanos;
+    }
+
+    int warmCharacters(String key) {
+        return warm.getOrDefault(key, 0);
+    }
+
+    void warmed(String key, int characters) {
+        warm.put(key, characters);
+    }
+
+    void cooled(String program) {
+        warm.keySet().removeIf(key -> key.startsWith(program + "/"));
+    }
+}
--- /dev/null
+++ b/parsleydrift-tools/src/main/java/org/parsleydrift/tools/AnswerReader.java
@@ -0,0 +1,98 @@
+package org.parsleydrift.tools;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+import org.parsleydrift.kernel.codec.JsonDocument;
+
+/** Reads the server-sent events of an answer and keeps the offset reached, over connections. Thread-safe. */
+final class AnswerReader {
+    private final long start;
+    private final Consumer<String> pieces;
+    private final StringBuilder text = new StringBuilder();
+    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private String event = "";
+    private ProgramAnswer answer;
+    private boolean progressed;
+
+    AnswerReader(long start, Consumer<String> pieces) {
+        this.start = start;
+        this.pieces = pieces;
+    }
+
+    synchronized long offset() {
+        return start + text.length();
+    }
+
+    synchronized boolean ended() {
+        return answer != null;
+    }
+
+    synchronized ProgramAnswer answer() {
+        return answer;
+    }
+
+    synchronized boolean progressed() {
+        boolean was = progressed;
+        progressed = false;
+        return was;
+    }
+
+    synchronized void newConnection() {
+        line.reset();
+        event = "";
+    }
+
+    synchronized void take(byte[] bytes) {
+        for (byte each : bytes) {
+            if (each == '\n') {
+                takeLine(line.toString(StandardCharsets.UTF_8));
+                line.reset();
+            } else {
+                line.write(each);
+            }
+        }
+    }
+
+    private void takeLine(String read) {
+        if (read.startsWith("event: ")) {
+            event = read.substring("event: ".length());
+        } else if (read.startsWith("data: ")) {
+            try {
+                takeEvent(JsonDocument.MAPPER.readTree(read.substring("data: ".length())));
+            } catch (JsonProcessingException fault) {
+                throw new IllegalStateException("bad event " + read, fault);
+            }
+        }
+    }
+
+    private void takeEvent(JsonNode data) {
+        switch (event) {
+            case "output" ->
+                output(data.path("offset").asLong(), data.path("text").asText());
+            case "rewind" ->
+                text.setLength((int) Math.max(0, data.path("offset").asLong() - start));
+            case "end" -> {
+                answer = new ProgramAnswer(
+                        text.toString(),
+                        data.path("end").asText(),
+                        data.path("detail").asText(),
+                        data.path("length").asLong() - start);
+            }
+            default -> {
+                return;
+            }
+        }
+    }
+
+    private void output(long offset, String piece) {
+        if (offset != offset()) {
+            throw new IllegalStateException("piece at " + offset + " where " + offset() + " was due");
+        }
+        text.append(piece);
+        progressed = true;
+        pieces.accept(piece);
+    }
+}
--- /dev/null
+++ b/parsleydrift-tools/src/main/java/org/parsleydrift/tools/CallerClient.java
@@ -0,0 +1,206 @@
+package org.parsleydrift.tools;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.function.Consumer;
+import org.parsleydrift.kernel.Step;
+import org.parsleydrift.kernel.StepException;
+import org.parsleydrift.kernel.codec.JsonDocument;
+import org.parsleydrift.wire.HttpAnswer;
+import org.parsleydrift.wire.HttpClient;
+import org.parsleydrift.wire.HttpRequestSpec;
+import org.parsleydrift.wire.NetworkThreads;
+
+/**
+ * A caller: knows some entry nodes, keeps its keys over retries, and reads an answer on from where a connection broke.
+ * Blocking; for command lines, benches and tests.
+ */
+public final class CallerClient implements AutoCloseable {
+    private static final Duration SILENCE = Duration.ofSeconds(30);
+    private static final Duration STREAM_SILENCE = Duration.ofSeconds(4);
+    private static final int ROUNDS = 20;
+    private static final long PAUSE_MILLIS = 250;
+
+    private final List<String> entries;
+    private final NetworkThreads threads = new NetworkThreads("caller", 2);
+    private final HttpClient client = new HttpClient(threads);
+
+    /**
+     * Makes a caller.
+     *
+     * @param entries addresses of entry nodes
+     */
+    public CallerClient(List<String> entries) {
+        this.entries = new ArrayList<>(entries);
+    }
+
+    /**
+     * Asks which address to use.
+     *
+     * @param team the caller's team
+     * @return the advice as JSON
+     * @throws CallerException if no node answers
+     */
+    public JsonNode entry(String team) {
+        return call("GET", "/v1/entry?team=" + team, "");
+    }
+
+    /**
+     * Starts a program; safe to repeat.
+     *
+     * @param ticket the ticket from {@link #entry}
+     * @param team the caller's team
+     * @param key the caller's key
+     * @param agent the kind of program
+     * @param prompt its first input
+     * @return the program's id
+     * @throws CallerException if it is refused or no node answers
+     */
+    public String start(String ticket, String team, String key, String agent, String prompt) {
+        ObjectNode body = JsonDocument.MAPPER.createObjectNode();
+        body.put("ticket", ticket)
+                .put("team", team)
+                .put("key", key)
+                .put("agent", agent)
+                .put("prompt", prompt);
+        return call("POST", "/v1/programs", body.toString()).path("program").asText();
+    }
+
+    /**
+     * Sends a message to a program; safe to repeat.
+     *
+     * @param program the program's id
+     * @param key the caller's key of the message
+     * @param text the message
+     * @return the reply as JSON
+     * @throws CallerException if it is refused or no node answers
+     */
+    public JsonNode send(String program, String key, String text) {
+        ObjectNode body = JsonDocument.MAPPER.createObjectNode();
+        body.put("key", key).put("text", text);
+        return call("POST", "/v1/programs/" + program + "/messages", body.toString());
+    }
+
+    /**
+     * Makes any request, at one entry node after the other while none answers.
+     *
+     * @param method the HTTP method
+     * @param target path and query
+     * @param body the body, empty for none
+     * @return the answer as JSON
+     * @throws CallerException if it is refused or no node answers
+     */
+    public JsonNode call(String method, String target, String body) {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        StepException last = null;
+        for (int round = 0; round < ROUNDS; round++) {
+            String address = entries.get(round % entries.size());
+            try {
+                HttpAnswer answer = client.send(new HttpRequestSpec(address, method, target, bytes, SILENCE, false))
+                        .join();
+                return read(address, answer);
+            } catch (CompletionException failure) {
+                last = new CallerException(
+                        ExitCode.UNREACHABLE,
+                        Step.FORWARD,
+                        address,
+                        StepException.unwrap(failure).getMessage(),
+                        PAUSE_MILLIS);
+                pause();
+            } catch (CallerException refusal) {
+                if (refusal.retryAfterMillis() == 0) {
+                    throw refusal;
+                }
+                last = refusal;
+                pause();
+            }
+        }
+        throw last;
+    }
+
+    /**
+     * Reads a program's answer to its end, over as many connections as it takes.
+     *
+     * @param program the program's id
+     * @param offset characters already read
+     * @param pieces receives each piece as it comes; what a rewind takes back is told as its new length
+     * @return the whole answer from offset on, and the end event
+     * @throws CallerException if it is refused, or can't be read to its end
+     */
+    public ProgramAnswer watch(String program, long offset, Consumer<String> pieces) {
+        AnswerReader reader = new AnswerReader(offset, pieces);
+        for (int round = 0; round < ROUNDS; round++) {
+            String address = entries.get(round % entries.size());
+            HttpRequestSpec request = HttpRequestSpec.of(
+                    address, "GET", "/v1/programs/" + program + "/answer?offset=" + reader.offset(), STREAM_SILENCE);
+            reader.newConnection();
+            CompletableFuture<HttpAnswer> closed =
+                    client.stream(request, reader::take).answer();
+            try {
+                HttpAnswer answer = closed.join();
+                if (answer.status() >= 300) {
+                    read(address, answer);
+                }
+            } catch (CompletionException cut) {
+                // Cut or silent: the next connection reads on from the offset reached.
+                pause();
+            } catch (CallerException refusal) {
+                if (refusal.retryAfterMillis() == 0) {
+                    throw refusal;
+                }
+                pause();
+            }
+            if (reader.ended()) {
+                return reader.answer();
+            }
+            if (reader.progressed()) {
+                round = 0;
+            }
+        }
+        throw new CallerException(ExitCode.UNREACHABLE, Step.FORWARD, "entry", "the answer is cut", 0);
+    }
+
+    @Override
+    public void close() {
+        threads.close();
+    }
+
+    private static JsonNode read(String address, HttpAnswer answer) {
+        JsonNode body;
+        try {
+            body = JsonDocument.MAPPER.readTree(answer.text().isBlank() ? "{}" : answer.text());
+        } catch (JsonProcessingException fault) {
+            throw new CallerException(ExitCode.UNREACHABLE, Step.PARSE, address, "answer is not JSON", 0);
+        }
+        if (answer.status() < 300) {
+            return body;
+        }
+        String kind = body.path("error").asText("");
+        int code = "outcome_unknown".equals(kind) ? ExitCode.OUTCOME_UNKNOWN : ExitCode.REFUSED;
+        throw new CallerException(
+                code,
+                step(body),
+                body.path("peer").asText(address),
+                kind + ": " + body.path("message").asText(answer.text()),
+                body.path("retry_after_ms").asLong(0));
+    }
+
+    private static Step step(JsonNode body) {
+        try {
+            return Step.valueOf(body.path("step").asText());
+        } catch (IllegalArgumentException unknown) {
+            return Step.CALL;
+        }
+    }
+
+    private static void pause() {
+        java.util.concurrent.locks.LockSupport.parkNanos(PAUSE_MILLIS * 1_000_000);
+    }
+}
--- /dev/null
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/FrameLinks.java
@@ -0,0 +1,169 @@
+package org.parsleydrift.wire;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import java.lang.System.Logger;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import org.parsleydrift.kernel.LogLine;
+
+/**
+ * One-way frames between nodes over TCP: four bytes of length, then the frame. Each node opens one connection to each
+ * peer it sends to. Delivery is best effort; senders notice loss by timeouts of their own.
+ */
+public final class FrameLinks implements AutoCloseable {
+    private static final Logger LOG = System.getLogger(FrameLinks.class.getName());
+    private static final int LENGTH_BYTES = 4;
+    private static final int MAX_FRAME_BYTES = 4 << 20;
+    private static final int MAX_UNSENT_BYTES = 16 << 20;
+    private static final int CONNECT_MILLIS = 1000;
+
+    private final Channel listener;
+    private final Bootstrap outbound;
+    private final Map<String, ChannelFuture> connections = new ConcurrentHashMap<>();
+
+    /**
+     * Starts listening.
+     *
+     * @param threads the network threads
+     * @param host the address to listen on
+     * @param port the port, 0 for any
+     * @param receiver receives each frame on a network thread; one that throws closes the connection
+     */
+    public FrameLinks(NetworkThreads threads, String host, int port, Consumer<byte[]> receiver) {
+        listener = new ServerBootstrap()
+                .group(threads.group())
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline()
+                                .addLast(new LengthFieldBasedFrameDecoder(
+                                        MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+                                .addLast(new Receiver(receiver));
+                    }
+                })
+                .bind(host, port)
+                .syncUninterruptibly()
+                .channel();
+        outbound = new Bootstrap()
+                .group(threads.group())
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new LengthFieldPrepender(LENGTH_BYTES));
+                    }
+                });
+    }
+
+    /**
+     * The port it listens on.
+     *
+     * @return the port
+     */
+    public int port() {
+        return ((InetSocketAddress) listener.localAddress()).getPort();
+    }
+
+    /**
+     * Sends a frame, opening a connection if there is none.
+     *
+     * @param address the peer's link address
+     * @param frame its bytes
+     */
+    public void send(String address, byte[] frame) {
+        ChannelFuture connection = connections.compute(
+                address,
+                (any, known) ->
+                        known != null && (!known.isDone() || known.channel().isActive()) ? known : connect(address));
+        if (connection.isSuccess()) {
+            write(address, connection.channel(), frame);
+        } else {
+            connection.addListener((ChannelFuture done) -> {
+                if (done.isSuccess()) {
+                    write(address, done.channel(), frame);
+                }
+            });
+        }
+    }
+
+    /**
+     * Closes the connection to a peer, so that the next frame opens a new one: a connection that something between the
+     * two ends has lost track of stays silent for ever, while a new one works.
+     *
+     * @param address the peer's link address
+     */
+    public void reset(String address) {
+        ChannelFuture known = connections.remove(address);
+        if (known != null) {
+            known.channel().close();
+        }
+    }
+
+    @Override
+    public void close() {
+        listener.close().syncUninterruptibly();
+        connections.values().forEach(known -> known.channel().close());
+    }
+
+    private ChannelFuture connect(String address) {
+        int colon = address.lastIndexOf(':');
+        return outbound.connect(
+                new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))));
+    }
+
+    private void write(String address, Channel channel, byte[] frame) {
+        var unsent = channel.unsafe().outboundBuffer();
+        if (unsent != null && unsent.totalPendingWriteBytes() > MAX_UNSENT_BYTES) {
+            reset(address);
+            return;
+        }
+        channel.writeAndFlush(Unpooled.wrappedBuffer(frame));
+    }
+
+    /** Hands frames on; one connection's bad frame disturbs no other connection. */
+    private static final class Receiver extends SimpleChannelInboundHandler<ByteBuf> {
+        private final Consumer<byte[]> receiver;
+
+        private Receiver(Consumer<byte[]> receiver) {
+            this.receiver = receiver;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
+            byte[] bytes = new byte[frame.readableBytes()];
+            frame.readBytes(bytes);
+            receiver.accept(bytes);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            LOG.log(
+                    Logger.Level.WARNING,
+                    LogLine.of("link_closed")
+                            .with("from", context.channel().remoteAddress())
+                            .failure(cause)
+                            .toString());
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/HttpFailure.java
@@ -0,0 +1,23 @@
+package org.parsleydrift.wire;
+
+import org.parsleydrift.kernel.Step;
+import org.parsleydrift.kernel.StepException;
+
+/** An HTTP request that got no whole answer. */
+public final class HttpFailure extends StepException {
+    private final boolean sent;
+
+    HttpFailure(String peer, boolean sent, String message) {
+        super(Step.CALL, peer, message);
+        this.sent = sent;
+    }
+
+    /**
+     * Whether any byte of the request can have reached the other side.
+     *
+     * @return false only if no connection was made
+     */
+    public boolean sent() {
+        return sent;
+    }
+}
--- /dev/null
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/HttpServer.java
@@ -0,0 +1,142 @@
+package org.parsleydrift.wire;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.lang.System.Logger;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.parsleydrift.kernel.LogLine;
+
+/** An HTTP/1.1 server on Netty's codec. */
+public final class HttpServer implements AutoCloseable {
+    private static final Logger LOG = System.getLogger(HttpServer.class.getName());
+    private static final int MAX_BODY_BYTES = 1 << 20;
+    private static final int IDLE_SECONDS = 120;
+    private static final int BACKLOG = 1024;
+
+    private final HttpHandler handler;
+    private final int maxConnections;
+    private final AtomicInteger connections = new AtomicInteger();
+    private final Channel listener;
+
+    /**
+     * Starts listening.
+     *
+     * @param threads the network threads
+     * @param host the address to listen on
+     * @param port the port, 0 for any
+     * @param maxConnections connections past this number are refused
+     * @param handler serves the requests
+     */
+    public HttpServer(NetworkThreads threads, String host, int port, int maxConnections, HttpHandler handler) {
+        this.handler = handler;
+        this.maxConnections = maxConnections;
+        this.listener = new ServerBootstrap()
+                .group(threads.group())
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new Initializer())
+                .bind(host, port)
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    /**
+     * The port it listens on.
+     *
+     * @return the port
+     */
+    public int port() {
+        return ((InetSocketAddress) listener.localAddress()).getPort();
+    }
+
+    /**
+     * Open connections.
+     *
+     * @return their number
+     */
+    public int connections() {
+        return connections.get();
+    }
+
+    @Override
+    public void close() {
+        listener.close().syncUninterruptibly();
+    }
+
+    private final class Initializer extends ChannelInitializer<Channel> {
+        @Override
+        protected void initChannel(Channel channel) {
+            connections.incrementAndGet();
+            channel.closeFuture().addListener(closed -> connections.decrementAndGet());
+            channel.pipeline()
+                    .addLast(new IdleStateHandler(IDLE_SECONDS, 0, 0))
+                    .addLast(new HttpServerCodec())
+                    .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
+                    .addLast(new RequestHandler());
+        }
+    }
+
+    private final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private HttpExchange current;
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            if (current != null && !current.finished()) {
+                // A second request on a connection whose first is not answered: answers could be taken for each other.
+                context.close();
+                return;
+            }
+            current = new HttpExchange(context.channel(), request);
+            if (request.decoderResult().isFailure()) {
+                current.respond(
+                        400,
+                        "application/json",
+                        "{\"error\":\"bad_request\",\"step\":\"PARSE\",\"peer\":\"caller\",\"message\":\"malformed HTTP\"}\n",
+                        Map.of("Connection", "close"));
+                context.close();
+            } else if (connections.get() > maxConnections) {
+                current.respond(
+                        503,
+                        "application/json",
+                        "{\"error\":\"not_run\",\"step\":\"ADMIT\",\"peer\":\"self\",\"message\":\"too many connections\"}\n",
+                        Map.of("Retry-After", "1"));
+                context.close();
+            } else {
+                handler.handle(current);
+            }
+        }
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext context, Object event) {
+            boolean waitsForUs = current != null && !current.finished();
+            if (event instanceof IdleStateEvent && !waitsForUs) {
+                context.close();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            LOG.log(
+                    Logger.Level.DEBUG,
+                    () -> LogLine.of("caller_connection_failed")
+                            .with("peer", context.channel().remoteAddress())
+                            .failure(cause)
+                            .toString());
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/NetworkThreads.java
@@ -0,0 +1,31 @@
+package org.parsleydrift.wire;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.util.concurrent.TimeUnit;
+
+/** The network threads that all connections of one process share. */
+public final class NetworkThreads implements AutoCloseable {
+    private final EventLoopGroup group;
+
+    /**
+     * Starts threads.
+     *
+     * @param name the start of their names
+     * @param count how many
+     */
+    public NetworkThreads(String name, int count) {
+        group = new MultiThreadIoEventLoopGroup(count, new DefaultThreadFactory(name, true), NioIoHandler.newFactory());
+    }
+
+    EventLoopGroup group() {
+        return group;
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+}
