Randomised runs under faults on virtual time (bin/soak)

Cause: no promise was checked under failure. Change: an in-memory fleet over the stand-ins, callers that check every token, sixteen kinds of fault, checks of effects, order, budgets, engine memory, manifests; bin/soak.

--- /dev/null
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/Fleet.java
@@ -0,0 +1,223 @@
+package org.parsleydrift.bench;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.parsleydrift.kernel.ManualEventLoop;
+import org.parsleydrift.kernel.ManualScheduler;
+import org.parsleydrift.node.NodeSettings;
+import org.parsleydrift.standin.EngineSpeed;
+import org.parsleydrift.standin.InMemoryObjectStore;
+import org.parsleydrift.standin.StandInEngine;
+import org.parsleydrift.standin.StandInTool;
+
+/**
+ * A few nodes over fakes of all outside systems, on virtual time in one thread. There is no model of a network beyond
+ * a delay and connections that fall silent; the decisions are the daemon's own.
+ */
+public final class Fleet {
+    private static final Duration STORE_LATENCY = Duration.ofMillis(2);
+    private static final Duration TOOL_LATENCY = Duration.ofMillis(30);
+    private static final EngineSpeed ENGINE_SPEED = new EngineSpeed(16, 20, 5000, 200_000);
+    private static final int ZONES = 3;
+
+    private final ManualScheduler scheduler = new ManualScheduler();
+    private final SplittableRandom random;
+    private final ManualEventLoop outside;
+    private final InMemoryObjectStore store;
+    private final Map<String, StandInEngine> engines = new LinkedHashMap<>();
+    private final Map<String, StandInTool> tools = new LinkedHashMap<>();
+    private final List<FleetNode> nodes = new ArrayList<>();
+    private final FleetNetwork network;
+    private int nextVm = 1;
+
+    /**
+     * Makes a fleet and starts its nodes.
+     *
+     * @param options its size
+     */
+    public Fleet(FleetOptions options) {
+        this.random = new SplittableRandom(options.seed());
+        this.outside = scheduler.newLoop();
+        this.store = new InMemoryObjectStore(outside, random.split(), STORE_LATENCY);
+        this.network = new FleetNetwork(scheduler, this);
+        IntStream.range(0, options.engines())
+                .mapToObj(i -> "10.0.1." + (i + 1) + ":80")
+                .forEach(address ->
+                        engines.put(address, new StandInEngine(address, outside, random.split(), ENGINE_SPEED)));
+        IntStream.range(0, options.tools())
+                .mapToObj(i -> "10.0.2." + (i + 1) + ":80")
+                .forEach(
+                        address -> tools.put(address, new StandInTool(address, outside, random.split(), TOOL_LATENCY)));
+        IntStream.range(0, options.nodes()).forEach(i -> addNode());
+    }
+
+    /**
+     * Starts one more VM.
+     *
+     * @return its node
+     */
+    public FleetNode addNode() {
+        int number = nextVm++;
+        NodeSettings settings = new NodeSettings(
+                "vm" + number,
+                "zone" + number % ZONES,
+                "10.0.0." + number + ":80",
+                "10.0.0." + number + ":81",
+                NodeSettings.Timings.defaults());
+        FleetNode node = new FleetNode(this, settings);
+        nodes.add(node);
+        node.start();
+        return node;
+    }
+
+    /**
+     * A manifest for this fleet's upstreams.
+     *
+     * @param turnTokens the most tokens of a turn
+     * @return its text
+     */
+    public String manifest(int turnTokens) {
+        String runners = engines.keySet().stream()
+                .map(address -> "{\"address\":\"" + address + "\",\"slots\":16}")
+                .collect(Collectors.joining(","));
+        String upstreams =
+                tools.keySet().stream().map(address -> "\"" + address + "\"").collect(Collectors.joining(","));
+        String once = "{\"upstreams\":[" + upstreams + "],\"repeatable\":false,\"timeout_seconds\":3}";
+        String often = "{\"upstreams\":[" + upstreams + "],\"repeatable\":true,\"timeout_seconds\":3}";
+        return """
+                {"deployment": "fleet",
+                 "models": {"m": {"runners": [%s]}},
+                 "agents": {"a": {"model": "m", "turn_tokens": %d, "budget":
+                   {"tokens": 4000, "turns": 80, "calls": 40, "seconds": 1200, "depth": 2, "children": 8}}},
+                 "tools": {"once": %s, "often": %s},
+                 "services": {"issue": %s, "lookup": %s}}
+                """.formatted(runners, turnTokens, once, often, once, often);
+    }
+
+    /**
+     * Submits a manifest and waits until it is in force on every live node.
+     *
+     * @param text the manifest
+     */
+    public void submit(String text) {
+        FleetNode first = live().getFirst();
+        first.run(() -> first.node().submitManifest(text, -1));
+        awaitTrue(
+                Duration.ofSeconds(30),
+                () -> live().stream().allMatch(node -> node.node().ready()));
+    }
+
+    /**
+     * Advances time in small steps until something holds.
+     *
+     * @param limit the longest to wait
+     * @param condition what must hold
+     * @throws AssertionError if it does not hold in time
+     */
+    public void awaitTrue(Duration limit, BooleanSupplier condition) {
+        long end = scheduler.nanos() + limit.toNanos();
+        while (!condition.getAsBoolean()) {
+            if (scheduler.nanos() >= end) {
+                throw new AssertionError("not reached within " + limit);
+            }
+            scheduler.advance(Duration.ofMillis(20));
+        }
+    }
+
+    /**
+     * Lets time pass.
+     *
+     * @param span how long
+     */
+    public void advance(Duration span) {
+        scheduler.advance(span);
+    }
+
+    /**
+     * Virtual time.
+     *
+     * @return the scheduler
+     */
+    public ManualScheduler scheduler() {
+        return scheduler;
+    }
+
+    /**
+     * Chance of this run.
+     *
+     * @return the generator
+     */
+    public SplittableRandom random() {
+        return random;
+    }
+
+    /**
+     * The loop of all stand-ins.
+     *
+     * @return the loop
+     */
+    public ManualEventLoop outside() {
+        return outside;
+    }
+
+    /**
+     * The platform.
+     *
+     * @return the stand-in
+     */
+    public InMemoryObjectStore store() {
+        return store;
+    }
+
+    /**
+     * The engines.
+     *
+     * @return stand-ins by address
+     */
+    public Map<String, StandInEngine> engines() {
+        return engines;
+    }
+
+    /**
+     * The tools.
+     *
+     * @return stand-ins by address
+     */
+    public Map<String, StandInTool> tools() {
+        return tools;
+    }
+
+    /**
+     * The connections.
+     *
+     * @return the network
+     */
+    public FleetNetwork network() {
+        return network;
+    }
+
+    /**
+     * All VMs ever started, dead ones among them.
+     *
+     * @return the nodes
+     */
+    public List<FleetNode> nodes() {
+        return nodes;
+    }
+
+    /**
+     * The VMs that are up.
+     *
+     * @return the nodes
+     */
+    public List<FleetNode> live() {
+        return nodes.stream().filter(FleetNode::alive).toList();
+    }
+}
--- /dev/null
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/FleetUpstreams.java
@@ -0,0 +1,159 @@
+package org.parsleydrift.bench;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.parsleydrift.kernel.LoopTimer;
+import org.parsleydrift.kernel.Step;
+import org.parsleydrift.kernel.upstream.CallClient;
+import org.parsleydrift.kernel.upstream.CallException;
+import org.parsleydrift.kernel.upstream.CallFailure;
+import org.parsleydrift.kernel.upstream.CallRequest;
+import org.parsleydrift.kernel.upstream.EngineClient;
+import org.parsleydrift.kernel.upstream.EngineMemory;
+import org.parsleydrift.kernel.upstream.TurnRequest;
+import org.parsleydrift.kernel.upstream.TurnResult;
+
+/** One node's connections to engines, tools and services. */
+final class FleetUpstreams implements EngineClient, CallClient {
+    private static final Duration DELAY = Duration.ofMillis(1);
+    private static final Duration SILENCE = Duration.ofSeconds(4);
+
+    private final Fleet fleet;
+    private final String vm;
+    private final List<Stream> open = new ArrayList<>();
+
+    FleetUpstreams(Fleet fleet, String vm) {
+        this.fleet = fleet;
+        this.vm = vm;
+    }
+
+    /** The process died: its connections close, and engines end its streams. */
+    void closeAll() {
+        List.copyOf(open).forEach(Stream::cancel);
+    }
+
+    @Override
+    public LoopTimer turn(
+            String runner, TurnRequest request, Consumer<String> tokens, CompletableFuture<TurnResult> done) {
+        Stream stream = new Stream(runner, tokens, done);
+        open.add(stream);
+        fleet.outside().schedule(DELAY, () -> stream.begin(request));
+        return stream::cancel;
+    }
+
+    @Override
+    public CompletableFuture<Void> release(String runner, String owner) {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        if (fleet.network().passes(vm, runner)) {
+            fleet.outside().schedule(DELAY, () -> {
+                fleet.engines().get(runner).release(owner);
+                done.complete(null);
+            });
+        }
+        return done;
+    }
+
+    @Override
+    public CompletableFuture<List<EngineMemory>> memory(String runner) {
+        CompletableFuture<List<EngineMemory>> answer = new CompletableFuture<>();
+        if (fleet.network().passes(vm, runner)) {
+            fleet.outside()
+                    .schedule(
+                            DELAY,
+                            () -> answer.complete(fleet.engines().get(runner).memory()));
+        }
+        return answer;
+    }
+
+    @Override
+    public CompletableFuture<String> call(String upstream, CallRequest request, Duration timeout) {
+        CompletableFuture<String> answer = new CompletableFuture<>();
+        fleet.outside()
+                .schedule(
+                        timeout,
+                        () -> answer.completeExceptionally(
+                                new CallException(Step.CALL, upstream, CallFailure.UNKNOWN, false, "no answer")));
+        if (fleet.network().passes(vm, upstream)) {
+            fleet.outside()
+                    .schedule(
+                            DELAY,
+                            () -> fleet.tools().get(upstream).call(request).whenComplete((text, failure) -> {
+                                if (failure == null) {
+                                    answer.complete(text);
+                                } else {
+                                    answer.completeExceptionally(failure);
+                                }
+                            }));
+        }
+        return answer;
+    }
+
+    /** A connection to an engine with one turn on it. */
+    private final class Stream {
+        private final String runner;
+        private final Consumer<String> tokens;
+        private final CompletableFuture<TurnResult> done;
+        private LoopTimer onEngine = () -> {};
+        private long lastTokenNanos;
+        private boolean closed;
+
+        private Stream(String runner, Consumer<String> tokens, CompletableFuture<TurnResult> done) {
+            this.runner = runner;
+            this.tokens = tokens;
+            this.done = done;
+            done.whenComplete((result, failure) -> open.remove(this));
+        }
+
+        private void begin(TurnRequest request) {
+            lastTokenNanos = fleet.scheduler().nanos();
+            if (closed) {
+                return;
+            }
+            watchSilence();
+            CompletableFuture<TurnResult> there = new CompletableFuture<>();
+            onEngine = fleet.engines().get(runner).turn(request, 0, this::token, there);
+            there.whenComplete((result, failure) -> {
+                if (closed || !fleet.network().passes(vm, runner)) {
+                    return;
+                }
+                closed = true;
+                if (failure == null) {
+                    done.complete(result);
+                } else {
+                    done.completeExceptionally(failure);
+                }
+            });
+        }
+
+        private void token(String text) {
+            if (!closed && fleet.network().passes(vm, runner)) {
+                lastTokenNanos = fleet.scheduler().nanos();
+                tokens.accept(text);
+            }
+        }
+
+        private void watchSilence() {
+            fleet.outside().schedule(SILENCE.dividedBy(4), () -> {
+                if (closed) {
+                    return;
+                }
+                if (fleet.scheduler().nanos() - lastTokenNanos > SILENCE.toNanos()) {
+                    cancel();
+                    done.completeExceptionally(
+                            new CallException(Step.TURN, runner, CallFailure.UNKNOWN, false, "silent"));
+                } else {
+                    watchSilence();
+                }
+            });
+        }
+
+        private void cancel() {
+            closed = true;
+            open.remove(this);
+            onEngine.cancel();
+        }
+    }
+}
--- /dev/null
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/Soak.java
@@ -0,0 +1,212 @@
+package org.parsleydrift.bench;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.parsleydrift.node.caller.RefusalKind;
+import org.parsleydrift.standin.EngineFaults;
+import org.parsleydrift.standin.PlatformFaults;
+import org.parsleydrift.standin.StandInEngine;
+import org.parsleydrift.standin.ToolFaults;
+
+/** A randomised run: thousands of programs under faults of every kind, checked against what must always hold. */
+public final class Soak {
+    private static final Duration STEP = Duration.ofMillis(100);
+    private static final Duration MEAN_FAULT_PAUSE = Duration.ofMillis(400);
+    private static final Duration SETTLE = Duration.ofSeconds(90);
+    private static final Duration STUCK = Duration.ofMinutes(20);
+    private static final int PROMPT_BUDGET_TOKENS = 4000;
+
+    private final SoakOptions options;
+    private final Fleet fleet;
+    private final FaultInjector faults;
+    private final List<FleetCaller> open = new ArrayList<>();
+    private final Map<String, Integer> ends = new TreeMap<>();
+    private final Map<String, FleetCaller> refusedNotRun = new HashMap<>();
+    private final List<String> violations = new ArrayList<>();
+
+    /**
+     * Makes a run.
+     *
+     * @param options seed, size and faults
+     */
+    public Soak(SoakOptions options) {
+        this.options = options;
+        this.fleet = new Fleet(new FleetOptions(options.seed(), options.nodes(), 4, 2));
+        this.faults = new FaultInjector(fleet, options.faults());
+    }
+
+    /**
+     * Runs to the end.
+     *
+     * @return what was found
+     */
+    public SoakReport run() {
+        fleet.submit(fleet.manifest(64));
+        PromptGenerator prompts = new PromptGenerator(fleet.random().split());
+        faults.begin(MEAN_FAULT_PAUSE);
+        int submitted = 0;
+        long lastProgressNanos = fleet.scheduler().nanos();
+        while (submitted < options.programs() || !open.isEmpty()) {
+            while (submitted < options.programs() && open.size() < options.atOnce()) {
+                submitted++;
+                FleetCaller caller = new FleetCaller(fleet, "p" + submitted, prompts.next(), prompts.messages());
+                open.add(caller);
+                caller.begin();
+            }
+            fleet.advance(STEP);
+            fleet.live().forEach(FleetNode::checkGeneration);
+            if (collect() > 0) {
+                lastProgressNanos = fleet.scheduler().nanos();
+            }
+            if (fleet.scheduler().nanos() - lastProgressNanos > STUCK.toNanos()) {
+                open.forEach(caller -> violations.add("stuck: " + caller.id()));
+                break;
+            }
+        }
+        long virtual = fleet.scheduler().nanos();
+        settle();
+        checkAfterwards();
+        return new SoakReport(
+                options.seed(),
+                submitted,
+                ends,
+                faults.counts(),
+                effects().values().stream().mapToLong(each -> each).sum(),
+                fleet.live().stream()
+                        .flatMap(node -> node.node().programs().values().stream())
+                        .mapToLong(state -> state.unknown().size())
+                        .sum(),
+                fleet.store().counts(),
+                virtual / 1_000_000_000L,
+                violations);
+    }
+
+    /**
+     * The fleet, for a look after the run.
+     *
+     * @return the fleet
+     */
+    public Fleet fleet() {
+        return fleet;
+    }
+
+    private int collect() {
+        List<FleetCaller> done = open.stream().filter(FleetCaller::done).toList();
+        open.removeAll(done);
+        done.forEach(this::judge);
+        return done.size();
+    }
+
+    private void judge(FleetCaller caller) {
+        if (caller.refusal() != null) {
+            ends.merge("refused_" + caller.refusal().kind().name().toLowerCase(java.util.Locale.ROOT), 1, Integer::sum);
+            if (caller.refusal().kind() == RefusalKind.NOT_RUN) {
+                refusedNotRun.put(String.valueOf(caller.id()), caller);
+            } else {
+                violations.add("refused: " + caller.id() + " " + caller.refusal());
+            }
+            return;
+        }
+        ends.merge(caller.answer().end(), 1, Integer::sum);
+        if ("complete".equals(caller.answer().end()) && !caller.fault().isEmpty()) {
+            violations.add("answer: " + caller.id() + " " + caller.fault());
+        }
+        if (Set.of("failed", "loop", "cancelled").contains(caller.answer().end())) {
+            violations.add("end: " + caller.id() + " " + caller.fault());
+        }
+    }
+
+    private void settle() {
+        faults.stop();
+        fleet.network().heal();
+        fleet.store().faults(PlatformFaults.NONE);
+        fleet.engines().values().forEach(engine -> engine.faults(EngineFaults.NONE));
+        fleet.tools().values().forEach(tool -> tool.faults(ToolFaults.NONE));
+        fleet.live().stream().filter(FleetNode::frozen).forEach(FleetNode::thaw);
+        fleet.advance(SETTLE);
+    }
+
+    private void checkAfterwards() {
+        checkEffects();
+        checkOrder();
+        checkEngines();
+        checkManifests();
+        fleet.live()
+                .forEach(node -> node.node().programs().values().stream()
+                        .filter(state -> !state.over())
+                        .filter(state -> refusedNotRun.containsKey(state.id().toString()))
+                        .forEach(state -> violations.add("refused as not run, and runs: " + state.id())));
+    }
+
+    /** No effect twice, and none of a program that was refused as not run. */
+    private void checkEffects() {
+        effects().forEach((effect, count) -> {
+            if (count > 1 && effect.endsWith(" once")) {
+                violations.add("doubled " + count + " times: " + effect);
+            }
+            String program = effect.substring(0, effect.indexOf('/'));
+            if (refusedNotRun.containsKey(program)) {
+                violations.add("refused as not run, and ran: " + effect);
+            }
+        });
+    }
+
+    /** The non-idempotent calls of an agent ran in the order of its turns. */
+    private void checkOrder() {
+        Map<String, Long> first = new HashMap<>();
+        fleet.tools().values().forEach(tool -> first.putAll(tool.firstNanos()));
+        Map<String, String> lastByAgent = new HashMap<>();
+        first.entrySet().stream()
+                .filter(entry -> entry.getKey().endsWith(" once"))
+                .sorted(Map.Entry.<String, Long>comparingByValue().thenComparing(Map.Entry.comparingByKey()))
+                .forEach(entry -> {
+                    String[] parts = entry.getKey().split("[/ ]", -1);
+                    String agent = parts[0] + "/" + parts[1];
+                    String place = String.format("%06d/%06d", Integer.parseInt(parts[2]), Integer.parseInt(parts[3]));
+                    String before = lastByAgent.put(agent, place);
+                    if (before != null && before.compareTo(place) > 0) {
+                        violations.add("order: " + entry.getKey() + " after " + before);
+                    }
+                });
+    }
+
+    /** Engines hold nothing of programs that are over, and generated no more than budgets allow. */
+    private void checkEngines() {
+        Map<String, Long> generated = new HashMap<>();
+        for (StandInEngine engine : fleet.engines().values()) {
+            engine.memory().forEach(held -> violations.add("memory held: " + held));
+            engine.generated().forEach((owner, tokens) -> generated.merge(owner, tokens, Long::sum));
+        }
+        generated.forEach((owner, tokens) -> {
+            if (tokens > PROMPT_BUDGET_TOKENS) {
+                violations.add("budget: " + owner + " generated " + tokens);
+            }
+            if (refusedNotRun.containsKey(owner)) {
+                violations.add("refused as not run, and generated: " + owner);
+            }
+        });
+    }
+
+    private void checkManifests() {
+        long generations = fleet.live().stream()
+                .map(node -> node.node().manifest().generation())
+                .distinct()
+                .count();
+        if (generations != 1) {
+            violations.add("manifest generations differ: " + generations);
+        }
+    }
+
+    private Map<String, Integer> effects() {
+        Map<String, Integer> all = new HashMap<>();
+        fleet.tools()
+                .values()
+                .forEach(tool -> tool.effects().forEach((effect, count) -> all.merge(effect, count, Integer::sum)));
+        return all;
+    }
+}
--- a/parsleydrift-standin/src/main/java/org/parsleydrift/standin/StandInEngine.java
+++ b/parsleydrift-standin/src/main/java/org/parsleydrift/standin/StandInEngine.java
@@ -32,6 +32,7 @@
     private final Map<String, Held> memory = new LinkedHashMap<>(16, 0.75f, true);
     private final Deque<Stream> waiting = new ArrayDeque<>();
     private final Map<String, Integer> activeByOwner = new LinkedHashMap<>();
+    private final Map<String, Long> generated = new LinkedHashMap<>();
     private EngineFaults faults = EngineFaults.NONE;
     private int active;
     private boolean dead;
@@ -84,6 +85,15 @@
         return turnsAccepted;
     }
 
+    /**
+     * Tokens generated for each owner since the start, lost ones among them.
+     *
+     * @return counts by owner
+     */
+    public Map<String, Long> generated() {
+        return generated;
+    }
+
     /**
      * Runs a turn.
      *
@@ -206,6 +216,7 @@
                 finish();
                 return;
             }
+            generated.merge(request.owner(), 1L, Long::sum);
             say(token(position++));
             loop.schedule(Duration.ofNanos(speed.decodeMicrosPerToken() * 1000L), this::next);
         }
--- a/parsleydrift-standin/src/main/java/org/parsleydrift/standin/StandInTool.java
+++ b/parsleydrift-standin/src/main/java/org/parsleydrift/standin/StandInTool.java
@@ -21,6 +21,7 @@
     private final RandomGenerator random;
     private final Duration latency;
     private final Map<String, Integer> effects = new LinkedHashMap<>();
+    private final Map<String, Long> firstNanos = new LinkedHashMap<>();
     private ToolFaults faults = ToolFaults.NONE;
     private long nextNumber = 1000;
 
@@ -57,6 +58,15 @@
         return Map.copyOf(effects);
     }
 
+    /**
+     * When each call first ran, on the loop's clock.
+     *
+     * @return nanoseconds by call id and operation
+     */
+    public Map<String, Long> firstNanos() {
+        return Map.copyOf(firstNanos);
+    }
+
     /**
      * Serves a call.
      *
@@ -73,7 +83,9 @@
             return answer;
         }
         loop.schedule(latency, () -> {
-            effects.merge(request.callId() + " " + request.operation(), 1, Integer::sum);
+            String effect = request.callId() + " " + request.operation();
+            effects.merge(effect, 1, Integer::sum);
+            firstNanos.putIfAbsent(effect, loop.clock().nanos());
             String text = "{\"operation\":\"" + request.operation() + "\",\"number\":" + nextNumber++ + ",\"call\":\""
                     + request.callId() + "\"}";
             if (random.nextDouble() >= faults.loseAnswers()) {
