Takeover reads only journals that nobody holds in full; three faults of recovery mended

Change: lineages are cut at journals that hold their predecessor's programs durably; ended programs are condensed; covered journals are deleted but for their seal; the seal met by a write extends the ownership chain at once.

--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/Soak.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/Soak.java
@@ -18,7 +18,7 @@
     private static final Duration STEP = Duration.ofMillis(100);
     private static final Duration MEAN_FAULT_PAUSE = Duration.ofMillis(400);
     private static final Duration SETTLE = Duration.ofSeconds(90);
-    private static final Duration STUCK = Duration.ofMinutes(20);
+    private static final Duration STUCK = Duration.ofMinutes(3);
     private static final int PROMPT_BUDGET_TOKENS = 4000;
 
     private final SoakOptions options;
--- a/parsleydrift-journal/src/main/java/org/parsleydrift/journal/JournalReader.java
+++ b/parsleydrift-journal/src/main/java/org/parsleydrift/journal/JournalReader.java
@@ -67,6 +67,22 @@
                         loop);
     }
 
+    /**
+     * Deletes all segments of a sealed journal but the seal.
+     *
+     * @param incarnation the journal's owner
+     * @return completes when they are gone; fails if the platform does not answer
+     */
+    public CompletableFuture<Void> deleteAllButSeal(String incarnation) {
+        return rows(incarnation)
+                .thenComposeAsync(
+                        rows -> CompletableFuture.allOf(rows.stream()
+                                .limit(Math.max(0, rows.size() - 1))
+                                .map(row -> bounded(store.delete(row.key()), row.key()))
+                                .toArray(CompletableFuture[]::new)),
+                        loop);
+    }
+
     private CompletableFuture<Seal> setSeal(String incarnation, long sequence, long base, Seal seal) {
         String key = JournalKeys.segment(incarnation, sequence);
         byte[] bytes = new Segment(incarnation, sequence, base, List.of(), seal).encode();
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/Incarnation.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/Incarnation.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import net.openhft.hashing.LongHashFunction;
+import org.parsleydrift.journal.FencedException;
 import org.parsleydrift.journal.JournalOptions;
 import org.parsleydrift.journal.JournalReader;
 import org.parsleydrift.journal.JournalWriter;
@@ -79,7 +80,7 @@
                 new JournalOptions(timings.commitInterval(), timings.platformTimeout(), RETRY, SEGMENT_BYTES);
         this.registry = new NodeRegistry(environment, timings, this::recordChanged);
         this.directory = new OwnerDirectory(name);
-        this.journal = new JournalWriter(loop, environment.store(), name, options, fenced -> end());
+        this.journal = new JournalWriter(loop, environment.store(), name, options, this::fenced);
         this.reader = new JournalReader(loop, environment.store(), options);
         this.host = new ProgramHost(environment, timings, journal, manifest, upstreams);
         this.takeover = new Takeover(loop, name, reader, registry, directory, host, this::tellRegistryChanged);
@@ -296,7 +297,7 @@
         if (record.seal() == null) {
             return;
         }
-        directory.sealed(record.incarnation(), record.seal());
+        directory.sealed(record.incarnation(), record.seal(), record.adoptedBy());
         if (record.incarnation().equals(name)) {
             end();
             return;
@@ -311,6 +312,12 @@
         broadcast(new PeerMessage.RegistryChanged());
     }
 
+    /** The journal itself told of its seal, maybe long before the node records do; from now on the chain leads on. */
+    private void fenced(FencedException found) {
+        directory.sealed(name, found.seal(), List.of());
+        end();
+    }
+
     /**
      * Another node sealed the journal while this one was paused or cut off, or this one handed its programs over.
      * Going on with them would run each twice. After a drain the name lives on, to forward what callers still ask here.
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/host/ProgramHost.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/host/ProgramHost.java
@@ -78,6 +78,10 @@
      * @return ends the interest in further replies
      */
     public Runnable handle(CallerRequest request, ReplySink sink) {
+        if (stopped) {
+            sink.reply(new CallerReply.Moved());
+            return () -> {};
+        }
         return switch (request) {
             case CallerRequest.Start start -> begin(start, sink);
             case CallerRequest.CallService call -> begin(call, sink);
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/host/Snapshots.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/host/Snapshots.java
@@ -16,7 +16,7 @@
     private Snapshots() {}
 
     static void append(JournalWriter journal, LiveProgram live) {
-        ProgramState state = live.state();
+        ProgramState state = live.state().over() ? live.state().condensed() : live.state();
         state.agents().values().stream()
                 .flatMap(agent -> pieces(state, agent).stream())
                 .forEach(piece -> journal.append(MessagePackCodec.encode(piece)));
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/ownership/OwnerDirectory.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/ownership/OwnerDirectory.java
@@ -1,6 +1,7 @@
 package org.parsleydrift.node.ownership;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -18,6 +19,7 @@
 public final class OwnerDirectory {
     private final String self;
     private final Map<String, Seal> seals = new HashMap<>();
+    private final Map<String, Set<String>> holders = new HashMap<>();
     private final Map<String, Set<String>> adopted = new HashMap<>();
 
     /**
@@ -34,9 +36,11 @@
      *
      * @param journal the sealed journal
      * @param seal its seal
+     * @param adoptedBy incarnations that hold their share of it durably in their own journals
      */
-    public void sealed(String journal, Seal seal) {
+    public void sealed(String journal, Seal seal, Collection<String> adoptedBy) {
         seals.putIfAbsent(journal, seal);
+        holders.computeIfAbsent(journal, any -> new HashSet<>()).addAll(adoptedBy);
     }
 
     /**
@@ -65,7 +69,49 @@
             return true;
         }
         Set<String> inputs = adopted.get(chain.get(chain.size() - 2));
-        return inputs != null && inputs.containsAll(chain.subList(0, chain.size() - 1));
+        return inputs != null && inputs.containsAll(unheld(chain));
+    }
+
+    /** The end of a chain, without the owner, back to the first journal that holds what came before it. */
+    private List<String> unheld(List<String> chain) {
+        int last = chain.size() - 2;
+        int first = last;
+        while (first > 0 && !holds(chain.get(first), chain.get(first - 1))) {
+            first--;
+        }
+        return chain.subList(first, last + 1);
+    }
+
+    /**
+     * Whether a journal holds durably all that came to it from another.
+     *
+     * @param holder the journal
+     * @param journal the other journal
+     * @return true if the other one need not be read for it
+     */
+    public boolean holds(String holder, String journal) {
+        return holders.getOrDefault(journal, Set.of()).contains(holder);
+    }
+
+    /**
+     * Whether all programs of a sealed journal are durable elsewhere, so that its segments may be deleted.
+     *
+     * @param journal the journal
+     * @return true if each successor, or each of its own successors in turn, holds its share
+     */
+    public boolean covered(String journal) {
+        Seal seal = seals.get(journal);
+        return seal != null && seal.successors().stream().allMatch(each -> covers(journal, each, new HashSet<>()));
+    }
+
+    private boolean covers(String journal, String successor, Set<String> seen) {
+        if (holds(successor, journal)) {
+            return true;
+        }
+        Seal seal = seals.get(successor);
+        return seal != null
+                && seen.add(successor)
+                && seal.successors().stream().allMatch(each -> covers(journal, each, seen));
     }
 
     /**
@@ -93,7 +139,7 @@
     }
 
     /**
-     * A journal and all journals that lead to it, directly or by way of others.
+     * A journal and all journals that lead to it and are not held in full by the one they lead to.
      *
      * @param journal the journal
      * @return names, that of the journal among them
@@ -104,7 +150,9 @@
         while (!open.isEmpty()) {
             String next = open.removeLast();
             if (found.add(next)) {
-                open.addAll(predecessors(next));
+                predecessors(next).stream()
+                        .filter(earlier -> !holds(next, earlier))
+                        .forEach(open::add);
             }
         }
         return found;
@@ -118,6 +166,7 @@
     public List<String> unadopted() {
         return predecessors(self).stream()
                 .filter(journal -> !adopted.getOrDefault(journal, Set.of()).containsAll(lineage(journal)))
+                .filter(journal -> adopted.containsKey(journal) || !holds(self, journal))
                 .toList();
     }
 
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/ownership/Takeover.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/ownership/Takeover.java
@@ -126,7 +126,6 @@
     private void adopt(String predecessor) {
         long begun = loop.clock().nanos();
         Set<String> lineage = new TreeSet<>(directory.lineage(predecessor));
-        lineage.removeAll(directory.adoptedBy(predecessor));
         readAll(lineage)
                 .whenCompleteAsync(
                         (replays, failure) -> {
@@ -150,12 +149,14 @@
     }
 
     private void takeIn(String predecessor, Set<String> lineage, Map<String, JournalReplay> replays, long begun) {
+        Set<String> before = Set.copyOf(directory.adoptedBy(predecessor));
         Set<ProgramId> ids = new HashSet<>();
         replays.values().forEach(replay -> ids.addAll(replay.programs().keySet()));
         List<ProgramState> mine = ids.stream()
-                .flatMap(id -> latest(id, replays).stream())
+                .flatMap(id -> latest(id, replays, before).stream())
                 .sorted(java.util.Comparator.comparingLong(ProgramState::startedMillis))
                 .toList();
+        lineage.removeAll(before);
         // First known as taken in, then run: a program that goes on at once may ask who owns it.
         directory.adopted(predecessor, lineage);
         mine.forEach(host::adopt);
@@ -169,6 +170,7 @@
                         .toString());
         lineage.forEach(journal -> host.adopted(journal)
                 .thenCompose(done -> registry.change(journal, record -> record.withAdopter(self)))
+                .thenAcceptAsync(record -> deleteIfCovered(journal), loop)
                 .exceptionally(failure -> null));
         adoptPending();
     }
@@ -176,9 +178,10 @@
     /**
      * The newest state of a program that comes to this node: that of the journal furthest along its chain. A journal
      * that took in the one before it and does not hold the program has forgotten it, as it does some time after the
-     * program's end; an older journal must not bring it back to life.
+     * program's end; an older journal must not bring it back to life. Nor is anything taken twice from a journal that
+     * was read before, when a lineage turns out to be longer than it seemed.
      */
-    private Optional<ProgramState> latest(ProgramId id, Map<String, JournalReplay> replays) {
+    private Optional<ProgramState> latest(ProgramId id, Map<String, JournalReplay> replays, Set<String> before) {
         List<String> chain = directory.chain(id);
         if (!chain.getLast().equals(self)) {
             return Optional.empty();
@@ -190,15 +193,27 @@
             }
             ProgramState state = replay.programs().get(id);
             if (state != null) {
-                return Optional.of(state);
+                return Optional.of(state).filter(found -> !before.containsAll(chain.subList(0, chain.size() - 1)));
             }
-            if (i > 0 && replay.adopted().contains(chain.get(i - 1))) {
+            if (i > 0
+                    && (replay.adopted().contains(chain.get(i - 1))
+                            || directory.holds(chain.get(i), chain.get(i - 1)))) {
                 return Optional.empty();
             }
         }
         return Optional.empty();
     }
 
+    /**
+     * Deletes what a sealed journal no longer need keep, all but its seal: a VM frozen for hours may wake and create
+     * the very number at which the seal stands, and go on with programs that others finished long ago.
+     */
+    private void deleteIfCovered(String journal) {
+        if (!stopped && directory.covered(journal)) {
+            reader.deleteAllButSeal(journal).exceptionally(failure -> null);
+        }
+    }
+
     private CompletableFuture<Map<String, JournalReplay>> readAll(Set<String> journals) {
         Map<String, JournalReplay> replays = new HashMap<>();
         CompletableFuture<Void> all = CompletableFuture.completedFuture(null);
--- a/parsleydrift-program/src/main/java/org/parsleydrift/program/ProgramState.java
+++ b/parsleydrift-program/src/main/java/org/parsleydrift/program/ProgramState.java
@@ -91,6 +91,33 @@
         return changed;
     }
 
+    /**
+     * What is kept of a program that is over: enough to give its answer again and to know a repeated request.
+     *
+     * @return the state without sub-agents, inputs and messages
+     */
+    public ProgramState condensed() {
+        List<HistoryEntry> kept = root().history().stream()
+                .filter(entry -> entry.kind() == HistoryEntry.Kind.MODEL
+                        || (root().turns() == 0 && entry.kind() == HistoryEntry.Kind.TOOL))
+                .toList();
+        SequencedMap<String, String> keys = new LinkedHashMap<>();
+        messages.keySet().forEach(key -> keys.put(key, ""));
+        return new ProgramState(
+                id,
+                agent,
+                budget,
+                generation,
+                startedMillis,
+                Map.of(ROOT, root().withHistory(kept)),
+                usage,
+                keys,
+                consumed,
+                List.of(),
+                end,
+                detail);
+    }
+
     ProgramState withAgent(AgentState changed) {
         Map<String, AgentState> copy = new TreeMap<>(agents);
         copy.put(changed.path(), changed);
