--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/Incarnation.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/Incarnation.java
@@ -33,6 +33,7 @@
     private static final Logger LOG = System.getLogger(Incarnation.class.getName());
     private static final int SEGMENT_BYTES = 768 * 1024;
     private static final Duration RETRY = Duration.ofMillis(500);
+    private static final Duration LOOK_AGAIN = Duration.ofMillis(50);
 
     private final NodeEnvironment environment;
     private final EventLoop loop;
@@ -224,6 +225,10 @@
         if (over) {
             return;
         }
+        if (!manifest.known()) {
+            loop.schedule(LOOK_AGAIN, this::register);
+            return;
+        }
         NodeRecord record =
                 new NodeRecord(name, settings.http(), settings.link(), settings.zone(), false, null, List.of());
         registry.refresh()
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/caller/CallerGateway.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/caller/CallerGateway.java
@@ -164,7 +164,6 @@
         private Runnable cancelLocal = () -> {};
         private long lastProgressNanos;
         private long lastReplyNanos;
-        private boolean sent;
         private boolean refreshed;
         private boolean closed;
         private boolean retrySet;
@@ -201,7 +200,6 @@
             }
             target = ways.self();
             number = -1;
-            sent = true;
             boolean[] current = {true};
             Runnable cancel = ways.host().handle(present(), reply -> {
                 if (current[0]) {
@@ -225,7 +223,6 @@
             expectedOrder = 0;
             lastReplyNanos = loop.clock().nanos();
             forwarded.put(number, this);
-            sent = true;
             ways.send().accept(record.get(), new PeerMessage.Forward(number, present()));
         }
 
@@ -302,9 +299,13 @@
 
         /** Gives the final answer at once; the caller is told when to come back rather than kept waiting. */
         private void giveUp() {
-            RefusalKind kind = sent ? RefusalKind.OUTCOME_UNKNOWN : RefusalKind.NOT_RUN;
+            // Only the owner can say "not run": another node may have taken an earlier try of this request to it.
             take(new CallerReply.Refused(
-                    kind, Step.FORWARD, String.valueOf(target), "the owner can't be reached", RETRY_AFTER_MILLIS));
+                    RefusalKind.OUTCOME_UNKNOWN,
+                    Step.FORWARD,
+                    String.valueOf(target),
+                    "the owner can't be reached",
+                    RETRY_AFTER_MILLIS));
         }
 
         private void retryNow() {
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/host/JournalRecord.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/host/JournalRecord.java
@@ -36,11 +36,12 @@
     record HistoryPart(ProgramId id, String path, List<HistoryEntry> entries) implements JournalRecord {}
 
     /**
-     * All programs that came to this node out of another journal are durable in this one.
+     * All programs that came to this node out of another journal by one way are durable in this one.
      *
      * @param journal the other journal
+     * @param via the direct predecessor on that way
      */
-    record Adopted(String journal) implements JournalRecord {}
+    record Adopted(String journal, String via) implements JournalRecord {}
 
     /** Nothing; written to learn whether the journal still belongs to this node. */
     record Probe() implements JournalRecord {}
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/host/JournalReplay.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/host/JournalReplay.java
@@ -19,7 +19,7 @@
 /** Programs as a journal tells them. */
 public final class JournalReplay {
     private final Map<ProgramId, ProgramState> programs = new LinkedHashMap<>();
-    private final Set<String> adopted = new HashSet<>();
+    private final Set<JournalRecord.Adopted> adopted = new HashSet<>();
     private final Map<ProgramId, List<JournalRecord.HistoryPart>> parts = new HashMap<>();
 
     /**
@@ -47,11 +47,11 @@
     }
 
     /**
-     * Journals whose programs this one holds.
+     * Shares of other journals that this one holds.
      *
-     * @return names of journals
+     * @return the marks found
      */
-    public Set<String> adopted() {
+    public Set<JournalRecord.Adopted> adopted() {
         return adopted;
     }
 
@@ -60,7 +60,7 @@
             case JournalRecord.OfProgram of -> applyEvent(of.id(), of.event());
             case JournalRecord.HistoryPart part ->
                 parts.computeIfAbsent(part.id(), any -> new ArrayList<>()).add(part);
-            case JournalRecord.Adopted mark -> adopted.add(mark.journal());
+            case JournalRecord.Adopted mark -> adopted.add(mark);
             case JournalRecord.Probe ignored -> {
                 return;
             }
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/host/ProgramHost.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/host/ProgramHost.java
@@ -42,8 +42,9 @@
     private final JournalWriter journal;
     private final ManifestInForce manifest;
     private final StepRunner steps;
+    private final PauseGuard guard;
     private final Map<ProgramId, LiveProgram> programs = new LinkedHashMap<>();
-    private final Map<String, Long> marks = new HashMap<>();
+    private final Map<JournalRecord.Adopted, Long> marks = new HashMap<>();
     private boolean stopped;
     private boolean draining;
 
@@ -68,6 +69,7 @@
         this.journal = journal;
         this.manifest = manifest;
         this.steps = new StepRunner(environment, this, manifest, upstreams);
+        this.guard = new PauseGuard(loop, timings.stall(), this::verifyOwnership);
     }
 
     /**
@@ -114,14 +116,14 @@
     }
 
     /**
-     * Notes durably that another journal's programs are all in this one.
+     * Notes durably that a share of another journal is all in this one.
      *
-     * @param other the other journal
+     * @param share the other journal, and the way
      * @return completes when it is durable
      */
-    public CompletableFuture<Void> adopted(String other) {
-        marks.put(other, journal.sequence() + 1);
-        return markAdopted(other);
+    public CompletableFuture<Void> adopted(JournalRecord.Adopted share) {
+        marks.put(share, journal.sequence() + 1);
+        return markAdopted(share);
     }
 
     /**
@@ -152,6 +154,7 @@
     /** Ends all activity: another node owns the programs now. Callers are told to look for it. */
     public void stop() {
         stopped = true;
+        guard.stop();
         programs.values().forEach(live -> {
             live.running().values().forEach(org.parsleydrift.kernel.LoopTimer::cancel);
             live.running().clear();
@@ -220,11 +223,9 @@
         });
     }
 
-    private CompletableFuture<Void> markAdopted(String other) {
+    private CompletableFuture<Void> markAdopted(JournalRecord.Adopted share) {
         long from = journal.sequence() + 1;
-        return journal.append(MessagePackCodec.encode(new JournalRecord.Adopted(other)))
-                .durable()
-                .thenRun(() -> marks.put(other, from));
+        return journal.append(MessagePackCodec.encode(share)).durable().thenRun(() -> marks.put(share, from));
     }
 
     boolean active(LiveProgram live) {
@@ -244,16 +245,22 @@
         return entry;
     }
 
+    /** Runs a task with effects outside once this node is known to own its programs. */
+    void whenOwner(Runnable task) {
+        guard.whenOwner(task);
+    }
+
     /** Begins whatever the program needs next and is not under way. */
     void advance(LiveProgram live) {
-        if (!active(live) || draining) {
-            return;
-        }
-        long now = loop.clock().instant().toEpochMilli();
-        ProgramMachine.next(live.state(), now).stream()
-                .filter(step -> !live.running().containsKey(step.key()))
-                .toList()
-                .forEach(step -> steps.begin(live, step));
+        guard.whenOwner(() -> {
+            if (active(live) && !draining) {
+                long now = loop.clock().instant().toEpochMilli();
+                ProgramMachine.next(live.state(), now).stream()
+                        .filter(step -> !live.running().containsKey(step.key()))
+                        .toList()
+                        .forEach(step -> steps.begin(live, step));
+            }
+        });
     }
 
     private Runnable begin(CallerRequest.Start start, ReplySink sink) {
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/host/StepRunner.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/host/StepRunner.java
@@ -206,7 +206,7 @@
         }
         host.record(live, new ProgramEvent.CallIntended(step.callId()))
                 .durable()
-                .thenRun(() -> send(live, step, spec));
+                .thenRun(() -> host.whenOwner(() -> send(live, step, spec)));
     }
 
     private void send(LiveProgram live, ProgramStep.MakeCall step, OperationSpec spec) {
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/manifest/ManifestKeeper.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/manifest/ManifestKeeper.java
@@ -37,6 +37,7 @@
     private final Consumer<Manifest> onChange;
     private ManifestVersion version;
     private Manifest manifest = EMPTY;
+    private boolean known;
 
     /**
      * Makes a keeper with no manifest.
@@ -72,6 +73,16 @@
         return version == null ? 0 : version.generation();
     }
 
+    /**
+     * Whether this node knows which manifest is in force, or that there is none. Until then it must own no program: it
+     * would end those that come to it, since it knows none of their agents.
+     *
+     * @return true after the first answer of the platform or of a peer
+     */
+    public boolean known() {
+        return known;
+    }
+
     /**
      * Puts a manifest into force unless it is no newer than the present one.
      *
@@ -85,6 +96,7 @@
         }
         manifest = ManifestParser.parse("manifest", found.text());
         version = found;
+        known = true;
         LOG.log(
                 Logger.Level.INFO,
                 LogLine.of("manifest_in_force")
@@ -104,8 +116,11 @@
     public CompletableFuture<Boolean> refresh() {
         return bounded(store.read(KEY))
                 .thenApplyAsync(
-                        found -> found.map(object -> offer(decode(object), "platform"))
-                                .orElse(false),
+                        found -> {
+                            known = true;
+                            return found.map(object -> offer(decode(object), "platform"))
+                                    .orElse(false);
+                        },
                         loop);
     }
 
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/membership/NodeRecord.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/membership/NodeRecord.java
@@ -12,7 +12,7 @@
  * @param zone its availability zone
  * @param draining true once it takes no new work
  * @param seal the seal of its journal, or null while it may write
- * @param adoptedBy successors that hold their share durably
+ * @param adoptedBy shares of its journal that are durable elsewhere: holder and way
  */
 public record NodeRecord(
         String incarnation,
@@ -68,13 +68,13 @@
     }
 
     /**
-     * The record with one more successor that holds its share.
+     * The record with one more share that is durable elsewhere.
      *
-     * @param successor the successor
+     * @param share holder and way
      * @return the record after
      */
-    public NodeRecord withAdopter(String successor) {
-        List<String> longer = java.util.stream.Stream.concat(adoptedBy.stream(), java.util.stream.Stream.of(successor))
+    public NodeRecord withAdopter(String share) {
+        List<String> longer = java.util.stream.Stream.concat(adoptedBy.stream(), java.util.stream.Stream.of(share))
                 .distinct()
                 .toList();
         return new NodeRecord(incarnation, http, link, zone, draining, seal, longer);
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/ownership/OwnerDirectory.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/ownership/OwnerDirectory.java
@@ -21,6 +21,9 @@
     private final Map<String, Seal> seals = new HashMap<>();
     private final Map<String, Set<String>> holders = new HashMap<>();
     private final Map<String, Set<String>> adopted = new HashMap<>();
+    private final Map<String, Set<String>> lineages = new HashMap<>();
+    private final Set<String> covered = new HashSet<>();
+    private boolean stale;
 
     /**
      * Makes an empty directory.
@@ -36,11 +39,12 @@
      *
      * @param journal the sealed journal
      * @param seal its seal
-     * @param adoptedBy incarnations that hold their share of it durably in their own journals
+     * @param adoptedBy shares of it that are durable elsewhere, as {@link #share} writes them
      */
     public void sealed(String journal, Seal seal, Collection<String> adoptedBy) {
-        seals.putIfAbsent(journal, seal);
-        holders.computeIfAbsent(journal, any -> new HashSet<>()).addAll(adoptedBy);
+        boolean news = seals.putIfAbsent(journal, seal) == null;
+        news |= holders.computeIfAbsent(journal, any -> new HashSet<>()).addAll(adoptedBy);
+        stale |= news;
     }
 
     /**
@@ -68,29 +72,22 @@
         if (chain.size() == 1) {
             return true;
         }
-        Set<String> inputs = adopted.get(chain.get(chain.size() - 2));
-        return inputs != null && inputs.containsAll(unheld(chain));
-    }
-
-    /** The end of a chain, without the owner, back to the first journal that holds what came before it. */
-    private List<String> unheld(List<String> chain) {
-        int last = chain.size() - 2;
-        int first = last;
-        while (first > 0 && !holds(chain.get(first), chain.get(first - 1))) {
-            first--;
-        }
-        return chain.subList(first, last + 1);
+        String predecessor = chain.get(chain.size() - 2);
+        Set<String> needed = new HashSet<>(chain);
+        needed.retainAll(lineage(predecessor));
+        return adopted.getOrDefault(predecessor, Set.of()).containsAll(needed);
     }
 
     /**
-     * Whether a journal holds durably all that came to it from another.
+     * Writes a share: the programs of a journal that came to a holder by way of a predecessor. A holder can get programs
+     * of one journal by several ways, at several times; each way counts by itself.
      *
-     * @param holder the journal
-     * @param journal the other journal
-     * @return true if the other one need not be read for it
+     * @param holder the incarnation in whose journal they are durable
+     * @param via its direct predecessor on that way
+     * @return the share as text
      */
-    public boolean holds(String holder, String journal) {
-        return holders.getOrDefault(journal, Set.of()).contains(holder);
+    public static String share(String holder, String via) {
+        return holder + "<" + via;
     }
 
     /**
@@ -100,18 +97,50 @@
      * @return true if each successor, or each of its own successors in turn, holds its share
      */
     public boolean covered(String journal) {
-        Seal seal = seals.get(journal);
-        return seal != null && seal.successors().stream().allMatch(each -> covers(journal, each, new HashSet<>()));
+        followFlows();
+        return covered.contains(journal);
     }
 
-    private boolean covers(String journal, String successor, Set<String> seen) {
-        if (holds(successor, journal)) {
+    /**
+     * Follows the programs of each journal that is not covered, from successor to successor, to where they are durable
+     * or to this node. One pass over the seals; journals once covered stay so and are passed over, so the cost depends
+     * on the deaths that are still being worked off and not on all that ever were.
+     */
+    private void followFlows() {
+        if (!stale) {
+            return;
+        }
+        stale = false;
+        lineages.clear();
+        seals.keySet().stream()
+                .filter(journal -> !covered.contains(journal))
+                .toList()
+                .forEach(journal -> {
+                    if (follow(journal, journal, new HashSet<>())) {
+                        covered.add(journal);
+                    }
+                });
+    }
+
+    /** Follows a journal's programs on from a sealed holder; true if all of them are durable. */
+    private boolean follow(String journal, String via, Set<String> seen) {
+        if (!seen.add(via)) {
             return true;
         }
-        Seal seal = seals.get(successor);
-        return seal != null
-                && seen.add(successor)
-                && seal.successors().stream().allMatch(each -> covers(journal, each, seen));
+        boolean all = true;
+        for (String successor : seals.get(via).successors()) {
+            if (successor.equals(self)) {
+                lineages.computeIfAbsent(via, any -> new HashSet<>()).add(journal);
+            }
+            boolean durable = holds(successor, journal, via)
+                    || (seals.containsKey(successor) && follow(journal, successor, seen));
+            all &= durable;
+        }
+        return all;
+    }
+
+    private boolean holds(String holder, String journal, String via) {
+        return holders.getOrDefault(journal, Set.of()).contains(share(holder, via));
     }
 
     /**
@@ -139,23 +168,15 @@
     }
 
     /**
-     * A journal and all journals that lead to it and are not held in full by the one they lead to.
+     * The journals that may tell of programs that come to this node by way of a predecessor: that one, and those whose
+     * programs it should have taken in and did not.
      *
-     * @param journal the journal
-     * @return names, that of the journal among them
+     * @param predecessor a direct predecessor
+     * @return names, that of the predecessor among them unless all its programs are durable elsewhere
      */
-    public Set<String> lineage(String journal) {
-        Set<String> found = new HashSet<>();
-        List<String> open = new ArrayList<>(List.of(journal));
-        while (!open.isEmpty()) {
-            String next = open.removeLast();
-            if (found.add(next)) {
-                predecessors(next).stream()
-                        .filter(earlier -> !holds(next, earlier))
-                        .forEach(open::add);
-            }
-        }
-        return found;
+    public Set<String> lineage(String predecessor) {
+        followFlows();
+        return lineages.getOrDefault(predecessor, Set.of());
     }
 
     /**
@@ -166,7 +187,6 @@
     public List<String> unadopted() {
         return predecessors(self).stream()
                 .filter(journal -> !adopted.getOrDefault(journal, Set.of()).containsAll(lineage(journal)))
-                .filter(journal -> adopted.containsKey(journal) || !holds(self, journal))
                 .toList();
     }
 
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/ownership/Takeover.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/ownership/Takeover.java
@@ -10,10 +10,12 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
 import org.parsleydrift.journal.JournalReader;
 import org.parsleydrift.journal.Seal;
 import org.parsleydrift.kernel.EventLoop;
 import org.parsleydrift.kernel.LogLine;
+import org.parsleydrift.node.host.JournalRecord;
 import org.parsleydrift.node.host.JournalReplay;
 import org.parsleydrift.node.host.ProgramHost;
 import org.parsleydrift.node.membership.NodeRegistry;
@@ -168,8 +170,9 @@
                         .with("programs", mine.size())
                         .with("ms", (loop.clock().nanos() - begun) / 1_000_000)
                         .toString());
-        lineage.forEach(journal -> host.adopted(journal)
-                .thenCompose(done -> registry.change(journal, record -> record.withAdopter(self)))
+        lineage.forEach(journal -> host.adopted(new JournalRecord.Adopted(journal, predecessor))
+                .thenCompose(done ->
+                        registry.change(journal, record -> record.withAdopter(OwnerDirectory.share(self, predecessor))))
                 .thenAcceptAsync(record -> deleteIfCovered(journal), loop)
                 .exceptionally(failure -> null));
         adoptPending();
@@ -188,22 +191,25 @@
         }
         for (int i = chain.size() - 2; i >= 0; i--) {
             JournalReplay replay = replays.get(chain.get(i));
-            if (replay == null) {
+            if (replay == null || heldLater(chain, i, replays)) {
                 return Optional.empty();
             }
             ProgramState state = replay.programs().get(id);
             if (state != null) {
-                return Optional.of(state).filter(found -> !before.containsAll(chain.subList(0, chain.size() - 1)));
-            }
-            if (i > 0
-                    && (replay.adopted().contains(chain.get(i - 1))
-                            || directory.holds(chain.get(i), chain.get(i - 1)))) {
-                return Optional.empty();
+                return before.contains(chain.get(i)) ? Optional.empty() : Optional.of(state);
             }
         }
         return Optional.empty();
     }
 
+    private static boolean heldLater(List<String> chain, int i, Map<String, JournalReplay> replays) {
+        return IntStream.range(i + 1, chain.size() - 1)
+                .filter(j -> replays.containsKey(chain.get(j)))
+                .anyMatch(j -> replays.get(chain.get(j))
+                        .adopted()
+                        .contains(new JournalRecord.Adopted(chain.get(i), chain.get(j - 1))));
+    }
+
     /**
      * Deletes what a sealed journal no longer need keep, all but its seal: a VM frozen for hours may wake and create
      * the very number at which the seal stands, and go on with programs that others finished long ago.
