--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/membership/NodeRegistry.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/membership/NodeRegistry.java
@@ -80,12 +80,24 @@
         if (refreshing == null) {
             CompletableFuture<Void> started = bounded(environment.store().list(NodeRecord.prefix()))
                     .thenComposeAsync(this::readChanged, environment.loop());
-            refreshing = started;
-            started.whenCompleteAsync((done, failure) -> refreshing = null, environment.loop());
+            refreshing = started.whenCompleteAsync((done, failure) -> refreshing = null, environment.loop());
         }
         return refreshing;
     }
 
+    /**
+     * Reads what is new, beginning after this call: a read under way may have passed what the caller must not miss.
+     *
+     * @return completes when the copy is as the platform was; fails if the platform does not answer
+     */
+    public CompletableFuture<Void> refreshAnew() {
+        return refreshing == null
+                ? refresh()
+                : refreshing
+                        .handleAsync((done, failure) -> refresh(), environment.loop())
+                        .thenCompose(each -> each);
+    }
+
     /**
      * Creates this node's own record.
      *
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/ownership/Takeover.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/ownership/Takeover.java
@@ -128,7 +128,10 @@
     private void adopt(String predecessor) {
         long begun = loop.clock().nanos();
         Set<String> lineage = new TreeSet<>(directory.lineage(predecessor));
+        // A program that came to the predecessor from elsewhere is known as ours only by the seals that brought it
+        // there. The predecessor knew them; this node may not yet, and would pass the program over for good.
         readAll(lineage)
+                .thenComposeAsync(replays -> registry.refreshAnew().thenApply(done -> replays), loop)
                 .whenCompleteAsync(
                         (replays, failure) -> {
                             adopting.remove(predecessor);
