--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/caller/CallerGateway.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/caller/CallerGateway.java
@@ -1,5 +1,6 @@
 package org.parsleydrift.node.caller;
 
+import java.lang.System.Logger;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -8,6 +9,7 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 import org.parsleydrift.kernel.EventLoop;
+import org.parsleydrift.kernel.LogLine;
 import org.parsleydrift.kernel.Step;
 import org.parsleydrift.node.NodeSettings;
 import org.parsleydrift.node.membership.NodeRecord;
@@ -18,6 +20,7 @@
  * whenever it changes. All requests are idempotent by their keys, so asking again is safe. Confined to the node's loop.
  */
 public final class CallerGateway {
+    private static final Logger LOG = System.getLogger(CallerGateway.class.getName());
     private static final Duration LOOK_AGAIN = Duration.ofMillis(50);
     private static final Duration PROGRESS_PERIOD = Duration.ofMillis(500);
     private static final Duration SILENCE_LIMIT = Duration.ofSeconds(2);
@@ -81,7 +84,7 @@
         if (ways.isEmpty() || !ways.get().directory().ready(forward.request().id())) {
             serving.reply(new CallerReply.Moved());
         } else {
-            serving.cancel = ways.get().host().handle(forward.request(), serving);
+            serving.cancel = handle(ways.get(), forward.request(), serving);
         }
     }
 
@@ -121,6 +124,21 @@
                 .forEach(OpenRequest::retryNow);
     }
 
+    private static Runnable handle(OwnerRoutes ways, CallerRequest request, ReplySink sink) {
+        return ways.host().handle(request, reply -> {
+            if (reply instanceof CallerReply.Refused refused && refused.kind() == RefusalKind.UNKNOWN_PROGRAM) {
+                LOG.log(
+                        Logger.Level.INFO,
+                        LogLine.of("program_unknown")
+                                .with("program", request.id())
+                                .with("node", ways.self())
+                                .with("chain", String.join(">", ways.directory().chain(request.id())))
+                                .toString());
+            }
+            sink.reply(reply);
+        });
+    }
+
     private void tick() {
         List.copyOf(served.values()).forEach(serving -> serving.reply(new CallerReply.Progress()));
         List.copyOf(open).forEach(OpenRequest::check);
@@ -201,7 +219,7 @@
             target = ways.self();
             number = -1;
             boolean[] current = {true};
-            Runnable cancel = ways.host().handle(present(), reply -> {
+            Runnable cancel = handle(ways, present(), reply -> {
                 if (current[0]) {
                     take(reply);
                 }
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/ownership/OwnerDirectory.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/ownership/OwnerDirectory.java
@@ -139,7 +139,15 @@
         return all;
     }
 
-    private boolean holds(String holder, String journal, String via) {
+    /**
+     * Whether a share is known to be durable with a holder.
+     *
+     * @param holder the incarnation
+     * @param journal the journal whose programs came to it
+     * @param via the direct predecessor by way of which they came
+     * @return true if the node records say so
+     */
+    public boolean holds(String holder, String journal, String via) {
         return holders.getOrDefault(journal, Set.of()).contains(share(holder, via));
     }
 
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/ownership/Takeover.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/ownership/Takeover.java
@@ -168,8 +168,10 @@
         LOG.log(
                 Logger.Level.INFO,
                 LogLine.of("takeover")
+                        .with("node", self)
                         .with("journal", predecessor)
-                        .with("lineage", lineage.size())
+                        .with("lineage", String.join(",", lineage))
+                        .with("before", before.size())
                         .with("programs", mine.size())
                         .with("ms", (loop.clock().nanos() - begun) / 1_000_000)
                         .toString());
@@ -182,35 +184,34 @@
     }
 
     /**
-     * The newest state of a program that comes to this node: that of the journal furthest along its chain. A journal
-     * that took in the one before it and does not hold the program has forgotten it, as it does some time after the
-     * program's end; an older journal must not bring it back to life. Nor is anything taken twice from a journal that
-     * was read before, when a lineage turns out to be longer than it seemed.
+     * The newest state of a program that comes to this node: that of the journal furthest along its chain, unless a
+     * later one has taken that journal's share in. A later one that does not hold the program has forgotten it, as it
+     * does some time after the program's end; an older journal must not bring it back to life. Nor is anything taken
+     * twice from a journal that was read before, when a lineage turns out to be longer than it seemed.
      */
     private Optional<ProgramState> latest(ProgramId id, Map<String, JournalReplay> replays, Set<String> before) {
         List<String> chain = directory.chain(id);
         if (!chain.getLast().equals(self)) {
             return Optional.empty();
         }
-        for (int i = chain.size() - 2; i >= 0; i--) {
-            JournalReplay replay = replays.get(chain.get(i));
-            if (replay == null || heldLater(chain, i, replays)) {
-                return Optional.empty();
-            }
-            ProgramState state = replay.programs().get(id);
-            if (state != null) {
-                return before.contains(chain.get(i)) ? Optional.empty() : Optional.of(state);
-            }
-        }
-        return Optional.empty();
+        return IntStream.iterate(chain.size() - 2, i -> i >= 0, i -> i - 1)
+                .filter(i -> replays.containsKey(chain.get(i)))
+                .filter(i -> replays.get(chain.get(i)).programs().containsKey(id))
+                .filter(i -> !heldLater(chain, i, replays))
+                .mapToObj(chain::get)
+                .findFirst()
+                .filter(journal -> !before.contains(journal))
+                .map(journal -> replays.get(journal).programs().get(id));
     }
 
-    private static boolean heldLater(List<String> chain, int i, Map<String, JournalReplay> replays) {
-        return IntStream.range(i + 1, chain.size() - 1)
-                .filter(j -> replays.containsKey(chain.get(j)))
-                .anyMatch(j -> replays.get(chain.get(j))
-                        .adopted()
-                        .contains(new JournalRecord.Adopted(chain.get(i), chain.get(j - 1))));
+    private boolean heldLater(List<String> chain, int i, Map<String, JournalReplay> replays) {
+        return IntStream.range(i + 1, chain.size() - 1).anyMatch(j -> {
+            String holder = chain.get(j);
+            String via = chain.get(j - 1);
+            JournalReplay replay = replays.get(holder);
+            return directory.holds(holder, chain.get(i), via)
+                    || (replay != null && replay.adopted().contains(new JournalRecord.Adopted(chain.get(i), via)));
+        });
     }
 
     /**
