Takeover judges a program only with the journals of its own way

Change: only programs whose last step is that predecessor are taken in; a lineage that grew while it was read is read again; callers of the bench close the connections that they leave.

--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/FleetCaller.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/FleetCaller.java
@@ -26,6 +26,7 @@
     private final StringBuilder text = new StringBuilder();
     private ProgramId id;
     private FleetNode connectedTo;
+    private Runnable connection = () -> {};
     private int attempt;
     private int messagesSent;
     private boolean started;
@@ -143,6 +144,7 @@
         }
         FleetNode node = up.get(fleet.random().nextInt(up.size()));
         connectedTo = node;
+        connection.run();
         int mine = ++attempt;
         node.run(() -> {
             if (mine != attempt) {
@@ -171,12 +173,13 @@
         } else {
             next = new CallerRequest.Attach(id, text.length());
         }
-        node.node().open(next, reply -> {
+        Runnable cancel = node.node().open(next, reply -> {
             if (mine == attempt && !closed) {
                 lastReplyNanos = fleet.scheduler().nanos();
                 take(node, mine, reply);
             }
         });
+        connection = () -> node.run(cancel);
     }
 
     private void take(FleetNode node, int mine, CallerReply reply) {
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/ownership/Takeover.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/ownership/Takeover.java
@@ -148,6 +148,12 @@
                                 loop.schedule(RETRY, this::adoptPending);
                                 return;
                             }
+                            if (!lineage.containsAll(directory.lineage(predecessor))) {
+                                // More seals became known meanwhile. An older journal may have been read without the
+                                // one that went on from it: its programs would start again from where they once were.
+                                adoptPending();
+                                return;
+                            }
                             takeIn(predecessor, lineage, replays, begun);
                         },
                         loop);
@@ -158,13 +164,23 @@
         Set<ProgramId> ids = new HashSet<>();
         replays.values().forEach(replay -> ids.addAll(replay.programs().keySet()));
         List<ProgramState> mine = ids.stream()
-                .flatMap(id -> latest(id, replays, before).stream())
+                .flatMap(id -> latest(id, predecessor, replays, before).stream())
                 .sorted(java.util.Comparator.comparingLong(ProgramState::startedMillis))
                 .toList();
         lineage.removeAll(before);
         // First known as taken in, then run: a program that goes on at once may ask who owns it.
         directory.adopted(predecessor, lineage);
-        mine.forEach(host::adopt);
+        mine.forEach(state -> {
+            LOG.log(
+                    Logger.Level.INFO,
+                    LogLine.of("program_adopted")
+                            .with("program", state.id())
+                            .with("node", self)
+                            .with("chain", String.join(">", directory.chain(state.id())))
+                            .with("turns", state.usage().turns())
+                            .toString());
+            host.adopt(state);
+        });
         LOG.log(
                 Logger.Level.INFO,
                 LogLine.of("takeover")
@@ -189,9 +205,14 @@
      * does some time after the program's end; an older journal must not bring it back to life. Nor is anything taken
      * twice from a journal that was read before, when a lineage turns out to be longer than it seemed.
      */
-    private Optional<ProgramState> latest(ProgramId id, Map<String, JournalReplay> replays, Set<String> before) {
+    private Optional<ProgramState> latest(
+            ProgramId id, String predecessor, Map<String, JournalReplay> replays, Set<String> before) {
         List<String> chain = directory.chain(id);
-        if (!chain.getLast().equals(self)) {
+        boolean comesThisWay = chain.size() > 1
+                && chain.getLast().equals(self)
+                && chain.get(chain.size() - 2).equals(predecessor);
+        if (!comesThisWay) {
+            // What comes by way of another predecessor is judged with the journals of that way, which are not at hand.
             return Optional.empty();
         }
         return IntStream.iterate(chain.size() - 2, i -> i >= 0, i -> i - 1)
