--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/Incarnation.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/Incarnation.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import net.openhft.hashing.LongHashFunction;
-import org.parsleydrift.journal.FencedException;
 import org.parsleydrift.journal.JournalOptions;
 import org.parsleydrift.journal.JournalReader;
 import org.parsleydrift.journal.JournalWriter;
@@ -80,15 +79,20 @@
         JournalOptions options =
                 new JournalOptions(timings.commitInterval(), timings.platformTimeout(), RETRY, SEGMENT_BYTES);
         this.registry = new NodeRegistry(environment, timings, this::recordChanged);
-        this.directory = new OwnerDirectory(name);
-        this.journal = new JournalWriter(loop, environment.store(), name, options, this::fenced);
+        this.directory = new OwnerDirectory(name, registry);
+        this.journal = new JournalWriter(loop, environment.store(), name, options, fenced -> end());
         this.reader = new JournalReader(loop, environment.store(), options);
         this.host = new ProgramHost(environment, timings, journal, manifest, upstreams);
-        this.takeover = new Takeover(loop, name, reader, registry, directory, host, this::tellRegistryChanged);
+        this.takeover = new Takeover(loop, name, reader, registry, directory, host, surroundings());
         this.compactor = new JournalCompactor(environment, name, journal, host);
         register();
     }
 
+    private Takeover.Surroundings surroundings() {
+        return new Takeover.Surroundings(
+                () -> takers().stream().map(NodeRecord::incarnation).toList(), this::leads, this::tellRegistryChanged);
+    }
+
     String name() {
         return name;
     }
@@ -126,14 +130,14 @@
     /** The other nodes whose journals are open. */
     List<NodeRecord> peers() {
         return registry.records().values().stream()
-                .filter(record -> record.seal() == null && !record.incarnation().equals(name))
+                .filter(record -> !record.over() && !record.incarnation().equals(name))
                 .toList();
     }
 
     /** The nodes that take new work, this one among them unless it drains. */
     List<NodeRecord> takers() {
         return registry.records().values().stream()
-                .filter(record -> record.seal() == null
+                .filter(record -> !record.over()
                         && !record.draining()
                         && (detector == null || detector.hears(record.incarnation())))
                 .filter(record -> !draining || !record.incarnation().equals(name))
@@ -229,8 +233,7 @@
             loop.schedule(LOOK_AGAIN, this::register);
             return;
         }
-        NodeRecord record =
-                new NodeRecord(name, settings.http(), settings.link(), settings.zone(), false, null, List.of());
+        NodeRecord record = new NodeRecord(name, settings.http(), settings.link(), settings.zone(), false, List.of());
         registry.refresh()
                 .thenComposeAsync(
                         done -> registry.find(name).isPresent()
@@ -278,12 +281,13 @@
         tellRegistryChanged();
         poll();
         compactor.begin();
-        takeover.adoptPending();
+        takeover.work();
     }
 
     private void poll() {
         if (!over) {
             refresh();
+            takeover.work();
             loop.schedule(settings.timings().registryPoll(), this::poll);
         }
     }
@@ -299,17 +303,16 @@
     }
 
     private void recordChanged(NodeRecord record) {
-        if (record.seal() == null) {
+        if (!record.over()) {
             return;
         }
-        directory.sealed(record.incarnation(), record.seal(), record.adoptedBy());
         if (record.incarnation().equals(name)) {
             end();
             return;
         }
         onSealed.accept(record);
         if (registered) {
-            takeover.adoptPending();
+            takeover.work();
         }
     }
 
@@ -317,12 +320,6 @@
         broadcast(new PeerMessage.RegistryChanged());
     }
 
-    /** The journal itself told of its seal, maybe long before the node records do; from now on the chain leads on. */
-    private void fenced(FencedException found) {
-        directory.sealed(name, found.seal(), List.of());
-        end();
-    }
-
     /**
      * Another node sealed the journal while this one was paused or cut off, or this one handed its programs over.
      * Going on with them would run each twice. After a drain the name lives on, to forward what callers still ask here.
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/Node.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/Node.java
@@ -245,7 +245,7 @@
             incarnation.refresh();
             return;
         }
-        if (sender.get().seal() == null) {
+        if (!sender.get().over()) {
             incarnation.heard(envelope.from());
         }
         dispatch(sender.get(), message);
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/host/JournalRecord.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/host/JournalRecord.java
@@ -6,12 +6,14 @@
 import org.parsleydrift.program.HistoryEntry;
 import org.parsleydrift.program.ProgramEvent;
 import org.parsleydrift.program.ProgramId;
+import org.parsleydrift.program.ProgramState;
 
 /** A record of a node's journal. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "k")
 @JsonSubTypes({
     @JsonSubTypes.Type(value = JournalRecord.OfProgram.class, name = "p"),
     @JsonSubTypes.Type(value = JournalRecord.HistoryPart.class, name = "h"),
+    @JsonSubTypes.Type(value = JournalRecord.TakenIn.class, name = "t"),
     @JsonSubTypes.Type(value = JournalRecord.Adopted.class, name = "a"),
     @JsonSubTypes.Type(value = JournalRecord.Probe.class, name = "n")
 })
@@ -36,12 +38,19 @@
     record HistoryPart(ProgramId id, String path, List<HistoryEntry> entries) implements JournalRecord {}
 
     /**
-     * All programs that came to this node out of another journal by one way are durable in this one.
+     * A program of a share that is being taken in; it counts only once {@link Adopted} follows.
      *
-     * @param journal the other journal
-     * @param via the direct predecessor on that way
+     * @param share the share
+     * @param state the program's state, histories apart
      */
-    record Adopted(String journal, String via) implements JournalRecord {}
+    record TakenIn(String share, ProgramState state) implements JournalRecord {}
+
+    /**
+     * All programs of a share are durable in this journal.
+     *
+     * @param share the share
+     */
+    record Adopted(String share) implements JournalRecord {}
 
     /** Nothing; written to learn whether the journal still belongs to this node. */
     record Probe() implements JournalRecord {}
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/host/JournalReplay.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/host/JournalReplay.java
@@ -19,7 +19,8 @@
 /** Programs as a journal tells them. */
 public final class JournalReplay {
     private final Map<ProgramId, ProgramState> programs = new LinkedHashMap<>();
-    private final Set<JournalRecord.Adopted> adopted = new HashSet<>();
+    private final Set<String> adopted = new HashSet<>();
+    private final Map<String, List<ProgramState>> takenIn = new HashMap<>();
     private final Map<ProgramId, List<JournalRecord.HistoryPart>> parts = new HashMap<>();
 
     /**
@@ -51,7 +52,7 @@
      *
      * @return the marks found
      */
-    public Set<JournalRecord.Adopted> adopted() {
+    public Set<String> adopted() {
         return adopted;
     }
 
@@ -60,13 +61,23 @@
             case JournalRecord.OfProgram of -> applyEvent(of.id(), of.event());
             case JournalRecord.HistoryPart part ->
                 parts.computeIfAbsent(part.id(), any -> new ArrayList<>()).add(part);
-            case JournalRecord.Adopted mark -> adopted.add(mark);
+            case JournalRecord.TakenIn taken ->
+                takenIn.computeIfAbsent(taken.share(), any -> new ArrayList<>()).add(withHistories(taken.state()));
+            case JournalRecord.Adopted mark -> adopt(mark.share());
             case JournalRecord.Probe ignored -> {
                 return;
             }
         }
     }
 
+    private void adopt(String share) {
+        adopted.add(share);
+        List<ProgramState> states = takenIn.remove(share);
+        if (states != null) {
+            states.forEach(state -> programs.putIfAbsent(state.id(), state));
+        }
+    }
+
     private void applyEvent(ProgramId id, ProgramEvent event) {
         switch (event) {
             case ProgramEvent.Started started -> programs.putIfAbsent(id, ProgramMachine.start(started));
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/host/ProgramHost.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/host/ProgramHost.java
@@ -44,7 +44,7 @@
     private final StepRunner steps;
     private final PauseGuard guard;
     private final Map<ProgramId, LiveProgram> programs = new LinkedHashMap<>();
-    private final Map<JournalRecord.Adopted, Long> marks = new HashMap<>();
+    private final Map<String, Long> marks = new HashMap<>();
     private boolean stopped;
     private boolean draining;
 
@@ -95,35 +95,46 @@
     }
 
     /**
-     * Takes in a program from another journal and goes on with it.
+     * Writes the programs of a share, and a mark behind them. They do not run before {@link #resume}.
      *
-     * @param state its state there
+     * @param share the share
+     * @param states its programs
+     * @return completes when all are durable; fails if this journal is sealed
      */
-    public void adopt(ProgramState state) {
-        if (programs.containsKey(state.id()) || stopped) {
-            return;
-        }
-        LiveProgram live = new LiveProgram(state);
-        programs.put(state.id(), live);
-        live.oldestNeeded(journal.sequence() + 1);
-        Snapshots.append(journal, live);
-        if (state.over()) {
-            forgetLater(live);
-            return;
-        }
-        steps.settleLost(live);
-        advance(live);
+    public CompletableFuture<Void> takeIn(String share, List<ProgramState> states) {
+        marks.put(share, journal.sequence() + 1);
+        states.forEach(state -> Snapshots.appendTakenIn(journal, share, state));
+        return markAdopted(share);
     }
 
     /**
-     * Notes durably that a share of another journal is all in this one.
+     * Goes on with programs that were taken in durably.
      *
-     * @param share the other journal, and the way
-     * @return completes when it is durable
+     * @param states their states
      */
-    public CompletableFuture<Void> adopted(JournalRecord.Adopted share) {
-        marks.put(share, journal.sequence() + 1);
-        return markAdopted(share);
+    public void resume(List<ProgramState> states) {
+        states.forEach(state -> {
+            LiveProgram live = new LiveProgram(state);
+            programs.put(state.id(), live);
+            live.oldestNeeded(1);
+            rewrite(live);
+            if (state.over()) {
+                forgetLater(live);
+            } else {
+                steps.settleLost(live);
+                expireLater(live);
+                advance(live);
+            }
+        });
+    }
+
+    /**
+     * Stops keeping a mark: the node record tells that the share is here.
+     *
+     * @param share the share
+     */
+    public void forgetMark(String share) {
+        marks.remove(share);
     }
 
     /**
@@ -196,11 +207,9 @@
                 .filter(live -> !live.rewriting())
                 .toList()
                 .forEach(this::rewrite);
-        marks.forEach((other, written) -> {
-            if (written < sequence) {
-                markAdopted(other);
-            }
-        });
+        List.copyOf(marks.entrySet()).stream()
+                .filter(mark -> mark.getValue() < sequence)
+                .forEach(mark -> markAdopted(mark.getKey()));
     }
 
     /** The lowest segment on which a program or a mark rests. */
@@ -223,9 +232,17 @@
         });
     }
 
-    private CompletableFuture<Void> markAdopted(JournalRecord.Adopted share) {
+    private CompletableFuture<Void> markAdopted(String share) {
         long from = journal.sequence() + 1;
-        return journal.append(MessagePackCodec.encode(share)).durable().thenRun(() -> marks.put(share, from));
+        return journal.append(MessagePackCodec.encode(new JournalRecord.Adopted(share)))
+                .durable()
+                .thenRun(() -> marks.computeIfPresent(share, (any, before) -> from));
+    }
+
+    private void expireLater(LiveProgram live) {
+        long now = loop.clock().instant().toEpochMilli();
+        long end = live.state().startedMillis() + live.state().budget().seconds() * 1000L;
+        loop.schedule(Duration.ofMillis(Math.max(0, end - now) + 1), () -> advance(live));
     }
 
     boolean active(LiveProgram live) {
@@ -286,7 +303,7 @@
                 version.generation(),
                 loop.clock().instant().toEpochMilli());
         LiveProgram live = add(ProgramMachine.start(started), started);
-        loop.schedule(Duration.ofSeconds(spec.budget().seconds()).plusMillis(1), () -> advance(live));
+        expireLater(live);
         return whenAccepted(live, sink, () -> sink.reply(accepted(live)));
     }
 
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/host/Snapshots.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/host/Snapshots.java
@@ -15,14 +15,25 @@
 
     private Snapshots() {}
 
+    /** Writes the state of a program of this journal again. */
     static void append(JournalWriter journal, LiveProgram live) {
-        ProgramState state = live.state().over() ? live.state().condensed() : live.state();
+        ProgramState bare = appendHistories(journal, live.state());
+        live.journaled(journal.append(
+                MessagePackCodec.encode(new JournalRecord.OfProgram(bare.id(), new ProgramEvent.Restored(bare)))));
+    }
+
+    /** Writes the state of a program of a share that is being taken in. */
+    static void appendTakenIn(JournalWriter journal, String share, ProgramState state) {
+        ProgramState bare = appendHistories(journal, state);
+        journal.append(MessagePackCodec.encode(new JournalRecord.TakenIn(share, bare)));
+    }
+
+    private static ProgramState appendHistories(JournalWriter journal, ProgramState whole) {
+        ProgramState state = whole.over() ? whole.condensed() : whole;
         state.agents().values().stream()
                 .flatMap(agent -> pieces(state, agent).stream())
                 .forEach(piece -> journal.append(MessagePackCodec.encode(piece)));
-        ProgramState bare = state.mapAgents(agent -> agent.withHistory(List.of()));
-        live.journaled(journal.append(
-                MessagePackCodec.encode(new JournalRecord.OfProgram(state.id(), new ProgramEvent.Restored(bare)))));
+        return state.mapAgents(agent -> agent.withHistory(List.of()));
     }
 
     private static List<JournalRecord> pieces(ProgramState state, AgentState agent) {
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/ownership/Takeover.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/ownership/Takeover.java
@@ -2,29 +2,32 @@
 
 import java.lang.System.Logger;
 import java.time.Duration;
-import java.util.HashMap;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
-import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
 import java.util.stream.IntStream;
 import org.parsleydrift.journal.JournalReader;
 import org.parsleydrift.journal.Seal;
+import org.parsleydrift.journal.Segment;
 import org.parsleydrift.kernel.EventLoop;
 import org.parsleydrift.kernel.LogLine;
-import org.parsleydrift.node.host.JournalRecord;
+import org.parsleydrift.kernel.Step;
+import org.parsleydrift.kernel.StepException;
 import org.parsleydrift.node.host.JournalReplay;
 import org.parsleydrift.node.host.ProgramHost;
+import org.parsleydrift.node.membership.JournalShare;
+import org.parsleydrift.node.membership.NodeRecord;
 import org.parsleydrift.node.membership.NodeRegistry;
-import org.parsleydrift.program.ProgramId;
 import org.parsleydrift.program.ProgramState;
 
 /**
- * Seals the journals of nodes that are gone and takes in the programs that come to this node
- * (docs/design/journal.md). Confined to the node's loop.
+ * Seals the journals of nodes that are gone, takes in the shares of them that are this node's, and gives shares on whose
+ * holder is gone as well (docs/design/journal.md). Confined to the node's loop.
  */
 public final class Takeover {
     private static final Logger LOG = System.getLogger(Takeover.class.getName());
@@ -36,11 +39,20 @@
     private final NodeRegistry registry;
     private final OwnerDirectory directory;
     private final ProgramHost host;
-    private final Runnable onSealWritten;
+    private final Surroundings surroundings;
     private final Set<String> sealing = new HashSet<>();
-    private final Set<String> adopting = new HashSet<>();
+    private final Set<ShareId> busy = new HashSet<>();
     private boolean stopped;
 
+    /**
+     * What a takeover needs to know of the fleet.
+     *
+     * @param takers incarnations that take work
+     * @param leads whether this node is the one to look after a subject
+     * @param tellChange tells the others that node records changed
+     */
+    public record Surroundings(Supplier<List<String>> takers, Predicate<String> leads, Runnable tellChange) {}
+
     /**
      * Makes a takeover without work.
      *
@@ -50,7 +62,7 @@
      * @param registry the node records
      * @param directory who owns what
      * @param host where programs go
-     * @param onSealWritten told after this node sealed a journal
+     * @param surroundings the fleet
      */
     public Takeover(
             EventLoop loop,
@@ -59,14 +71,14 @@
             NodeRegistry registry,
             OwnerDirectory directory,
             ProgramHost host,
-            Runnable onSealWritten) {
+            Surroundings surroundings) {
         this.loop = loop;
         this.self = self;
         this.reader = reader;
         this.registry = registry;
         this.directory = directory;
         this.host = host;
-        this.onSealWritten = onSealWritten;
+        this.surroundings = surroundings;
     }
 
     /** Ends all activity. */
@@ -86,7 +98,6 @@
         if (stopped || !sealing.add(incarnation)) {
             return CompletableFuture.completedFuture(null);
         }
-        long begun = loop.clock().nanos();
         return reader.seal(incarnation, new Seal(self, successors))
                 .thenComposeAsync(
                         seal -> registry.change(incarnation, record -> record.withSeal(seal))
@@ -95,163 +106,175 @@
                 .handleAsync(
                         (seal, failure) -> {
                             sealing.remove(incarnation);
+                            logSeal(incarnation, seal, failure);
                             if (failure != null) {
-                                LOG.log(
-                                        Logger.Level.WARNING,
-                                        LogLine.of("seal_failed")
-                                                .with("journal", incarnation)
-                                                .failure(failure)
-                                                .toString());
-                                throw new java.util.concurrent.CompletionException(failure);
+                                throw new CompletionException(failure);
                             }
-                            LOG.log(
-                                    Logger.Level.WARNING,
-                                    LogLine.of("journal_sealed")
-                                            .with("journal", incarnation)
-                                            .with("sealed_by", seal.sealedBy())
-                                            .with("successors", String.join(",", seal.successors()))
-                                            .with("ms", (loop.clock().nanos() - begun) / 1_000_000)
-                                            .toString());
-                            onSealWritten.run();
+                            surroundings.tellChange().run();
                             return null;
                         },
                         loop);
     }
 
-    /** Takes in whatever the directory says that this node has still to take in. */
-    public void adoptPending() {
-        if (!stopped) {
-            directory.unadopted().stream().filter(adopting::add).forEach(this::adopt);
+    private static void logSeal(String journal, Seal seal, Throwable failure) {
+        LogLine line =
+                LogLine.of(failure == null ? "journal_sealed" : "seal_failed").with("journal", journal);
+        if (failure == null) {
+            line.with("sealed_by", seal.sealedBy()).with("successors", String.join(",", seal.successors()));
+        } else {
+            line.failure(failure);
         }
+        LOG.log(Logger.Level.WARNING, line.toString());
     }
 
-    private void adopt(String predecessor) {
-        long begun = loop.clock().nanos();
-        Set<String> lineage = new TreeSet<>(directory.lineage(predecessor));
-        // A program that came to the predecessor from elsewhere is known as ours only by the seals that brought it
-        // there. The predecessor knew them; this node may not yet, and would pass the program over for good.
-        readAll(lineage)
-                .thenComposeAsync(replays -> registry.refreshAnew().thenApply(done -> replays), loop)
+    /** Looks at all sealed journals whose shares are not all durable elsewhere, and does what falls to this node. */
+    public void work() {
+        if (stopped) {
+            return;
+        }
+        registry.records().values().stream()
+                .filter(record -> record.over() && !record.handedOver())
+                .toList()
+                .forEach(record -> IntStream.range(0, record.shares().size())
+                        .filter(slot -> !record.shares().get(slot).adopted())
+                        .forEach(slot -> workOn(record, slot)));
+    }
+
+    private void workOn(NodeRecord record, int slot) {
+        JournalShare share = record.shares().get(slot);
+        ShareId id = new ShareId(record.incarnation(), slot);
+        boolean mine = share.holder().equals(self);
+        boolean holderGone = registry.find(share.holder()).map(NodeRecord::over).orElse(false);
+        if (mine && directory.holds(id)) {
+            once(id, () -> confirm(id, share));
+        } else if (mine) {
+            once(id, () -> adopt(record, id, share));
+        } else if (holderGone && surroundings.leads().test(record.incarnation())) {
+            once(id, () -> giveOn(id, share));
+        }
+    }
+
+    /** Runs work on a share unless some is under way; after a failure again in a moment. */
+    private void once(ShareId id, Supplier<CompletableFuture<Void>> work) {
+        if (!busy.add(id)) {
+            return;
+        }
+        work.get()
                 .whenCompleteAsync(
-                        (replays, failure) -> {
-                            adopting.remove(predecessor);
-                            if (stopped) {
-                                return;
-                            }
-                            if (failure != null) {
+                        (done, failure) -> {
+                            busy.remove(id);
+                            if (failure != null && !stopped) {
                                 LOG.log(
                                         Logger.Level.WARNING,
                                         LogLine.of("takeover_failed")
-                                                .with("journal", predecessor)
+                                                .with("share", id)
                                                 .failure(failure)
                                                 .toString());
-                                loop.schedule(RETRY, this::adoptPending);
-                                return;
                             }
-                            if (!lineage.containsAll(directory.lineage(predecessor))) {
-                                // More seals became known meanwhile. An older journal may have been read without the
-                                // one that went on from it: its programs would start again from where they once were.
-                                adoptPending();
-                                return;
+                            loop.schedule(RETRY, this::work);
+                        },
+                        loop);
+    }
+
+    /**
+     * Takes a share in: reads the sealed journal, which nobody changes any more, writes the states of the share's
+     * programs into this node's journal and a mark behind them, and lets the programs go on once the mark is durable.
+     * Without the mark nothing of the share counts and nothing of it has run, so that a holder that dies half-way leaves
+     * the share as it was.
+     */
+    private CompletableFuture<Void> adopt(NodeRecord record, ShareId id, JournalShare share) {
+        long begun = loop.clock().nanos();
+        return reader.read(id.journal())
+                .thenComposeAsync(
+                        segments -> {
+                            requireSealed(id.journal(), segments);
+                            List<ProgramState> states = JournalReplay.of(segments).programs().values().stream()
+                                    .filter(state -> record.slot(state.id().toString()) == id.slot())
+                                    .sorted(Comparator.comparingLong(ProgramState::startedMillis))
+                                    .toList();
+                            return stopped
+                                    ? CompletableFuture.<List<ProgramState>>completedFuture(List.of())
+                                    : host.takeIn(id.toString(), states).thenApply(done -> states);
+                        },
+                        loop)
+                .thenComposeAsync(
+                        states -> {
+                            if (stopped) {
+                                return CompletableFuture.<Void>completedFuture(null);
                             }
-                            takeIn(predecessor, lineage, replays, begun);
+                            directory.adopted(id);
+                            host.resume(states);
+                            LOG.log(
+                                    Logger.Level.INFO,
+                                    LogLine.of("takeover")
+                                            .with("node", self)
+                                            .with("share", id)
+                                            .with("programs", states.size())
+                                            .with("ms", (loop.clock().nanos() - begun) / 1_000_000)
+                                            .toString());
+                            return confirm(id, share);
                         },
                         loop);
     }
 
-    private void takeIn(String predecessor, Set<String> lineage, Map<String, JournalReplay> replays, long begun) {
-        Set<String> before = Set.copyOf(directory.adoptedBy(predecessor));
-        Set<ProgramId> ids = new HashSet<>();
-        replays.values().forEach(replay -> ids.addAll(replay.programs().keySet()));
-        List<ProgramState> mine = ids.stream()
-                .flatMap(id -> latest(id, predecessor, replays, before).stream())
-                .sorted(java.util.Comparator.comparingLong(ProgramState::startedMillis))
-                .toList();
-        lineage.removeAll(before);
-        // First known as taken in, then run: a program that goes on at once may ask who owns it.
-        directory.adopted(predecessor, lineage);
-        mine.forEach(state -> {
-            LOG.log(
-                    Logger.Level.INFO,
-                    LogLine.of("program_adopted")
-                            .with("program", state.id())
-                            .with("node", self)
-                            .with("chain", String.join(">", directory.chain(state.id())))
-                            .with("turns", state.usage().turns())
-                            .toString());
-            host.adopt(state);
-        });
-        LOG.log(
-                Logger.Level.INFO,
-                LogLine.of("takeover")
-                        .with("node", self)
-                        .with("journal", predecessor)
-                        .with("lineage", String.join(",", lineage))
-                        .with("before", before.size())
-                        .with("programs", mine.size())
-                        .with("ms", (loop.clock().nanos() - begun) / 1_000_000)
-                        .toString());
-        lineage.forEach(journal -> host.adopted(new JournalRecord.Adopted(journal, predecessor))
-                .thenCompose(done ->
-                        registry.change(journal, record -> record.withAdopter(OwnerDirectory.share(self, predecessor))))
-                .thenAcceptAsync(record -> deleteIfCovered(journal), loop)
-                .exceptionally(failure -> null));
-        adoptPending();
+    private CompletableFuture<Void> confirm(ShareId id, JournalShare share) {
+        return registry.change(id.journal(), record -> record.withShare(id.slot(), share, new JournalShare(self, true)))
+                .thenAcceptAsync(
+                        record -> {
+                            host.forgetMark(id.toString());
+                            deleteIfHandedOver(record);
+                        },
+                        loop);
     }
 
     /**
-     * The newest state of a program that comes to this node: that of the journal furthest along its chain, unless a
-     * later one has taken that journal's share in. A later one that does not hold the program has forgotten it, as it
-     * does some time after the program's end; an older journal must not bring it back to life. Nor is anything taken
-     * twice from a journal that was read before, when a lineage turns out to be longer than it seemed.
+     * Decides about a share whose holder is gone. The holder's journal is final: either the mark stands in it, and the
+     * share has been taken in, or nothing of the share ever ran there, and another node takes it.
      */
-    private Optional<ProgramState> latest(
-            ProgramId id, String predecessor, Map<String, JournalReplay> replays, Set<String> before) {
-        List<String> chain = directory.chain(id);
-        boolean comesThisWay = chain.size() > 1
-                && chain.getLast().equals(self)
-                && chain.get(chain.size() - 2).equals(predecessor);
-        if (!comesThisWay) {
-            // What comes by way of another predecessor is judged with the journals of that way, which are not at hand.
-            return Optional.empty();
+    private CompletableFuture<Void> giveOn(ShareId id, JournalShare share) {
+        List<String> takers = surroundings.takers().get();
+        if (takers.isEmpty()) {
+            return CompletableFuture.completedFuture(null);
         }
-        return IntStream.iterate(chain.size() - 2, i -> i >= 0, i -> i - 1)
-                .filter(i -> replays.containsKey(chain.get(i)))
-                .filter(i -> replays.get(chain.get(i)).programs().containsKey(id))
-                .filter(i -> !heldLater(chain, i, replays))
-                .mapToObj(chain::get)
-                .findFirst()
-                .filter(journal -> !before.contains(journal))
-                .map(journal -> replays.get(journal).programs().get(id));
-    }
-
-    private boolean heldLater(List<String> chain, int i, Map<String, JournalReplay> replays) {
-        return IntStream.range(i + 1, chain.size() - 1).anyMatch(j -> {
-            String holder = chain.get(j);
-            String via = chain.get(j - 1);
-            JournalReplay replay = replays.get(holder);
-            return directory.holds(holder, chain.get(i), via)
-                    || (replay != null && replay.adopted().contains(new JournalRecord.Adopted(chain.get(i), via)));
-        });
+        return reader.read(share.holder())
+                .thenComposeAsync(
+                        segments -> {
+                            requireSealed(share.holder(), segments);
+                            boolean taken = JournalReplay.of(segments).adopted().contains(id.toString());
+                            String next = takers.get(Math.floorMod(id.hashCode(), takers.size()));
+                            JournalShare after =
+                                    taken ? new JournalShare(share.holder(), true) : new JournalShare(next, false);
+                            LOG.log(
+                                    Logger.Level.INFO,
+                                    LogLine.of("share_given_on")
+                                            .with("share", id)
+                                            .with("from", share.holder())
+                                            .with("to", after.holder())
+                                            .with("adopted", after.adopted())
+                                            .toString());
+                            return registry.change(id.journal(), record -> record.withShare(id.slot(), share, after));
+                        },
+                        loop)
+                .thenRunAsync(surroundings.tellChange(), loop);
     }
 
     /**
-     * Deletes what a sealed journal no longer need keep, all but its seal: a VM frozen for hours may wake and create
-     * the very number at which the seal stands, and go on with programs that others finished long ago.
+     * Deletes what a sealed journal no longer need keep, all but its seal: a VM frozen for hours may wake and create the
+     * very number at which the seal stands, and go on with programs that others finished long ago. The marks in it are
+     * not needed either once no share of another journal waits with it.
      */
-    private void deleteIfCovered(String journal) {
-        if (!stopped && directory.covered(journal)) {
-            reader.deleteAllButSeal(journal).exceptionally(failure -> null);
+    private void deleteIfHandedOver(NodeRecord record) {
+        boolean marksNeeded = registry.records().values().stream()
+                .flatMap(other -> other.shares().stream())
+                .anyMatch(share -> !share.adopted() && share.holder().equals(record.incarnation()));
+        if (!stopped && record.handedOver() && !marksNeeded) {
+            reader.deleteAllButSeal(record.incarnation()).exceptionally(failure -> null);
         }
     }
 
-    private CompletableFuture<Map<String, JournalReplay>> readAll(Set<String> journals) {
-        Map<String, JournalReplay> replays = new HashMap<>();
-        CompletableFuture<Void> all = CompletableFuture.completedFuture(null);
-        for (String journal : journals) {
-            all = all.thenComposeAsync(done -> reader.read(journal), loop)
-                    .thenAcceptAsync(segments -> replays.put(journal, JournalReplay.of(segments)), loop);
+    private static void requireSealed(String journal, List<Segment> segments) {
+        if (segments.isEmpty() || !segments.getLast().sealed()) {
+            throw new StepException(Step.TAKEOVER, journal, "the journal is not sealed");
         }
-        return all.thenApply(done -> replays);
     }
 }
