--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/FleetUpstreams.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/FleetUpstreams.java
@@ -99,6 +99,8 @@
         private LoopTimer onEngine = () -> {};
         private long lastTokenNanos;
         private boolean closed;
+        /** Once a piece is lost the connection stays silent: TCP does not go on behind a hole. */
+        private boolean lost;
 
         private Stream(String runner, Consumer<String> tokens, CompletableFuture<TurnResult> done) {
             this.runner = runner;
@@ -116,7 +118,7 @@
             CompletableFuture<TurnResult> there = new CompletableFuture<>();
             onEngine = fleet.engines().get(runner).turn(request, 0, this::token, there);
             there.whenComplete((result, failure) -> {
-                if (closed || !fleet.network().passes(vm, runner)) {
+                if (closed || lost || !fleet.network().passes(vm, runner)) {
                     return;
                 }
                 closed = true;
@@ -129,7 +131,8 @@
         }
 
         private void token(String text) {
-            if (!closed && fleet.network().passes(vm, runner)) {
+            lost |= !fleet.network().passes(vm, runner);
+            if (!closed && !lost) {
                 lastTokenNanos = fleet.scheduler().nanos();
                 tokens.accept(text);
             }
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/Node.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/Node.java
@@ -21,6 +21,7 @@
 import org.parsleydrift.manifest.OperationSpec;
 import org.parsleydrift.node.call.CallEnd;
 import org.parsleydrift.node.call.CallRunner;
+import org.parsleydrift.node.call.EffectGate;
 import org.parsleydrift.node.caller.CallerGateway;
 import org.parsleydrift.node.caller.CallerRequest;
 import org.parsleydrift.node.caller.ReplySink;
@@ -120,7 +121,7 @@
                     new StepException(Step.CALL, "caller", "no repeatable service " + service));
         }
         String callId = "plain/" + Long.toHexString(environment.random().nextLong());
-        return calls.run(spec, new CallRequest(callId, service, body));
+        return calls.run(spec, new CallRequest(callId, service, body), EffectGate.OPEN);
     }
 
     /**
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/call/CallRunner.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/call/CallRunner.java
@@ -5,10 +5,8 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.parsleydrift.kernel.EventLoop;
 import org.parsleydrift.kernel.LogLine;
@@ -30,13 +28,16 @@
 public final class CallRunner {
     private static final Logger LOG = System.getLogger(CallRunner.class.getName());
     private static final Duration BACKOFF = Duration.ofMillis(100);
+    /** An upstream that says itself that it is leaving may have been restarted; after this time it is tried again. */
+    private static final Duration BELIEVE_REFUSAL = Duration.ofSeconds(5);
+
     private static final int QUEUE_FACTOR = 8;
 
     private final NodeEnvironment environment;
     private final EventLoop loop;
     private final Map<String, Integer> running = new HashMap<>();
     private final Map<String, Deque<Runnable>> queues = new HashMap<>();
-    private final Set<String> leaving = new HashSet<>();
+    private final Map<String, Long> leaving = new HashMap<>();
 
     /**
      * Makes a runner of calls.
@@ -56,7 +57,7 @@
      */
     public void leaving(String address, boolean now) {
         if (now) {
-            leaving.add(address);
+            leaving.put(address, Long.MAX_VALUE);
         } else {
             leaving.remove(address);
         }
@@ -67,14 +68,15 @@
      *
      * @param spec the operation
      * @param request the call
+     * @param gate stands before each attempt
      * @return how it ended; completes on the node's loop and never fails
      */
-    public CompletableFuture<CallEnd> run(OperationSpec spec, CallRequest request) {
+    public CompletableFuture<CallEnd> run(OperationSpec spec, CallRequest request, EffectGate gate) {
         CompletableFuture<CallEnd> end = new CompletableFuture<>();
         String operation = request.operation();
         Runnable start = () -> {
             running.merge(operation, 1, Integer::sum);
-            attempt(spec, request, 1, end);
+            tryOnce(new Attempt(spec, request, gate, 1), end);
         };
         if (running.getOrDefault(operation, 0) < spec.concurrency()) {
             start.run();
@@ -88,9 +90,21 @@
         return end;
     }
 
-    private void attempt(OperationSpec spec, CallRequest request, int number, CompletableFuture<CallEnd> end) {
+    private void tryOnce(Attempt attempt, CompletableFuture<CallEnd> end) {
+        attempt.gate()
+                .pass(
+                        () -> send(attempt, end),
+                        () -> finish(attempt.request(), new CallEnd(CallOutcome.NOT_RUN, "no longer the owner"), end));
+    }
+
+    private void send(Attempt attempt, CompletableFuture<CallEnd> end) {
+        OperationSpec spec = attempt.spec();
+        CallRequest request = attempt.request();
+        int number = attempt.number();
+        long now = loop.clock().nanos();
+        leaving.values().removeIf(until -> until < now);
         List<String> usable = spec.upstreams().stream()
-                .filter(address -> !leaving.contains(address))
+                .filter(address -> !leaving.containsKey(address))
                 .toList();
         List<String> from = usable.isEmpty() ? spec.upstreams() : usable;
         String upstream = from.get(Math.floorMod(environment.random().nextInt() + number, from.size()));
@@ -111,14 +125,16 @@
                             if (failure == null) {
                                 finish(request, new CallEnd(CallOutcome.OK, answer), end);
                             } else {
-                                failed(spec, request, number, failure, end);
+                                failed(attempt, failure, end);
                             }
                         },
                         loop);
     }
 
-    private void failed(
-            OperationSpec spec, CallRequest request, int number, Throwable failure, CompletableFuture<CallEnd> end) {
+    private void failed(Attempt attempt, Throwable failure, CompletableFuture<CallEnd> end) {
+        OperationSpec spec = attempt.spec();
+        CallRequest request = attempt.request();
+        int number = attempt.number();
         CallFailure kind = CallException.of(failure);
         LOG.log(
                 Logger.Level.WARNING,
@@ -129,11 +145,11 @@
                         .failure(failure)
                         .toString());
         if (StepException.unwrap(failure) instanceof CallException known && known.leaving()) {
-            leaving(known.peer(), true);
+            leaving.put(known.peer(), loop.clock().nanos() + BELIEVE_REFUSAL.toNanos());
         }
         boolean again = kind == CallFailure.NOT_RUN || (kind == CallFailure.UNKNOWN && spec.repeatable());
         if (again && number < spec.attempts()) {
-            loop.schedule(BACKOFF.multipliedBy(1L << (number - 1)), () -> attempt(spec, request, number + 1, end));
+            loop.schedule(BACKOFF.multipliedBy(1L << (number - 1)), () -> tryOnce(attempt.next(), end));
             return;
         }
         CallOutcome outcome = switch (kind) {
@@ -156,4 +172,11 @@
         }
         end.complete(result);
     }
+
+    /** An attempt of a call. */
+    private record Attempt(OperationSpec spec, CallRequest request, EffectGate gate, int number) {
+        private Attempt next() {
+            return new Attempt(spec, request, gate, number + 1);
+        }
+    }
 }
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/host/PauseGuard.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/host/PauseGuard.java
@@ -6,19 +6,20 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.parsleydrift.kernel.EventLoop;
+import org.parsleydrift.node.call.EffectGate;
 
 /**
  * Notices that this node was paused, and holds back effects until it is known to own its journal still. A node that was
  * paused for seconds may have a successor that has long gone on; what the paused one then did first would come late and
  * out of order. It shows as a call of an earlier turn that runs after one of a later turn. Confined to the node's loop.
  */
-final class PauseGuard {
+final class PauseGuard implements EffectGate {
     private static final Duration TICK = Duration.ofMillis(100);
 
     private final EventLoop loop;
     private final Duration stall;
     private final Supplier<CompletableFuture<Void>> verify;
-    private final List<Runnable> held = new ArrayList<>();
+    private final List<Held> held = new ArrayList<>();
     private long lastTickNanos;
     private boolean verifying;
     private boolean stopped;
@@ -38,22 +39,25 @@
         tick();
     }
 
-    /** Runs a task now, or once ownership is verified; never if it turns out to be lost. */
-    void whenOwner(Runnable task) {
+    @Override
+    public void pass(Runnable attempt, Runnable dropped) {
         if (stopped) {
+            dropped.run();
             return;
         }
         noticePause();
         if (verifying) {
-            held.add(task);
+            held.add(new Held(attempt, dropped));
         } else {
-            task.run();
+            attempt.run();
         }
     }
 
     void stop() {
         stopped = true;
+        List<Held> lost = List.copyOf(held);
         held.clear();
+        lost.forEach(each -> each.dropped().run());
     }
 
     private void tick() {
@@ -74,9 +78,11 @@
         verifying = true;
         verify.get().thenRun(() -> {
             verifying = false;
-            List<Runnable> due = List.copyOf(held);
+            List<Held> due = List.copyOf(held);
             held.clear();
-            due.forEach(this::whenOwner);
+            due.forEach(each -> pass(each.attempt(), each.dropped()));
         });
     }
+
+    private record Held(Runnable attempt, Runnable dropped) {}
 }
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/host/ProgramHost.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/host/ProgramHost.java
@@ -19,6 +19,7 @@
 import org.parsleydrift.manifest.ManifestVersion;
 import org.parsleydrift.node.NodeEnvironment;
 import org.parsleydrift.node.NodeSettings;
+import org.parsleydrift.node.call.EffectGate;
 import org.parsleydrift.node.caller.CallerReply;
 import org.parsleydrift.node.caller.CallerRequest;
 import org.parsleydrift.node.caller.RefusalKind;
@@ -262,14 +263,14 @@
         return entry;
     }
 
-    /** Runs a task with effects outside once this node is known to own its programs. */
-    void whenOwner(Runnable task) {
-        guard.whenOwner(task);
+    /** Stands before effects outside: they wait after a pause until this node is known to own its programs. */
+    EffectGate gate() {
+        return guard;
     }
 
     /** Begins whatever the program needs next and is not under way. */
     void advance(LiveProgram live) {
-        guard.whenOwner(() -> {
+        Runnable begin = () -> {
             if (active(live) && !draining) {
                 long now = loop.clock().instant().toEpochMilli();
                 ProgramMachine.next(live.state(), now).stream()
@@ -277,7 +278,8 @@
                         .toList()
                         .forEach(step -> steps.begin(live, step));
             }
-        });
+        };
+        guard.pass(begin, () -> {});
     }
 
     private Runnable begin(CallerRequest.Start start, ReplySink sink) {
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/host/StepRunner.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/host/StepRunner.java
@@ -158,6 +158,12 @@
             return;
         }
         live.succeeded();
+        if (step.path().equals(ProgramState.ROOT)
+                && !live.provisional().toString().equals(result.text())) {
+            // The client lost or doubled a piece on the way. The result is whole; what was shown is taken back.
+            live.attachments().forEach(each -> each.rewind(live.answerLength()));
+            live.attachments().forEach(each -> each.append(result.text()));
+        }
         int used = Math.min(granted, result.outputTokens());
         live.ledger(live.ledger().settle(granted, used));
         try {
@@ -206,7 +212,7 @@
         }
         host.record(live, new ProgramEvent.CallIntended(step.callId()))
                 .durable()
-                .thenRun(() -> host.whenOwner(() -> send(live, step, spec)));
+                .thenRun(() -> send(live, step, spec));
     }
 
     private void send(LiveProgram live, ProgramStep.MakeCall step, OperationSpec spec) {
@@ -214,7 +220,7 @@
             return;
         }
         CallRequest request = new CallRequest(step.callId(), step.tool(), step.arguments());
-        upstreams.calls().run(spec, request).whenComplete((end, never) -> callDone(live, step, end));
+        upstreams.calls().run(spec, request, host.gate()).whenComplete((end, never) -> callDone(live, step, end));
     }
 
     private void callDone(LiveProgram live, ProgramStep.MakeCall step, CallEnd end) {
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/placement/RunnerPool.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/placement/RunnerPool.java
@@ -32,6 +32,8 @@
 public final class RunnerPool {
     private static final Logger LOG = System.getLogger(RunnerPool.class.getName());
     private static final Duration AVOID_AFTER_FAILURE = Duration.ofSeconds(1);
+    /** An engine that says itself that it is leaving may have been restarted; after this time it is tried again. */
+    private static final Duration BELIEVE_REFUSAL = Duration.ofSeconds(5);
 
     private final NodeEnvironment environment;
     private final Map<String, Runner> runners = new LinkedHashMap<>();
@@ -258,13 +260,17 @@
                         .failure(failure)
                         .toString());
         if (StepException.unwrap(failure) instanceof CallException known && known.leaving()) {
-            leaving(runner.address(), true);
+            avoid(runner, BELIEVE_REFUSAL);
         } else {
-            runner.avoidUntil(environment.loop().clock().nanos() + AVOID_AFTER_FAILURE.toNanos());
-            environment.loop().schedule(AVOID_AFTER_FAILURE.plusMillis(1), this::place);
+            avoid(runner, AVOID_AFTER_FAILURE);
         }
     }
 
+    private void avoid(Runner runner, Duration time) {
+        runner.avoidUntil(environment.loop().clock().nanos() + time.toNanos());
+        environment.loop().schedule(time.plusMillis(1), this::place);
+    }
+
     /**
      * Whether a failed turn can have cost tokens.
      *
