--- /dev/null
+++ b/parsleydrift-bench/src/test/java/org/parsleydrift/bench/PromiseTest.java
@@ -0,0 +1,305 @@
+package org.parsleydrift.bench;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+import org.parsleydrift.node.caller.RefusalKind;
+import org.parsleydrift.standin.EngineFaults;
+import org.parsleydrift.standin.PlatformFaults;
+import org.parsleydrift.standin.ToolFaults;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** The promises of the brief under single failures, on an in-memory fleet (docs/PROMISES.md). */
+public class PromiseTest {
+    private static final String DEBATE = "d <say 4 / say 3, tool once {\"n\":1} / say 3, spawn a <say 2, end>,"
+            + " spawn a <say 3, tool often {\"n\":2} / say 2, end> / say 3, tool once {\"n\":3} / say 2, end>";
+    private static final Duration LONG = Duration.ofMinutes(3);
+
+    private Fleet fleet;
+
+    @BeforeMethod
+    void startFleet() {
+        fleet = new Fleet(new FleetOptions(7, 3, 2, 1));
+        fleet.advance(Duration.ofSeconds(1));
+        fleet.submit(fleet.manifest(32));
+    }
+
+    @Test
+    public void programsCompleteWithoutFaults() {
+        List<FleetCaller> callers = begin(20, DEBATE, 0);
+        awaitDone(callers);
+        assertAllWhole(callers);
+        assertNoDoubledEffect();
+    }
+
+    /**
+     * Symptom: a half-argued debate never ends, or its registry number is assigned twice. Events: each node in turn dies
+     * at a random point of many programs' turns and calls, and comes back with nothing. Cause: state kept in a process.
+     */
+    @Test
+    public void killedOwnerLosesNothingAndDoublesNothing() {
+        List<FleetCaller> callers = begin(40, DEBATE, 0);
+        fleet.advance(Duration.ofMillis(120));
+        List.copyOf(fleet.nodes()).forEach(node -> {
+            node.kill();
+            fleet.advance(Duration.ofSeconds(4));
+            node.start();
+            fleet.advance(Duration.ofSeconds(3));
+        });
+        awaitDone(callers);
+        assertAllWhole(callers);
+        assertNoDoubledEffect();
+    }
+
+    /**
+     * Symptom: a crew is sent twice, or after the steps that follow. Events: the owner pauses for longer than it takes
+     * the others to seal its journal, then wakes with intents in hand. Cause: a right to act that lapsed unnoticed.
+     */
+    @Test
+    public void pausedOwnerWakesAndIsFenced() {
+        List<FleetCaller> callers = begin(40, DEBATE, 0);
+        fleet.advance(Duration.ofMillis(150));
+        FleetNode owner = fleet.nodes().getFirst();
+        String before = owner.node().status().node();
+        owner.freeze();
+        fleet.advance(Duration.ofSeconds(8));
+        owner.thaw();
+        awaitDone(callers);
+        assertAllWhole(callers);
+        assertNoDoubledEffect();
+        fleet.awaitTrue(
+                Duration.ofSeconds(10), () -> !owner.node().status().node().equals(before));
+    }
+
+    /**
+     * Symptom: a number is assigned twice after a crash. Events: the tool runs the call, its answer is lost, the owner
+     * dies before it gives up waiting. Cause: a successor that sends an intent without an outcome again.
+     */
+    @Test
+    public void intentWithoutOutcomeIsNeverSentAgain() {
+        fleet.tools().values().forEach(tool -> tool.faults(new ToolFaults(false, false, 1.0)));
+        FleetCaller caller =
+                begin(1, "d <say 2, tool once {\"n\":1} / say 2, end>", 0).getFirst();
+        fleet.awaitTrue(LONG, () -> !effects().isEmpty());
+        owner(caller).kill();
+        awaitDone(List.of(caller));
+        assertAllWhole(List.of(caller));
+        assertEquals(effects().values().stream().mapToInt(each -> each).sum(), 1);
+    }
+
+    /**
+     * Symptom: after a short loss of the platform's answers, programs stand still or run twice. Events: changes take
+     * effect and their answers are lost, for segments, node records and manifests alike. Cause: a write taken for failed.
+     */
+    @Test
+    public void lostAnswersOfThePlatformAreReadBack() {
+        fleet.store().faults(new PlatformFaults(false, 0, 0.5, true, 0));
+        List<FleetCaller> callers = begin(20, DEBATE, 0);
+        fleet.advance(Duration.ofSeconds(40));
+        fleet.store().faults(PlatformFaults.NONE);
+        awaitDone(callers);
+        assertAllWhole(callers);
+        assertNoDoubledEffect();
+    }
+
+    /**
+     * Symptom: a caller is told "not run" and the crew comes all the same. Events: the platform is down for ten minutes
+     * under load. Cause: a refusal given after something was handed to the journal.
+     */
+    @Test
+    public void outageRefusesTruthfullyAndRunsOnAfterwards() {
+        List<FleetCaller> early = begin(10, DEBATE, 0);
+        fleet.advance(Duration.ofMillis(100));
+        fleet.store().faults(new PlatformFaults(true, 0, 0, false, 0));
+        fleet.advance(Duration.ofSeconds(10));
+        List<FleetCaller> refused = begin(10, DEBATE, 100);
+        fleet.advance(Duration.ofMinutes(10));
+        fleet.store().faults(PlatformFaults.NONE);
+        awaitDone(early);
+        awaitDone(refused);
+        assertAllWhole(early);
+        refused.stream().filter(caller -> caller.refusal() != null).forEach(caller -> {
+            assertEquals(caller.refusal().kind(), RefusalKind.NOT_RUN);
+            assertTrue(effects().keySet().stream()
+                    .noneMatch(effect -> effect.startsWith(String.valueOf(caller.id()) + "/")));
+        });
+        assertNoDoubledEffect();
+    }
+
+    /**
+     * Symptom: all requests across one pair of nodes hang although both are well. Events: open connections between all
+     * nodes fall silent for good; new ones work. Cause: a connection trusted for ever.
+     */
+    @Test
+    public void silentConnectionsAreReplaced() {
+        List<FleetCaller> callers = begin(20, DEBATE, 0);
+        fleet.advance(Duration.ofMillis(60));
+        fleet.nodes()
+                .forEach(from -> fleet.nodes()
+                        .forEach(to -> fleet.network()
+                                .silence(from.settings().link(), to.settings().link())));
+        awaitDone(callers);
+        assertAllWhole(callers);
+    }
+
+    /**
+     * Symptom: a restart cuts answers. Events: every node in turn is drained and replaced under load. Cause: a process
+     * that exits with programs or callers in hand.
+     */
+    @Test
+    public void drainOfEveryNodeCutsNothing() {
+        List<FleetCaller> callers = new ArrayList<>();
+        List<FleetNode> first = List.copyOf(fleet.nodes());
+        for (FleetNode node : first) {
+            callers.addAll(begin(15, DEBATE, 100 * callers.size()));
+            fleet.advance(Duration.ofMillis(100));
+            fleet.addNode();
+            boolean[] exited = {false};
+            node.drain().thenRun(() -> exited[0] = true);
+            fleet.awaitTrue(LONG, () -> exited[0]);
+            assertEquals(node.node().programs().size(), 0);
+            node.kill();
+        }
+        awaitDone(callers);
+        assertAllWhole(callers);
+        assertNoDoubledEffect();
+    }
+
+    /**
+     * Symptom: engine memory fills with programs nobody knows. Events: owners die with streams and cached prefixes on
+     * the engines; programs end. Cause: only the dead node knew what to free.
+     */
+    @Test
+    public void engineMemoryOfGoneProgramsIsFreed() {
+        List<FleetCaller> callers = begin(20, DEBATE, 0);
+        fleet.advance(Duration.ofMillis(200));
+        FleetNode node = fleet.nodes().getFirst();
+        node.kill();
+        awaitDone(callers);
+        fleet.advance(Duration.ofSeconds(30));
+        fleet.engines().values().forEach(engine -> assertEquals(engine.memory(), List.of()));
+    }
+
+    /**
+     * Symptom: a leaving engine gets turns until it is gone, and they break. Events: an engine refuses as leaving under
+     * load. Cause: a list of VMs that lags is the only thing looked at.
+     */
+    @Test
+    public void leavingEngineGetsNothingNew() {
+        var leaving = fleet.engines().values().iterator().next();
+        leaving.faults(new EngineFaults(true, false, 0));
+        List<FleetCaller> callers = begin(20, DEBATE, 0);
+        awaitDone(callers);
+        assertAllWhole(callers);
+        assertEquals(leaving.turnsAccepted(), 0);
+    }
+
+    /**
+     * Symptom: two operators both believe that theirs is in force. Events: manifests are submitted to all nodes at one
+     * moment, each expecting the present generation. Cause: an update without a condition.
+     */
+    @Test
+    public void racingManifestsHaveOneWinner() {
+        int[] won = {0};
+        int[] lost = {0};
+        List<FleetNode> live = fleet.live();
+        for (int i = 0; i < live.size(); i++) {
+            FleetNode node = live.get(i);
+            String text = fleet.manifest(40 + i);
+            node.run(() -> node.node().submitManifest(text, 1).whenComplete((version, failure) -> {
+                if (failure == null) {
+                    won[0]++;
+                } else {
+                    lost[0]++;
+                }
+            }));
+        }
+        fleet.advance(Duration.ofSeconds(5));
+        assertEquals(won[0], 1);
+        assertEquals(lost[0], 2);
+        fleet.live().forEach(node -> assertEquals(node.node().manifest().generation(), 2));
+    }
+
+    /**
+     * Symptom: a node that starts during an outage serves an old manifest or none. Events: the platform is down, a node
+     * starts and has only peers to ask. Cause: the platform as the only source.
+     */
+    @Test
+    public void nodeThatStartsInAnOutageAsksItsPeers() {
+        fleet.store().faults(new PlatformFaults(true, 0, 0, false, 0));
+        FleetNode late = fleet.addNode();
+        late.run(() -> late.node()
+                .seedPeers(List.of(fleet.nodes().getFirst().settings().link())));
+        fleet.awaitTrue(Duration.ofSeconds(30), () -> late.node().manifest().generation() == 1);
+        assertFalse(late.node().ready(), "it must not own programs before it is registered");
+    }
+
+    /**
+     * Symptom: a program loops without end and burns an engine. Events: the model asks for the same call again and
+     * again, or never ends. Cause: a limit that is checked nowhere.
+     */
+    @Test
+    public void loopsAndEndlessProgramsAreStopped() {
+        String same = "say 1, tool often {\"n\":1} / ";
+        FleetCaller loop = begin(1, "d <" + same.repeat(30) + "say 1, end>", 0).getFirst();
+        FleetCaller endless =
+                begin(1, "d <" + "say 2 / ".repeat(200) + "say 1, end>", 50).getFirst();
+        awaitDone(List.of(loop, endless));
+        assertEquals(loop.answer().end(), "loop");
+        assertEquals(endless.answer().end(), "budget_spent");
+        fleet.advance(Duration.ofSeconds(20));
+        fleet.engines().values().forEach(engine -> assertEquals(engine.memory(), List.of()));
+    }
+
+    private List<FleetCaller> begin(int count, String prompt, int firstKey) {
+        return IntStream.range(0, count)
+                .mapToObj(i -> {
+                    FleetCaller caller = new FleetCaller(fleet, "k" + (firstKey + i), prompt, 0);
+                    caller.begin();
+                    return caller;
+                })
+                .toList();
+    }
+
+    private void awaitDone(List<FleetCaller> callers) {
+        fleet.awaitTrue(Duration.ofMinutes(10), () -> callers.stream().allMatch(FleetCaller::done));
+    }
+
+    private FleetNode owner(FleetCaller caller) {
+        FleetNode owner = fleet.live().stream()
+                .filter(node -> node.node().programs().containsKey(caller.id()))
+                .findFirst()
+                .orElse(null);
+        assertNotNull(owner);
+        return owner;
+    }
+
+    private static void assertAllWhole(List<FleetCaller> callers) {
+        callers.forEach(caller -> assertEquals(caller.fault(), "", String.valueOf(caller.id())));
+    }
+
+    private void assertNoDoubledEffect() {
+        effects().forEach((effect, count) -> assertTrue(count == 1 || !effect.endsWith(" once"), effect + " " + count));
+    }
+
+    private Map<String, Integer> effects() {
+        Map<String, Integer> all = new HashMap<>();
+        fleet.tools()
+                .values()
+                .forEach(tool -> tool.effects().forEach((effect, count) -> {
+                    if (effect.endsWith(" once")) {
+                        all.merge(effect, count, Integer::sum);
+                    }
+                }));
+        return all;
+    }
+}
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/caller/CallerGateway.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/caller/CallerGateway.java
@@ -182,7 +182,7 @@
         private Runnable cancelLocal = () -> {};
         private long lastProgressNanos;
         private long lastReplyNanos;
-        private boolean refreshed;
+        private String soughtAnew = "";
         private boolean closed;
         private boolean retrySet;
 
@@ -245,16 +245,18 @@
         }
 
         private void refreshOrRefuse(OwnerRoutes ways, String owner) {
-            if (refreshed) {
+            // Sought anew for this owner and with this life's records: what an earlier read did not hold says nothing.
+            String sought = ways.self() + " " + owner;
+            if (soughtAnew.equals(sought)) {
                 take(new CallerReply.Refused(
                         RefusalKind.BAD_REQUEST, Step.FORWARD, "self", "unknown ticket " + owner, 0));
                 return;
             }
             ways.registry()
-                    .refresh()
+                    .refreshAnew()
                     .whenCompleteAsync(
                             (done, failure) -> {
-                                refreshed = failure == null;
+                                soughtAnew = failure == null ? sought : "";
                                 retryLater();
                             },
                             loop);
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/host/ProgramHost.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/host/ProgramHost.java
@@ -263,6 +263,10 @@
         return entry;
     }
 
+    NodeSettings.Timings timings() {
+        return timings;
+    }
+
     /** Stands before effects outside: they wait after a pause until this node is known to own its programs. */
     EffectGate gate() {
         return guard;
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/host/StepRunner.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/host/StepRunner.java
@@ -210,11 +210,24 @@
             callDone(live, step, new CallEnd(CallOutcome.BLOCKED, "an earlier call of this kind has no known outcome"));
             return;
         }
+        long intendedNanos = loop.clock().nanos();
         host.record(live, new ProgramEvent.CallIntended(step.callId()))
                 .durable()
+                .thenCompose(done -> stillOwner(intendedNanos))
                 .thenRun(() -> send(live, step, spec));
     }
 
+    /**
+     * An intent that took long to become durable may belong to a successor by now, which has settled it as unknown and
+     * gone on: sent now, the call would run after calls of later turns. One more write tells.
+     */
+    private CompletableFuture<Void> stillOwner(long intendedNanos) {
+        long waitedNanos = loop.clock().nanos() - intendedNanos;
+        return waitedNanos < host.timings().suspectAfter().toNanos()
+                ? CompletableFuture.completedFuture(null)
+                : host.verifyOwnership();
+    }
+
     private void send(LiveProgram live, ProgramStep.MakeCall step, OperationSpec spec) {
         if (!host.active(live) || live.state().over()) {
             return;
