--- a/parsleydrift-bench/src/test/java/org/parsleydrift/bench/PromiseTest.java
+++ b/parsleydrift-bench/src/test/java/org/parsleydrift/bench/PromiseTest.java
@@ -174,6 +174,21 @@
         assertNoDoubledEffect();
     }
 
+    /**
+     * Symptom: a dead node's programs stand still, and it is suspected again and again without end. Events: a node dies;
+     * each of the others is told by another that it was heard. Cause: hearsay taken for hearing.
+     */
+    @Test
+    public void deadNodeIsNotKeptAliveByHearsay() {
+        FleetNode dead = fleet.nodes().getFirst();
+        String name = dead.node().status().node();
+        dead.kill();
+        fleet.advance(Duration.ofSeconds(8));
+        fleet.live()
+                .forEach(node -> assertTrue(node.node().status().peers().stream()
+                        .noneMatch(peer -> peer.node().equals(name))));
+    }
+
     /**
      * Symptom: engine memory fills with programs nobody knows. Events: owners die with streams and cached prefixes on
      * the engines; programs end. Cause: only the dead node knew what to free.
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/Incarnation.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/Incarnation.java
@@ -163,6 +163,12 @@
         }
     }
 
+    void vouched(String suspect) {
+        if (detector != null) {
+            detector.vouched(suspect);
+        }
+    }
+
     void refresh() {
         registry.refresh().exceptionally(failure -> null);
     }
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/Node.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/Node.java
@@ -260,7 +260,7 @@
                     incarnation.send(from, new PeerMessage.ProbeAnswer(probe.suspect()));
                 }
             }
-            case PeerMessage.ProbeAnswer answer -> incarnation.heard(answer.suspect());
+            case PeerMessage.ProbeAnswer answer -> incarnation.vouched(answer.suspect());
             case PeerMessage.RegistryChanged ignored -> incarnation.refresh();
             case PeerMessage.Forward forward -> gateway.forward(from, forward);
             case PeerMessage.ForwardCancel cancel -> gateway.forwardCancel(from, cancel.number());
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/host/StepRunner.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/host/StepRunner.java
@@ -219,13 +219,16 @@
 
     /**
      * An intent that took long to become durable may belong to a successor by now, which has settled it as unknown and
-     * gone on: sent now, the call would run after calls of later turns. One more write tells.
+     * gone on: sent now, the call would run after calls of later turns. Another write tells, and again if that one took
+     * long as well.
      */
-    private CompletableFuture<Void> stillOwner(long intendedNanos) {
-        long waitedNanos = loop.clock().nanos() - intendedNanos;
-        return waitedNanos < host.timings().suspectAfter().toNanos()
-                ? CompletableFuture.completedFuture(null)
-                : host.verifyOwnership();
+    private CompletableFuture<Void> stillOwner(long sinceNanos) {
+        long waitedNanos = loop.clock().nanos() - sinceNanos;
+        if (waitedNanos < host.timings().platformTimeout().toNanos()) {
+            return CompletableFuture.completedFuture(null);
+        }
+        long asked = loop.clock().nanos();
+        return host.verifyOwnership().thenCompose(done -> stillOwner(asked));
     }
 
     private void send(LiveProgram live, ProgramStep.MakeCall step, OperationSpec spec) {
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/membership/FailureDetector.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/membership/FailureDetector.java
@@ -35,6 +35,7 @@
     private final Consumer<NodeRecord> onDead;
     private final Consumer<NodeRecord> onSilent;
     private final Map<String, Long> heardNanos = new HashMap<>();
+    private final Map<String, Long> vouchedNanos = new HashMap<>();
     private final Map<String, Long> suspectedNanos = new HashMap<>();
     private long lastCheckNanos;
     private boolean stopped;
@@ -89,7 +90,18 @@
     }
 
     /**
-     * Whether a node was heard lately.
+     * Notes that a peer hears a node itself. This is kept apart from what this node hears: if it counted as hearing, two
+     * nodes that ask each other would keep a dead one alive between them for ever.
+     *
+     * @param incarnation the node that the peer hears
+     */
+    public void vouched(String incarnation) {
+        vouchedNanos.put(incarnation, loop.clock().nanos());
+        suspectedNanos.remove(incarnation);
+    }
+
+    /**
+     * Whether a node was heard lately by this node itself.
      *
      * @param incarnation the node
      * @return true if it is not suspect
@@ -125,11 +137,12 @@
     }
 
     private void judge(NodeRecord peer) {
-        long silence = silence(peer.incarnation());
+        long now = loop.clock().nanos();
+        long vouched = vouchedNanos.getOrDefault(peer.incarnation(), Long.MIN_VALUE / 2);
+        long silence = Math.min(silence(peer.incarnation()), now - vouched);
         if (silence < timings.suspectAfter().toNanos()) {
             return;
         }
-        long now = loop.clock().nanos();
         if (!suspectedNanos.containsKey(peer.incarnation())) {
             suspectedNanos.put(peer.incarnation(), now);
             suspect(peer, silence);
