--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/Node.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/Node.java
@@ -223,6 +223,16 @@
         return incarnation.host().states();
     }
 
+    /**
+     * Whether this node owns a program that is under way.
+     *
+     * @param id the program
+     * @return true if it does
+     */
+    public boolean running(ProgramId id) {
+        return incarnation.host().running(id);
+    }
+
     /**
      * Takes a message of a peer.
      *
