--- a/parsleydrift-daemon/src/main/java/org/parsleydrift/daemon/DaemonSettings.java
+++ b/parsleydrift-daemon/src/main/java/org/parsleydrift/daemon/DaemonSettings.java
@@ -96,6 +96,7 @@
                         millis("probe_wait_ms", base.probeWait()),
                         millis("registry_poll_ms", base.registryPoll()),
                         millis("commit_interval_ms", base.commitInterval()),
+                        writesPerSecond(base.platformWritesPerSecond()),
                         millis("platform_timeout_ms", base.platformTimeout()),
                         base.outageAfter(),
                         base.stall(),
@@ -105,6 +106,11 @@
                         millis("drain_limit_ms", base.drainLimit())));
     }
 
+    private int writesPerSecond(int fallback) {
+        Long set = timings.get("platform_writes_per_second");
+        return set == null ? fallback : set.intValue();
+    }
+
     private Duration millis(String name, Duration fallback) {
         Long set = timings.get(name);
         return set == null ? fallback : Duration.ofMillis(set);
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/Incarnation.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/Incarnation.java
@@ -297,11 +297,23 @@
     private void poll() {
         if (!over) {
             refresh();
+            shareWriteRate();
             takeover.work();
             loop.schedule(settings.timings().registryPoll(), this::poll);
         }
     }
 
+    /**
+     * Spaces this node's journal writes so that the whole fleet stays within its share of the platform's write rate.
+     * Each node counts the others by itself, so no one has to hand out shares.
+     */
+    private void shareWriteRate() {
+        NodeSettings.Timings timings = settings.timings();
+        long perWriter = (peers().size() + 1) * 1_000_000_000L / timings.platformWritesPerSecond();
+        journal.commitInterval(
+                Duration.ofNanos(Math.max(timings.commitInterval().toNanos(), perWriter)));
+    }
+
     private void sealDead(NodeRecord dead) {
         List<String> successors = takers().stream()
                 .map(NodeRecord::incarnation)
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/NodeSettings.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/NodeSettings.java
@@ -20,6 +20,7 @@
      * @param probeWait how long to wait for their answers
      * @param registryPoll time between reads of the node records
      * @param commitInterval least time between two journal writes
+     * @param platformWritesPerSecond journal writes of the whole fleet; each node takes an equal share
      * @param platformTimeout after this time an answer of the platform counts as lost
      * @param outageAfter a journal write unanswered for this long means that new work is refused
      * @param stall a pause of the loop of this length makes the node check that it still owns its journal
@@ -34,6 +35,7 @@
             Duration probeWait,
             Duration registryPoll,
             Duration commitInterval,
+            int platformWritesPerSecond,
             Duration platformTimeout,
             Duration outageAfter,
             Duration stall,
@@ -53,6 +55,7 @@
                     Duration.ofMillis(300),
                     Duration.ofSeconds(1),
                     Duration.ofMillis(50),
+                    180,
                     Duration.ofSeconds(2),
                     Duration.ofSeconds(3),
                     Duration.ofSeconds(1),
