'Not run' is said of first tries only; peers' manifests wait for the platform at start

Change: a request says whether it is the first try, and stops being one once a node has handed it to an owner; until the platform has answered or failed, a peer's manifest is only noted.

--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/FleetCaller.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/FleetCaller.java
@@ -29,6 +29,7 @@
     private Runnable connection = () -> {};
     private int attempt;
     private int messagesSent;
+    private boolean handed;
     private boolean started;
     private boolean closed;
     private ProgramAnswer answer;
@@ -167,7 +168,8 @@
     private void proceed(FleetNode node, int mine) {
         CallerRequest next;
         if (!started) {
-            next = new CallerRequest.Start(id, agent, prompt);
+            next = new CallerRequest.Start(id, agent, prompt, !handed);
+            handed = true;
         } else if (messagesSent < messages) {
             next = new CallerRequest.Send(id, "message" + messagesSent, "text " + messagesSent);
         } else {
--- a/parsleydrift-daemon/src/main/java/org/parsleydrift/daemon/CallerApi.java
+++ b/parsleydrift-daemon/src/main/java/org/parsleydrift/daemon/CallerApi.java
@@ -101,7 +101,7 @@
 
     private void start(HttpExchange exchange) throws JsonProcessingException {
         JsonNode body = JsonDocument.MAPPER.readTree(exchange.body());
-        single(exchange, new CallerRequest.Start(id(body), text(body, "agent"), text(body, "prompt")));
+        single(exchange, new CallerRequest.Start(id(body), text(body, "agent"), text(body, "prompt"), first(body)));
     }
 
     private void callService(HttpExchange exchange, String service) throws JsonProcessingException {
@@ -115,7 +115,7 @@
         single(
                 exchange,
                 new CallerRequest.CallService(
-                        id(body), service, body.path("body").toString()));
+                        id(body), service, body.path("body").toString(), first(body)));
     }
 
     private void single(HttpExchange exchange, CallerRequest request) {
@@ -172,6 +172,11 @@
         return error;
     }
 
+    /** Whether the caller says that it never made this request before; a repeat must leave that out. */
+    private static boolean first(JsonNode body) {
+        return body.path("first").asBoolean(false);
+    }
+
     private static ProgramId id(JsonNode body) {
         return ProgramId.parse(text(body, "ticket") + "~" + text(body, "team") + "~" + text(body, "key"));
     }
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/Node.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/Node.java
@@ -245,7 +245,7 @@
             return;
         }
         if (message instanceof PeerMessage.ManifestOffer offer) {
-            manifest.offer(offer.version(), envelope.from());
+            manifest.offerFromPeer(offer.version(), envelope.from());
             return;
         }
         if (!incarnation.active() || !incarnation.name().equals(envelope.to())) {
@@ -275,7 +275,7 @@
             case PeerMessage.Forward forward -> gateway.forward(from, forward);
             case PeerMessage.ForwardCancel cancel -> gateway.forwardCancel(from, cancel.number());
             case PeerMessage.ForwardReply reply -> gateway.forwardReply(reply);
-            case PeerMessage.ManifestOffer offer -> manifest.offer(offer.version(), from.incarnation());
+            case PeerMessage.ManifestOffer offer -> manifest.offerFromPeer(offer.version(), from.incarnation());
             case PeerMessage.ManifestAsk ignored -> offerManifest(from.incarnation(), from.link());
         }
     }
@@ -371,6 +371,7 @@
                 .whenCompleteAsync(
                         (changed, failure) -> {
                             if (failure != null && manifest.version() == null) {
+                                manifest.platformSilent();
                                 seedPeers.forEach(address -> environment
                                         .links()
                                         .send(
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/caller/CallerGateway.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/caller/CallerGateway.java
@@ -183,6 +183,7 @@
         private long lastProgressNanos;
         private long lastReplyNanos;
         private String soughtAnew = "";
+        private boolean handed;
         private boolean closed;
         private boolean retrySet;
 
@@ -262,10 +263,18 @@
                             loop);
         }
 
+        /** The request as it stands now: read on from the offset reached, and no longer a first try once handed on. */
         private CallerRequest present() {
-            return request instanceof CallerRequest.Attach attach
-                    ? new CallerRequest.Attach(attach.id(), offset)
-                    : request;
+            boolean again = handed;
+            handed = true;
+            return switch (request) {
+                case CallerRequest.Attach attach -> new CallerRequest.Attach(attach.id(), offset);
+                case CallerRequest.Start start
+                when again -> new CallerRequest.Start(start.id(), start.agent(), start.prompt(), false);
+                case CallerRequest.CallService call
+                when again -> new CallerRequest.CallService(call.id(), call.service(), call.body(), false);
+                default -> request;
+            };
         }
 
         private void forwardedReply(PeerMessage.ForwardReply message) {
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/caller/CallerRequest.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/caller/CallerRequest.java
@@ -28,8 +28,9 @@
      * @param id its id
      * @param agent its kind
      * @param prompt its first input
+     * @param first whether it was never handed to an owner before, by this caller or by any node
      */
-    record Start(ProgramId id, String agent, String prompt) implements CallerRequest {}
+    record Start(ProgramId id, String agent, String prompt, boolean first) implements CallerRequest {}
 
     /**
      * Send a message to a program under way. A repeat with the same key is the same message.
@@ -61,8 +62,9 @@
      * @param id the call
      * @param service the service
      * @param body what to send
+     * @param first whether it was never handed to an owner before, by this caller or by any node
      */
-    record CallService(ProgramId id, String service, String body) implements CallerRequest {}
+    record CallService(ProgramId id, String service, String body, boolean first) implements CallerRequest {}
 
     /**
      * Tell where a program is and why.
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/host/ProgramHost.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/host/ProgramHost.java
@@ -44,6 +44,7 @@
     private final ManifestInForce manifest;
     private final StepRunner steps;
     private final PauseGuard guard;
+    private final AdmissionDoor door;
     private final Map<ProgramId, LiveProgram> programs = new LinkedHashMap<>();
     private final Map<String, Long> marks = new HashMap<>();
     private boolean stopped;
@@ -70,6 +71,7 @@
         this.journal = journal;
         this.manifest = manifest;
         this.steps = new StepRunner(environment, this, manifest, upstreams);
+        this.door = new AdmissionDoor(loop, timings, journal, manifest);
         this.guard = new PauseGuard(loop, timings.stall(), this::verifyOwnership);
     }
 
@@ -291,7 +293,7 @@
         if (known != null) {
             return repeated(known, known.state().agent().equals(start.agent()), sink);
         }
-        Optional<CallerReply.Refused> refusal = refusal(start.id());
+        Optional<CallerReply.Refused> refusal = door.refusal(start.id(), start.first());
         if (refusal.isPresent()) {
             return refuse(sink, refusal.get());
         }
@@ -321,7 +323,7 @@
                     ? attach(known, 0, sink)
                     : refuse(sink, Refusals.badRequest("the key was used for another request"));
         }
-        Optional<CallerReply.Refused> refusal = refusal(call.id());
+        Optional<CallerReply.Refused> refusal = door.refusal(call.id(), call.first());
         if (refusal.isPresent()) {
             return refuse(sink, refusal.get());
         }
@@ -396,21 +398,6 @@
         return new CallerReply.Accepted(live.state().id(), live.state().generation());
     }
 
-    private Optional<CallerReply.Refused> refusal(ProgramId id) {
-        long ageMinutes = loop.clock().instant().getEpochSecond() / 60 - id.issued();
-        if (ageMinutes > timings.ticketLife().toMinutes()) {
-            return Optional.of(new CallerReply.Refused(
-                    RefusalKind.EXPIRED, Step.ADMIT, "self", "the ticket is too old: ask for another", 0));
-        }
-        if (journal.stalledFor().compareTo(timings.outageAfter()) > 0) {
-            return Optional.of(Refusals.notRun("the platform does not answer", OUTAGE_RETRY_MILLIS));
-        }
-        if (manifest.version() == null) {
-            return Optional.of(Refusals.notRun("no manifest is in force", OUTAGE_RETRY_MILLIS));
-        }
-        return Optional.empty();
-    }
-
     private Runnable send(LiveProgram live, CallerRequest.Send send, ReplySink sink) {
         if (live.state().over() && !live.state().messages().containsKey(send.key())) {
             return refuse(sink, Refusals.notRun("the program is over", 0));
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/manifest/ManifestKeeper.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/manifest/ManifestKeeper.java
@@ -37,6 +37,8 @@
     private final Consumer<Manifest> onChange;
     private ManifestVersion version;
     private Manifest manifest = EMPTY;
+    private ManifestVersion noted;
+    private boolean platformSilent;
     private boolean known;
 
     /**
@@ -83,6 +85,29 @@
         return known;
     }
 
+    /**
+     * Takes a manifest that a peer tells. Until the platform has answered or failed to, it is only noted: a peer may lag
+     * behind what this VM's former process had in force already, and the platform does not.
+     *
+     * @param found the manifest
+     * @param peer the peer
+     */
+    public void offerFromPeer(ManifestVersion found, String peer) {
+        if (known || platformSilent) {
+            offer(found, peer);
+        } else if (noted == null || noted.generation() < found.generation()) {
+            noted = found;
+        }
+    }
+
+    /** The platform does not answer: what peers tell is the best there is. */
+    public void platformSilent() {
+        platformSilent = true;
+        if (noted != null) {
+            offer(noted, "peers");
+        }
+    }
+
     /**
      * Puts a manifest into force unless it is no newer than the present one.
      *
