A call that must not repeat needs a fresh proof of ownership; its successor waits for longer than the proof is good

Change: FreshProofGate before each attempt; the proof counts from the start of the write, for the platform's timeout; a successor holds back a program with a settled intent for that time and the longest unnoticed pause. ProgramHost split.

--- a/parsleydrift-journal/src/main/java/org/parsleydrift/journal/JournalWriter.java
+++ b/parsleydrift-journal/src/main/java/org/parsleydrift/journal/JournalWriter.java
@@ -145,9 +145,10 @@
     }
 
     /**
-     * How long ago this incarnation last learned that it still owns its journal.
+     * For how long this incarnation has had no proof that it owns its journal. The answer proves it for the time when
+     * the write began, not for when the answer came.
      *
-     * @return the age of the last durable segment
+     * @return the time since the start of the last write that became durable
      */
     public Duration sinceDurable() {
         return Duration.ofNanos(loop.clock().nanos() - lastDurableNanos);
@@ -258,7 +259,7 @@
     private void finish(Segment segment) {
         sequence = segment.sequence();
         durableBase = segment.base();
-        lastDurableNanos = loop.clock().nanos();
+        lastDurableNanos = writeStartedNanos;
         writing = false;
         List<JournalEntry> done = inFlight;
         inFlight = List.of();
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/host/LiveProgram.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/host/LiveProgram.java
@@ -26,6 +26,7 @@
     private int attempts;
     private long oldestNeeded;
     private boolean rewriting;
+    private long heldUntilNanos = Long.MIN_VALUE;
 
     LiveProgram(ProgramState state) {
         this.state = state;
@@ -127,4 +128,13 @@
     void rewriting(boolean now) {
         rewriting = now;
     }
+
+    /** No step begins before this time of the loop's clock. */
+    long heldUntilNanos() {
+        return heldUntilNanos;
+    }
+
+    void heldUntilNanos(long nanos) {
+        heldUntilNanos = nanos;
+    }
 }
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/host/PlainCalls.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/host/PlainCalls.java
@@ -11,6 +11,11 @@
 
     private PlainCalls() {}
 
+    static boolean is(ProgramState state) {
+        return state.root().turns() == 0
+                && state.root().history().stream().allMatch(entry -> entry.kind() == HistoryEntry.Kind.TOOL);
+    }
+
     static CallerReply answer(ProgramState state) {
         return state.root().history().stream()
                 .filter(entry -> entry.kind() == HistoryEntry.Kind.TOOL)
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/host/ProgramHost.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/host/ProgramHost.java
@@ -9,10 +9,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
 import org.parsleydrift.journal.JournalEntry;
 import org.parsleydrift.journal.JournalWriter;
 import org.parsleydrift.kernel.EventLoop;
 import org.parsleydrift.kernel.LogLine;
+import org.parsleydrift.kernel.LoopTimer;
 import org.parsleydrift.kernel.Step;
 import org.parsleydrift.kernel.codec.MessagePackCodec;
 import org.parsleydrift.manifest.AgentSpec;
@@ -44,9 +46,10 @@
     private final ManifestInForce manifest;
     private final StepRunner steps;
     private final PauseGuard guard;
+    private final EffectGate strictGate;
     private final AdmissionDoor door;
+    private final AdoptionMarks marks;
     private final Map<ProgramId, LiveProgram> programs = new LinkedHashMap<>();
-    private final Map<String, Long> marks = new HashMap<>();
     private boolean stopped;
     private boolean draining;
 
@@ -73,6 +76,8 @@
         this.steps = new StepRunner(environment, this, manifest, upstreams);
         this.door = new AdmissionDoor(loop, timings, journal, manifest);
         this.guard = new PauseGuard(loop, timings.stall(), this::verifyOwnership);
+        this.strictGate = new FreshProofGate(guard, journal, timings.platformTimeout(), this::verifyOwnership);
+        this.marks = new AdoptionMarks(journal);
     }
 
     /**
@@ -105,9 +110,9 @@
      * @return completes when all are durable; fails if this journal is sealed
      */
     public CompletableFuture<Void> takeIn(String share, List<ProgramState> states) {
-        marks.put(share, journal.sequence() + 1);
+        marks.expect(share);
         states.forEach(state -> Snapshots.appendTakenIn(journal, share, state));
-        return markAdopted(share);
+        return marks.write(share);
     }
 
     /**
@@ -137,15 +142,11 @@
      * @param share the share
      */
     public void forgetMark(String share) {
-        marks.remove(share);
+        marks.forget(share);
     }
 
-    /**
-     * Writes an empty record, to learn whether the journal still belongs to this incarnation.
-     *
-     * @return completes when it is durable
-     */
-    public CompletableFuture<Void> verifyOwnership() {
+    /** Writes an empty record, to learn whether the journal still belongs to this incarnation. */
+    CompletableFuture<Void> verifyOwnership() {
         return journal.append(MessagePackCodec.encode(new JournalRecord.Probe()))
                 .durable();
     }
@@ -170,7 +171,7 @@
         stopped = true;
         guard.stop();
         programs.values().forEach(live -> {
-            live.running().values().forEach(org.parsleydrift.kernel.LoopTimer::cancel);
+            live.running().values().forEach(LoopTimer::cancel);
             live.running().clear();
             List.copyOf(live.attachments()).forEach(each -> each.end(new CallerReply.Moved()));
         });
@@ -210,9 +211,7 @@
                 .filter(live -> !live.rewriting())
                 .toList()
                 .forEach(this::rewrite);
-        List.copyOf(marks.entrySet()).stream()
-                .filter(mark -> mark.getValue() < sequence)
-                .forEach(mark -> markAdopted(mark.getKey()));
+        marks.rewriteOlderThan(sequence);
     }
 
     /** The lowest segment on which a program or a mark rests. */
@@ -221,8 +220,7 @@
                 .mapToLong(LiveProgram::oldestNeeded)
                 .min()
                 .orElse(Long.MAX_VALUE);
-        long marksFrom = marks.values().stream().mapToLong(each -> each).min().orElse(Long.MAX_VALUE);
-        return Math.min(journal.sequence() + 1, Math.min(programsFrom, marksFrom));
+        return Math.min(journal.sequence() + 1, Math.min(programsFrom, marks.oldestNeeded()));
     }
 
     private void rewrite(LiveProgram live) {
@@ -235,13 +233,6 @@
         });
     }
 
-    private CompletableFuture<Void> markAdopted(String share) {
-        long from = journal.sequence() + 1;
-        return journal.append(MessagePackCodec.encode(new JournalRecord.Adopted(share)))
-                .durable()
-                .thenRun(() -> marks.computeIfPresent(share, (any, before) -> from));
-    }
-
     private void expireLater(LiveProgram live) {
         long now = loop.clock().instant().toEpochMilli();
         long end = live.state().startedMillis() + live.state().budget().seconds() * 1000L;
@@ -265,19 +256,30 @@
         return entry;
     }
 
-    NodeSettings.Timings timings() {
-        return timings;
-    }
-
     /** Stands before effects outside: they wait after a pause until this node is known to own its programs. */
     EffectGate gate() {
         return guard;
     }
 
+    /** Stands before effects that must not come late, behind those of a successor. */
+    EffectGate strictGate() {
+        return strictGate;
+    }
+
+    /**
+     * Lets a program wait whose former owner may still send a call: its proof of ownership is good for the platform's
+     * timeout, and a pause shorter than the guard notices may come on top.
+     */
+    void holdBack(LiveProgram live) {
+        Duration wait = timings.platformTimeout().plus(timings.stall());
+        live.heldUntilNanos(loop.clock().nanos() + wait.toNanos());
+        loop.schedule(wait.plusMillis(1), () -> advance(live));
+    }
+
     /** Begins whatever the program needs next and is not under way. */
     void advance(LiveProgram live) {
         Runnable begin = () -> {
-            if (active(live) && !draining) {
+            if (active(live) && !draining && loop.clock().nanos() >= live.heldUntilNanos()) {
                 long now = loop.clock().instant().toEpochMilli();
                 ProgramMachine.next(live.state(), now).stream()
                         .filter(step -> !live.running().containsKey(step.key()))
@@ -295,13 +297,13 @@
         }
         Optional<CallerReply.Refused> refusal = door.refusal(start.id(), start.first());
         if (refusal.isPresent()) {
-            return refuse(sink, refusal.get());
+            return Refusals.refuse(sink, refusal.get());
         }
         ManifestVersion version = manifest.version();
         AgentSpec spec = manifest.manifest().agents().get(start.agent());
         if (spec == null || start.prompt().length() > MAX_PROMPT) {
             String reason = spec == null ? "no agent " + start.agent() : "prompt over " + MAX_PROMPT + " characters";
-            return refuse(sink, Refusals.badRequest(reason));
+            return Refusals.refuse(sink, Refusals.badRequest(reason));
         }
         var started = new ProgramEvent.Started(
                 start.id(),
@@ -321,14 +323,14 @@
             boolean same = known.state().agent().equals(call.service());
             return same
                     ? attach(known, 0, sink)
-                    : refuse(sink, Refusals.badRequest("the key was used for another request"));
+                    : Refusals.refuse(sink, Refusals.badRequest("the key was used for another request"));
         }
         Optional<CallerReply.Refused> refusal = door.refusal(call.id(), call.first());
         if (refusal.isPresent()) {
-            return refuse(sink, refusal.get());
+            return Refusals.refuse(sink, refusal.get());
         }
         if (!manifest.manifest().services().containsKey(call.service())) {
-            return refuse(sink, Refusals.badRequest("no service " + call.service()));
+            return Refusals.refuse(sink, Refusals.badRequest("no service " + call.service()));
         }
         var started = new ProgramEvent.CallStarted(
                 call.id(),
@@ -389,7 +391,7 @@
 
     private Runnable repeated(LiveProgram live, boolean same, ReplySink sink) {
         if (!same) {
-            return refuse(sink, Refusals.badRequest("the key was used for another request"));
+            return Refusals.refuse(sink, Refusals.badRequest("the key was used for another request"));
         }
         return whenAccepted(live, sink, () -> sink.reply(accepted(live)));
     }
@@ -400,7 +402,7 @@
 
     private Runnable send(LiveProgram live, CallerRequest.Send send, ReplySink sink) {
         if (live.state().over() && !live.state().messages().containsKey(send.key())) {
-            return refuse(sink, Refusals.notRun("the program is over", 0));
+            return Refusals.refuse(sink, Refusals.notRun("the program is over", 0));
         }
         if (!live.state().messages().containsKey(send.key())) {
             record(live, new ProgramEvent.MessageArrived(send.key(), send.text()));
@@ -432,11 +434,10 @@
         return () -> {};
     }
 
-    private Runnable known(
-            CallerRequest request, ReplySink sink, java.util.function.Function<LiveProgram, Runnable> act) {
+    private Runnable known(CallerRequest request, ReplySink sink, Function<LiveProgram, Runnable> act) {
         LiveProgram live = programs.get(request.id());
         return live == null
-                ? refuse(
+                ? Refusals.refuse(
                         sink,
                         new CallerReply.Refused(
                                 RefusalKind.UNKNOWN_PROGRAM, Step.ADMIT, "self", "no program " + request.id(), 0))
@@ -444,7 +445,7 @@
     }
 
     private void ended(LiveProgram live) {
-        live.running().values().forEach(org.parsleydrift.kernel.LoopTimer::cancel);
+        live.running().values().forEach(LoopTimer::cancel);
         live.running().clear();
         ProgramState state = live.state();
         LOG.log(
@@ -474,9 +475,7 @@
         String answer = state.answer();
         List<Attachment> all = new ArrayList<>(live.attachments());
         live.attachments().clear();
-        boolean plainCall = state.root().turns() == 0
-                && state.root().history().stream()
-                        .allMatch(e -> e.kind() == org.parsleydrift.program.HistoryEntry.Kind.TOOL);
+        boolean plainCall = PlainCalls.is(state);
         all.forEach(each -> {
             if (plainCall) {
                 each.end(PlainCalls.answer(state));
@@ -494,9 +493,4 @@
             }
         });
     }
-
-    private static Runnable refuse(ReplySink sink, CallerReply.Refused refusal) {
-        sink.reply(refusal);
-        return () -> {};
-    }
 }
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/host/Refusals.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/host/Refusals.java
@@ -3,6 +3,7 @@
 import org.parsleydrift.kernel.Step;
 import org.parsleydrift.node.caller.CallerReply;
 import org.parsleydrift.node.caller.RefusalKind;
+import org.parsleydrift.node.caller.ReplySink;
 
 /** The refusals that a host gives in more than one place. */
 final class Refusals {
@@ -15,4 +16,10 @@
     static CallerReply.Refused notRun(String reason, long retryAfterMillis) {
         return new CallerReply.Refused(RefusalKind.NOT_RUN, Step.ADMIT, "self", reason, retryAfterMillis);
     }
+
+    /** Gives a refusal; there is nothing to end afterwards. */
+    static Runnable refuse(ReplySink sink, CallerReply.Refused refusal) {
+        sink.reply(refusal);
+        return () -> {};
+    }
 }
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/host/StepRunner.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/host/StepRunner.java
@@ -71,13 +71,13 @@
      * would outspend its budget.
      */
     void settleLost(LiveProgram live) {
-        heads(live.state())
-                .filter(PendingAction::intended)
-                .toList()
-                .forEach(pending -> host.record(
-                        live,
-                        new ProgramEvent.CallEnded(
-                                pending.id(), CallOutcome.OUTCOME_UNKNOWN, "its node was lost before the answer")));
+        heads(live.state()).filter(PendingAction::intended).toList().forEach(pending -> {
+            host.holdBack(live);
+            host.record(
+                    live,
+                    new ProgramEvent.CallEnded(
+                            pending.id(), CallOutcome.OUTCOME_UNKNOWN, "its node was lost before the answer"));
+        });
         live.state().agents().values().stream()
                 .filter(AgentState::thinking)
                 .toList()
@@ -210,33 +210,20 @@
             callDone(live, step, new CallEnd(CallOutcome.BLOCKED, "an earlier call of this kind has no known outcome"));
             return;
         }
-        long intendedNanos = loop.clock().nanos();
         host.record(live, new ProgramEvent.CallIntended(step.callId()))
                 .durable()
-                .thenCompose(done -> stillOwner(intendedNanos))
                 .thenRun(() -> send(live, step, spec));
     }
 
-    /**
-     * An intent that took long to become durable may belong to a successor by now, which has settled it as unknown and
-     * gone on: sent now, the call would run after calls of later turns. Another write tells, and again if that one took
-     * long as well.
-     */
-    private CompletableFuture<Void> stillOwner(long sinceNanos) {
-        long waitedNanos = loop.clock().nanos() - sinceNanos;
-        if (waitedNanos < host.timings().platformTimeout().toNanos()) {
-            return CompletableFuture.completedFuture(null);
-        }
-        long asked = loop.clock().nanos();
-        return host.verifyOwnership().thenCompose(done -> stillOwner(asked));
-    }
-
     private void send(LiveProgram live, ProgramStep.MakeCall step, OperationSpec spec) {
         if (!host.active(live) || live.state().over()) {
             return;
         }
         CallRequest request = new CallRequest(step.callId(), step.tool(), step.arguments());
-        upstreams.calls().run(spec, request, host.gate()).whenComplete((end, never) -> callDone(live, step, end));
+        upstreams
+                .calls()
+                .run(spec, request, spec.repeatable() ? host.gate() : host.strictGate())
+                .whenComplete((end, never) -> callDone(live, step, end));
     }
 
     private void callDone(LiveProgram live, ProgramStep.MakeCall step, CallEnd end) {
