--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/host/ProgramHost.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/host/ProgramHost.java
@@ -434,14 +434,17 @@
         return () -> {};
     }
 
+    /**
+     * Acts on a program that is here. "Unknown" is said only on a fresh proof of ownership: a node that was cut off may
+     * have lost its journal to a successor that knows the program well.
+     */
     private Runnable known(CallerRequest request, ReplySink sink, Function<LiveProgram, Runnable> act) {
         LiveProgram live = programs.get(request.id());
-        return live == null
-                ? Refusals.refuse(
-                        sink,
-                        new CallerReply.Refused(
-                                RefusalKind.UNKNOWN_PROGRAM, Step.ADMIT, "self", "no program " + request.id(), 0))
-                : act.apply(live);
+        if (live != null) {
+            return act.apply(live);
+        }
+        strictGate.pass(() -> sink.reply(Refusals.unknown(request.id())), () -> sink.reply(new CallerReply.Moved()));
+        return () -> {};
     }
 
     private void ended(LiveProgram live) {
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/host/Refusals.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/host/Refusals.java
@@ -4,6 +4,7 @@
 import org.parsleydrift.node.caller.CallerReply;
 import org.parsleydrift.node.caller.RefusalKind;
 import org.parsleydrift.node.caller.ReplySink;
+import org.parsleydrift.program.ProgramId;
 
 /** The refusals that a host gives in more than one place. */
 final class Refusals {
@@ -17,6 +18,10 @@
         return new CallerReply.Refused(RefusalKind.NOT_RUN, Step.ADMIT, "self", reason, retryAfterMillis);
     }
 
+    static CallerReply.Refused unknown(ProgramId id) {
+        return new CallerReply.Refused(RefusalKind.UNKNOWN_PROGRAM, Step.ADMIT, "self", "no program " + id, 0);
+    }
+
     /** Gives a refusal; there is nothing to end afterwards. */
     static Runnable refuse(ReplySink sink, CallerReply.Refused refusal) {
         sink.reply(refusal);
