Remove an unused withdrawal and the comment that promised it

Cause: a comment said that an unwritten start is taken back and then refused as not run; no code did that. Change: the comment says what happens (outcome unknown); JournalWriter.withdraw, which nothing called, is gone.

--- a/parsleydrift-journal/src/main/java/org/parsleydrift/journal/JournalWriter.java
+++ b/parsleydrift-journal/src/main/java/org/parsleydrift/journal/JournalWriter.java
@@ -89,16 +89,6 @@
         return entry;
     }
 
-    /**
-     * Takes an entry back if no write of it has begun; a refusal "not run" is then true.
-     *
-     * @param entry the entry
-     * @return true if it is out and will never be durable
-     */
-    public boolean withdraw(JournalEntry entry) {
-        return waiting.remove(entry);
-    }
-
     /**
      * Sets the least time between two segment writes, from this node's share of the platform's write rate.
      *
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/host/ProgramHost.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/host/ProgramHost.java
@@ -360,8 +360,8 @@
     }
 
     /**
-     * Replies once the start is durable. If the platform does not answer in time the start is taken back when no write
-     * of it has begun, and then "not run" is true; otherwise nobody can know, and the caller is told so.
+     * Replies once all that happened to the program is durable. If the platform does not answer in time the record may
+     * be durable or may yet become so: nobody can know, and the caller is told so.
      */
     private Runnable whenAccepted(LiveProgram live, ReplySink sink, Runnable reply) {
         boolean[] replied = {false};
