One splitter of streamed lines for engines and callers

Cause: HttpEngineClient and AnswerReader held the same loop. Change: LineSplitter in the wire module serves both.

--- a/parsleydrift-daemon/src/main/java/org/parsleydrift/daemon/HttpEngineClient.java
+++ b/parsleydrift-daemon/src/main/java/org/parsleydrift/daemon/HttpEngineClient.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.io.ByteArrayOutputStream;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -27,6 +26,7 @@
 import org.parsleydrift.wire.HttpClient;
 import org.parsleydrift.wire.HttpFailure;
 import org.parsleydrift.wire.HttpRequestSpec;
+import org.parsleydrift.wire.LineSplitter;
 
 /** Model engines over HTTP: a turn is a stream of JSON lines, each naming its stream; the last one ends it. */
 final class HttpEngineClient implements EngineClient {
@@ -73,7 +73,7 @@
         private final Consumer<String> tokens;
         private final CompletableFuture<TurnResult> done;
         private final StringBuilder text = new StringBuilder();
-        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private final LineSplitter lines = new LineSplitter(this::takeLine);
         private HttpCall call;
         private int resumes;
         private boolean cancelled;
@@ -89,7 +89,7 @@
             if (cancelled) {
                 return;
             }
-            line.reset();
+            lines.reset();
             ObjectNode body = JsonDocument.MAPPER.valueToTree(request);
             body.put("skip", text.length());
             byte[] bytes = body.toString().getBytes(StandardCharsets.UTF_8);
@@ -103,14 +103,7 @@
         }
 
         private synchronized void take(byte[] bytes) {
-            for (byte each : bytes) {
-                if (each == '\n') {
-                    takeLine(line.toString(StandardCharsets.UTF_8));
-                    line.reset();
-                } else {
-                    line.write(each);
-                }
-            }
+            lines.take(bytes);
         }
 
         private void takeLine(String json) {
--- a/parsleydrift-tools/src/main/java/org/parsleydrift/tools/AnswerReader.java
+++ b/parsleydrift-tools/src/main/java/org/parsleydrift/tools/AnswerReader.java
@@ -2,17 +2,16 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import java.io.ByteArrayOutputStream;
-import java.nio.charset.StandardCharsets;
 import java.util.function.Consumer;
 import org.parsleydrift.kernel.codec.JsonDocument;
+import org.parsleydrift.wire.LineSplitter;
 
 /** Reads the server-sent events of an answer and keeps the offset reached, over connections. Thread-safe. */
 final class AnswerReader {
     private final long start;
     private final Consumer<String> pieces;
     private final StringBuilder text = new StringBuilder();
-    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private final LineSplitter lines = new LineSplitter(this::takeLine);
     private String event = "";
     private ProgramAnswer answer;
     private boolean progressed;
@@ -41,19 +40,12 @@
     }
 
     synchronized void newConnection() {
-        line.reset();
+        lines.reset();
         event = "";
     }
 
     synchronized void take(byte[] bytes) {
-        for (byte each : bytes) {
-            if (each == '\n') {
-                takeLine(line.toString(StandardCharsets.UTF_8));
-                line.reset();
-            } else {
-                line.write(each);
-            }
-        }
+        lines.take(bytes);
     }
 
     private void takeLine(String read) {
