--- /dev/null
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/BeginResult.java
@@ -0,0 +1,31 @@
+package org.parsleydrift.conversation;
+
+import java.util.List;
+
+/** Whether a turn may run. */
+public sealed interface BeginResult {
+    /**
+     * It may run; its tokens are reserved.
+     *
+     * @param chain earlier turns, oldest first
+     * @param lastRunner the runner of the program's last turn; empty if none is known
+     */
+    record Granted(List<Turn> chain, String lastRunner) implements BeginResult {}
+
+    /**
+     * The budget does not hold the turn at its most.
+     *
+     * @param counted tokens that count already
+     */
+    record Spent(int counted) implements BeginResult {}
+
+    /** The turn that it goes on from does not exist; said only on the word of a read quorum. */
+    record NoSuchTurn() implements BeginResult {}
+
+    /**
+     * Not enough store VMs answered.
+     *
+     * @param reason why
+     */
+    record Unavailable(String reason) implements BeginResult {}
+}
--- /dev/null
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationCodec.java
@@ -0,0 +1,207 @@
+package org.parsleydrift.conversation;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+import org.parsleydrift.kernel.Step;
+import org.parsleydrift.kernel.StepException;
+
+/** MessagePack of all that goes between entry nodes and store VMs, and to disk. Written by hand: no reflection at start. */
+final class ConversationCodec {
+    private ConversationCodec() {}
+
+    /** Writes one value. */
+    interface Writer {
+        void write(MessagePacker out) throws IOException;
+    }
+
+    /** Reads one value. */
+    interface Reader<T> {
+        T read(MessageUnpacker in) throws IOException;
+    }
+
+    static byte[] encode(Writer writer) {
+        try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+            writer.write(out);
+            return out.toByteArray();
+        } catch (IOException fault) {
+            throw new StepException(Step.PARSE, "self", "cannot encode: " + fault.getMessage());
+        }
+    }
+
+    static <T> T decode(byte[] bytes, Reader<T> reader) {
+        try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
+            return reader.read(in);
+        } catch (IOException | RuntimeException fault) {
+            throw new StepException(Step.PARSE, "peer", "bad frame: " + fault.getMessage());
+        }
+    }
+
+    static void request(MessagePacker out, ReplicaRequest request) throws IOException {
+        switch (request) {
+            case ReplicaRequest.Write write -> {
+                out.packByte((byte) 1).packLong(write.epoch()).packLong(write.keepMillis());
+                list(out, write.grants(), ConversationCodec::grant);
+                list(out, write.turn().stream().toList(), ConversationCodec::turn);
+            }
+            case ReplicaRequest.Read read ->
+                out.packByte((byte) 2)
+                        .packLong(read.epoch())
+                        .packString(read.program())
+                        .packString(read.lastTurn());
+            case ReplicaRequest.Fetch fetch -> {
+                out.packByte((byte) 3);
+                list(out, fetch.turns(), MessagePacker::packString);
+            }
+            case ReplicaRequest.TakeOver takeOver -> {
+                out.packByte((byte) 4);
+                set(out, takeOver.set());
+            }
+            case ReplicaRequest.Tell tell -> {
+                out.packByte((byte) 5);
+                list(out, tell.set().stream().toList(), ConversationCodec::set);
+            }
+        }
+    }
+
+    static ReplicaRequest request(MessageUnpacker in) throws IOException {
+        byte type = in.unpackByte();
+        return switch (type) {
+            case 1 ->
+                new ReplicaRequest.Write(
+                        in.unpackLong(),
+                        in.unpackLong(),
+                        list(in, ConversationCodec::grant),
+                        first(list(in, ConversationCodec::turn)));
+            case 2 -> new ReplicaRequest.Read(in.unpackLong(), in.unpackString(), in.unpackString());
+            case 3 -> new ReplicaRequest.Fetch(list(in, MessageUnpacker::unpackString));
+            case 4 -> new ReplicaRequest.TakeOver(set(in));
+            case 5 -> new ReplicaRequest.Tell(first(list(in, ConversationCodec::set)));
+            default -> throw new IOException("unknown request " + type);
+        };
+    }
+
+    static void reply(MessagePacker out, ReplicaReply reply) throws IOException {
+        switch (reply) {
+            case ReplicaReply.Written ignored -> out.packByte((byte) 1);
+            case ReplicaReply.Found found -> {
+                out.packByte((byte) 2);
+                list(out, found.grants(), ConversationCodec::grant);
+                list(out, found.turns(), ConversationCodec::turn);
+            }
+            case ReplicaReply.Stale stale -> {
+                out.packByte((byte) 3);
+                set(out, stale.set());
+            }
+            case ReplicaReply.Behind ignored -> out.packByte((byte) 4);
+            case ReplicaReply.Incomplete ignored -> out.packByte((byte) 5);
+            case ReplicaReply.Keys keys -> {
+                out.packByte((byte) 6);
+                list(out, keys.turns(), MessagePacker::packString);
+                list(out, keys.grants(), ConversationCodec::grant);
+            }
+            case ReplicaReply.Progress progress ->
+                out.packByte((byte) 7)
+                        .packString(progress.name())
+                        .packString(progress.disk())
+                        .packLong(progress.adoptedEpoch())
+                        .packLong(progress.completeEpoch());
+        }
+    }
+
+    static ReplicaReply reply(MessageUnpacker in) throws IOException {
+        byte type = in.unpackByte();
+        return switch (type) {
+            case 1 -> new ReplicaReply.Written();
+            case 2 -> new ReplicaReply.Found(list(in, ConversationCodec::grant), list(in, ConversationCodec::turn));
+            case 3 -> new ReplicaReply.Stale(set(in));
+            case 4 -> new ReplicaReply.Behind();
+            case 5 -> new ReplicaReply.Incomplete();
+            case 6 ->
+                new ReplicaReply.Keys(list(in, MessageUnpacker::unpackString), list(in, ConversationCodec::grant));
+            case 7 ->
+                new ReplicaReply.Progress(in.unpackString(), in.unpackString(), in.unpackLong(), in.unpackLong());
+            default -> throw new IOException("unknown reply " + type);
+        };
+    }
+
+    static void turn(MessagePacker out, Turn turn) throws IOException {
+        out.packString(turn.id()).packString(turn.previous());
+        out.packBinaryHeader(turn.input().length).addPayload(turn.input());
+        out.packBinaryHeader(turn.output().length).addPayload(turn.output());
+    }
+
+    static Turn turn(MessageUnpacker in) throws IOException {
+        return new Turn(in.unpackString(), in.unpackString(), bytes(in), bytes(in));
+    }
+
+    static void grant(MessagePacker out, Grant grant) throws IOException {
+        out.packString(grant.program())
+                .packString(grant.request())
+                .packByte(grant.state().code())
+                .packInt(grant.tokens())
+                .packString(grant.runner());
+    }
+
+    static Grant grant(MessageUnpacker in) throws IOException {
+        return new Grant(
+                in.unpackString(),
+                in.unpackString(),
+                GrantState.of(in.unpackByte()),
+                in.unpackInt(),
+                in.unpackString());
+    }
+
+    static void set(MessagePacker out, StoreSet set) throws IOException {
+        out.packLong(set.epoch());
+        list(out, set.members(), ConversationCodec::member);
+        list(out, set.previous(), ConversationCodec::member);
+    }
+
+    static StoreSet set(MessageUnpacker in) throws IOException {
+        return new StoreSet(
+                in.unpackLong(), list(in, ConversationCodec::member), list(in, ConversationCodec::member));
+    }
+
+    private static void member(MessagePacker out, StoreMember member) throws IOException {
+        out.packString(member.name()).packString(member.disk()).packString(member.address());
+    }
+
+    private static StoreMember member(MessageUnpacker in) throws IOException {
+        return new StoreMember(in.unpackString(), in.unpackString(), in.unpackString());
+    }
+
+    /** Writes one entry of a list. */
+    interface EntryWriter<T> {
+        void write(MessagePacker out, T value) throws IOException;
+    }
+
+    static <T> void list(MessagePacker out, List<T> values, EntryWriter<T> writer) throws IOException {
+        out.packArrayHeader(values.size());
+        for (T each : values) {
+            writer.write(out, each);
+        }
+    }
+
+    static <T> List<T> list(MessageUnpacker in, Reader<T> reader) throws IOException {
+        int size = in.unpackArrayHeader();
+        List<T> values = new ArrayList<>();
+        for (int i = 0; i < size; i++) {
+            values.add(reader.read(in));
+        }
+        return values;
+    }
+
+    private static <T> Optional<T> first(List<T> values) {
+        return values.stream().findFirst();
+    }
+
+    private static byte[] bytes(MessageUnpacker in) throws IOException {
+        return in.readPayload(in.unpackBinaryHeader());
+    }
+}
--- /dev/null
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/FileDurableLog.java
@@ -0,0 +1,295 @@
+package org.parsleydrift.conversation;
+
+import com.lmax.disruptor.BlockingWaitStrategy;
+import com.lmax.disruptor.EventHandler;
+import com.lmax.disruptor.dsl.Disruptor;
+import com.lmax.disruptor.dsl.ProducerType;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.lang.System.Logger;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
+import org.parsleydrift.kernel.LogLine;
+import org.parsleydrift.kernel.RuntimeClock;
+import org.parsleydrift.kernel.Step;
+import org.parsleydrift.kernel.StepException;
+
+/**
+ * Records in segment files. One thread writes: all that waits when a sync ends goes into the next one, so the disk's
+ * sync time bounds the delay and not the rate. A segment is removed once none of its records is needed.
+ */
+public final class FileDurableLog implements DurableLog {
+    private static final Logger LOG = System.getLogger(FileDurableLog.class.getName());
+    /** Size at which a new segment begins, bytes: a tenth of the smallest disk is never held by stale records. */
+    private static final long SEGMENT_BYTES = 16L << 20;
+    /** Requests that may wait for the disk. */
+    private static final int RING_SIZE = 1 << 12;
+
+    private static final String SUFFIX = ".log";
+    private static final String STATE = "state";
+
+    private final Path folder;
+    private final RuntimeClock clock;
+    private final List<Entry> replayed = new ArrayList<>();
+    private final Deque<Segment> segments = new ArrayDeque<>();
+    private final Disruptor<Slot> disruptor;
+    private FileChannel current;
+    private long currentBytes;
+
+    /**
+     * Opens a folder, reads what it holds and cuts off a torn end.
+     *
+     * @param folder the folder
+     * @param clock tells when records are not needed any more
+     */
+    public FileDurableLog(Path folder, RuntimeClock clock) {
+        this.folder = folder;
+        this.clock = clock;
+        try {
+            Files.createDirectories(folder);
+            recover();
+            begin();
+        } catch (IOException fault) {
+            throw new StepException(Step.CONFIGURE, folder.toString(), "data folder unusable: " + fault);
+        }
+        disruptor = new Disruptor<>(
+                Slot::new,
+                RING_SIZE,
+                task -> {
+                    Thread thread = new Thread(task, "disk");
+                    thread.setDaemon(true);
+                    return thread;
+                },
+                ProducerType.MULTI,
+                new BlockingWaitStrategy());
+        disruptor.handleEventsWith(new DiskWriter());
+        disruptor.start();
+    }
+
+    @Override
+    public List<Entry> replay() {
+        List<Entry> found = List.copyOf(replayed);
+        replayed.clear();
+        return found;
+    }
+
+    @Override
+    public Optional<byte[]> state() {
+        try {
+            Path file = folder.resolve(STATE);
+            if (!Files.exists(file)) {
+                return Optional.empty();
+            }
+            List<byte[]> frames = new ArrayList<>();
+            RecordFrames.read(Files.readAllBytes(file), frames::add);
+            return frames.stream().findFirst();
+        } catch (IOException fault) {
+            throw new UncheckedIOException(fault);
+        }
+    }
+
+    @Override
+    public CompletableFuture<Void> append(List<Entry> entries) {
+        CompletableFuture<Void> durable = new CompletableFuture<>();
+        publish(new Work(entries, null, durable));
+        return durable;
+    }
+
+    @Override
+    public CompletableFuture<Void> saveState(byte[] state) {
+        CompletableFuture<Void> durable = new CompletableFuture<>();
+        publish(new Work(List.of(), state, durable));
+        return durable;
+    }
+
+    @Override
+    public void close() {
+        disruptor.shutdown();
+        try {
+            current.close();
+        } catch (IOException fault) {
+            LOG.log(
+                    Logger.Level.WARNING,
+                    LogLine.of("log_close_failed").failure(fault).toString());
+        }
+    }
+
+    private void publish(Work work) {
+        boolean taken = disruptor.getRingBuffer().tryPublishEvent((slot, sequence) -> slot.work = work);
+        if (!taken) {
+            work.durable().completeExceptionally(new StepException(Step.COMMIT, "disk", "too much waits for the disk"));
+        }
+    }
+
+    private void recover() throws IOException {
+        List<Path> files;
+        try (Stream<Path> listed = Files.list(folder)) {
+            files = listed.filter(each -> each.getFileName().toString().endsWith(SUFFIX))
+                    .sorted()
+                    .toList();
+        }
+        for (Path file : files) {
+            byte[] bytes = Files.readAllBytes(file);
+            Segment segment = new Segment(file, 0);
+            int good = RecordFrames.read(bytes, frame -> {
+                Entry entry = unwrap(frame);
+                segment.needUntil(entry.neededUntilMillis());
+                replayed.add(entry);
+            });
+            if (good < bytes.length) {
+                LOG.log(Logger.Level.WARNING, LogLine.of("torn_end_cut")
+                        .with("file", file.getFileName())
+                        .with("bytes", bytes.length - good)
+                        .toString());
+            }
+            segments.add(segment);
+        }
+    }
+
+    /** Begins a segment of a new name; the names of earlier lives are never written to again. */
+    private void begin() throws IOException {
+        long number = segments.isEmpty() ? 1 : number(segments.getLast().file()) + 1;
+        Path file = folder.resolve(String.format("%012d%s", number, SUFFIX));
+        current = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        currentBytes = 0;
+        current.force(true);
+        syncFolder();
+        segments.add(new Segment(file, 0));
+    }
+
+    private static byte[] wrap(Entry entry) {
+        return ByteBuffer.allocate(Long.BYTES + entry.bytes().length)
+                .putLong(entry.neededUntilMillis())
+                .put(entry.bytes())
+                .array();
+    }
+
+    private static Entry unwrap(byte[] frame) {
+        ByteBuffer buffer = ByteBuffer.wrap(frame);
+        long until = buffer.getLong();
+        byte[] bytes = new byte[buffer.remaining()];
+        buffer.get(bytes);
+        return new Entry(bytes, until);
+    }
+
+    private static long number(Path file) {
+        String name = file.getFileName().toString();
+        return Long.parseLong(name.substring(0, name.length() - SUFFIX.length()));
+    }
+
+    /** The name of a new, renamed or removed file survives a loss of power only after a sync of its folder. */
+    private void syncFolder() throws IOException {
+        try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
+            channel.force(true);
+        }
+    }
+
+    private void write(Work work) throws IOException {
+        for (Entry entry : work.entries()) {
+            ByteBuffer frame = RecordFrames.frame(wrap(entry));
+            currentBytes += frame.remaining();
+            while (frame.hasRemaining()) {
+                current.write(frame);
+            }
+            segments.getLast().needUntil(entry.neededUntilMillis());
+        }
+        if (work.state() != null) {
+            replaceState(work.state());
+        }
+    }
+
+    private void replaceState(byte[] state) throws IOException {
+        Path fresh = folder.resolve(STATE + ".new");
+        try (FileChannel channel = FileChannel.open(
+                fresh,
+                StandardOpenOption.CREATE,
+                StandardOpenOption.TRUNCATE_EXISTING,
+                StandardOpenOption.WRITE)) {
+            ByteBuffer frame = RecordFrames.frame(state);
+            while (frame.hasRemaining()) {
+                channel.write(frame);
+            }
+            channel.force(true);
+        }
+        Files.move(fresh, folder.resolve(STATE), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        syncFolder();
+    }
+
+    private void syncAndRoll() throws IOException {
+        current.force(false);
+        if (currentBytes >= SEGMENT_BYTES) {
+            current.close();
+            begin();
+            dropUnneeded();
+        }
+    }
+
+    private void dropUnneeded() throws IOException {
+        long now = clock.instant().toEpochMilli();
+        while (segments.size() > 1 && segments.getFirst().neededUntilMillis < now) {
+            Files.delete(segments.removeFirst().file());
+        }
+        syncFolder();
+    }
+
+    private record Work(List<Entry> entries, byte[] state, CompletableFuture<Void> durable) {}
+
+    private static final class Segment {
+        private final Path file;
+        private long neededUntilMillis;
+
+        private Segment(Path file, long neededUntilMillis) {
+            this.file = file;
+            this.neededUntilMillis = neededUntilMillis;
+        }
+
+        private Path file() {
+            return file;
+        }
+
+        private void needUntil(long millis) {
+            neededUntilMillis = Math.max(neededUntilMillis, millis);
+        }
+    }
+
+    private static final class Slot {
+        private Work work;
+    }
+
+    /** Runs on the disk's thread. */
+    private final class DiskWriter implements EventHandler<Slot> {
+        private final List<CompletableFuture<Void>> unsynced = new ArrayList<>();
+
+        @Override
+        public void onEvent(Slot slot, long sequence, boolean endOfBatch) {
+            Work work = slot.work;
+            slot.work = null;
+            unsynced.add(work.durable());
+            try {
+                write(work);
+                if (endOfBatch) {
+                    syncAndRoll();
+                    unsynced.forEach(each -> each.complete(null));
+                    unsynced.clear();
+                }
+            } catch (IOException fault) {
+                LOG.log(
+                        Logger.Level.ERROR,
+                        LogLine.of("disk_write_failed").failure(fault).toString());
+                unsynced.forEach(each -> each.completeExceptionally(fault));
+                unsynced.clear();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/RecordFrames.java
@@ -0,0 +1,48 @@
+package org.parsleydrift.conversation;
+
+import java.nio.ByteBuffer;
+import java.util.function.Consumer;
+import java.util.zip.CRC32C;
+
+/** Frames on disk: length, checksum, bytes. A torn or half-written frame is told by its checksum. */
+final class RecordFrames {
+    private static final int HEAD = 8;
+    private static final int MAX_BYTES = 32 << 20;
+
+    private RecordFrames() {}
+
+    static ByteBuffer frame(byte[] bytes) {
+        return ByteBuffer.allocate(HEAD + bytes.length)
+                .putInt(bytes.length)
+                .putInt(checksum(bytes))
+                .put(bytes)
+                .flip();
+    }
+
+    /** Reads frames up to the first that is not whole; gives the number of bytes read. */
+    static int read(byte[] file, Consumer<byte[]> frames) {
+        ByteBuffer buffer = ByteBuffer.wrap(file);
+        int good = 0;
+        while (buffer.remaining() >= HEAD) {
+            int length = buffer.getInt();
+            int checksum = buffer.getInt();
+            if (length <= 0 || length > MAX_BYTES || length > buffer.remaining()) {
+                return good;
+            }
+            byte[] bytes = new byte[length];
+            buffer.get(bytes);
+            if (checksum(bytes) != checksum) {
+                return good;
+            }
+            frames.accept(bytes);
+            good = buffer.position();
+        }
+        return good;
+    }
+
+    private static int checksum(byte[] bytes) {
+        CRC32C sum = new CRC32C();
+        sum.update(bytes);
+        return (int) sum.getValue();
+    }
+}
--- /dev/null
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/SetChange.java
@@ -0,0 +1,98 @@
+package org.parsleydrift.conversation;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Stream;
+
+/**
+ * Decides how the set of store VMs should change. Pure; every store VM decides by itself and writes under a condition,
+ * so two that decide at once never both succeed.
+ */
+final class SetChange {
+    /** Members wanted at least: with three, one may be lost. */
+    private static final int WANTED = 3;
+
+    private SetChange() {}
+
+    /**
+     * What a store VM knows.
+     *
+     * @param self this VM as a member
+     * @param set the set in force
+     * @param alive ids of the disks of members that answer, own included
+     * @param completeMembers ids of disks that are complete at the set's epoch
+     * @param silentLong ids of disks of members that have not answered for long
+     * @param retiring names of VMs that are to be emptied
+     */
+    record View(
+            StoreMember self,
+            StoreSet set,
+            Set<String> alive,
+            Set<String> completeMembers,
+            Set<String> silentLong,
+            Set<String> retiring) {}
+
+    /** The set that this VM should write now, if any. */
+    static Optional<StoreSet> decide(View view) {
+        boolean settled = view.completeMembers().size() >= view.set().writeQuorum();
+        if (!settled) {
+            return Optional.empty();
+        }
+        boolean member = view.set().byDisk(view.self().disk()).isPresent();
+        return member ? maintain(view) : join(view);
+    }
+
+    private static Optional<StoreSet> join(View view) {
+        StoreMember self = view.self();
+        if (view.retiring().contains(self.name())) {
+            return Optional.empty();
+        }
+        List<StoreMember> members = view.set().members();
+        Optional<StoreMember> replaced = members.stream()
+                .filter(each -> each.name().equals(self.name()))
+                .findAny()
+                .or(() -> members.size() < WANTED
+                        ? Optional.empty()
+                        : members.stream()
+                                .filter(each -> view.silentLong().contains(each.disk()))
+                                .findFirst());
+        List<StoreMember> next = Stream.concat(
+                        members.stream().filter(each -> !replaced.equals(Optional.of(each))), Stream.of(self))
+                .sorted(Comparator.comparing(StoreMember::name))
+                .toList();
+        return Optional.of(view.set().change(next));
+    }
+
+    private static Optional<StoreSet> maintain(View view) {
+        if (!leads(view)) {
+            return Optional.empty();
+        }
+        List<StoreMember> members = view.set().members();
+        Optional<StoreMember> leaves = members.stream()
+                .filter(each -> view.retiring().contains(each.name()))
+                .findFirst()
+                .or(() -> members.size() <= WANTED
+                        ? Optional.empty()
+                        : members.stream()
+                                .filter(each -> view.silentLong().contains(each.disk()))
+                                .findFirst());
+        return leaves.filter(any -> members.size() > 1)
+                .map(left -> view.set()
+                        .change(members.stream()
+                                .filter(each -> !each.equals(left))
+                                .toList()));
+    }
+
+    /** One member acts, so that conditional writes rarely meet: the first complete one that isn't leaving. */
+    static boolean leads(View view) {
+        return view.set().members().stream()
+                .filter(each -> view.completeMembers().contains(each.disk())
+                        && !view.retiring().contains(each.name()))
+                .map(StoreMember::disk)
+                .findFirst()
+                .filter(view.self().disk()::equals)
+                .isPresent();
+    }
+}
--- /dev/null
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/StoreSetJson.java
@@ -0,0 +1,66 @@
+package org.parsleydrift.conversation;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.List;
+import java.util.stream.StreamSupport;
+import org.parsleydrift.kernel.Step;
+import org.parsleydrift.kernel.StepException;
+
+/** The set of store VMs as JSON: {"epoch": 3, "members": [{"name", "disk", "address"}], "previous": [..]}. */
+public final class StoreSetJson {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private StoreSetJson() {}
+
+    /**
+     * Writes a set.
+     *
+     * @param set the set
+     * @return JSON
+     */
+    public static byte[] write(StoreSet set) {
+        ObjectNode root = MAPPER.createObjectNode().put("epoch", set.epoch());
+        members(root.putArray("members"), set.members());
+        members(root.putArray("previous"), set.previous());
+        return root.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8);
+    }
+
+    /**
+     * Reads a set.
+     *
+     * @param json JSON
+     * @return the set
+     * @throws StepException if it is none
+     */
+    public static StoreSet read(byte[] json) {
+        try {
+            JsonNode root = MAPPER.readTree(json);
+            return new StoreSet(
+                    root.required("epoch").asLong(),
+                    members(root.required("members")),
+                    members(root.required("previous")));
+        } catch (IOException | IllegalArgumentException fault) {
+            throw new StepException(Step.PARSE, "platform", "bad store set: " + fault.getMessage());
+        }
+    }
+
+    private static void members(ArrayNode out, List<StoreMember> members) {
+        members.forEach(each -> out.addObject()
+                .put("name", each.name())
+                .put("disk", each.disk())
+                .put("address", each.address()));
+    }
+
+    private static List<StoreMember> members(JsonNode in) {
+        return StreamSupport.stream(in.spliterator(), false)
+                .map(each -> new StoreMember(
+                        each.required("name").asText(),
+                        each.required("disk").asText(),
+                        each.required("address").asText()))
+                .toList();
+    }
+}
--- /dev/null
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/StoreSetKeeper.java
@@ -0,0 +1,245 @@
+package org.parsleydrift.conversation;
+
+import java.lang.System.Logger;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.parsleydrift.kernel.EventLoop;
+import org.parsleydrift.kernel.LogLine;
+import org.parsleydrift.kernel.StepException;
+import org.parsleydrift.registry.ObjectKind;
+import org.parsleydrift.registry.RetirementProgress;
+import org.parsleydrift.registry.SharedObject;
+import org.parsleydrift.registry.SharedObjects;
+
+/**
+ * Keeps the set of store VMs in step with the VMs that live, from one store VM. The set is one shared object, changed
+ * under a condition; members are told directly, so that a change needs no watch to arrive.
+ */
+public final class StoreSetKeeper {
+    private static final Logger LOG = System.getLogger(StoreSetKeeper.class.getName());
+    /** Name of the one object of its kind. */
+    public static final String SET_NAME = "set";
+
+    /** Period of asking the members how far they are, ms. */
+    private static final Duration ROUND = Duration.ofMillis(150);
+    /** Patience with a member, ms; less than a round would take a slow sync for a death. */
+    private static final Duration PATIENCE = Duration.ofMillis(400);
+    /**
+     * A member silent for this long may be replaced, ms: longer than a restart of a process (a second), and short enough
+     * that a replacement counts again before the next disk may be lost.
+     */
+    private static final Duration SILENT_LONG = Duration.ofMillis(1500);
+
+    private final EventLoop loop;
+    private final SharedObjects objects;
+    private final ConversationReplica replica;
+    private final ReplicaCalls calls;
+    private final String name;
+    private final String address;
+    private final boolean firstStart;
+    private final Map<String, Long> answeredAt = new HashMap<>();
+    private final Map<String, Long> completeEpochs = new HashMap<>();
+    private final Set<String> retiring = new HashSet<>();
+    private final Set<String> reported = new HashSet<>();
+    private Optional<StoreSet> newest = Optional.empty();
+    private OptionalLong revision = OptionalLong.empty();
+    private boolean listed;
+    private boolean writing;
+
+    /**
+     * Makes a keeper.
+     *
+     * @param loop its loop
+     * @param objects the shared objects
+     * @param replica the store role of this VM
+     * @param calls asks other members
+     * @param name this VM's name
+     * @param address this VM's address for other processes
+     * @param firstStart whether the whole system starts for the first time; only then may a set be made anew
+     */
+    public StoreSetKeeper(
+            EventLoop loop,
+            SharedObjects objects,
+            ConversationReplica replica,
+            ReplicaCalls calls,
+            String name,
+            String address,
+            boolean firstStart) {
+        this.loop = loop;
+        this.objects = objects;
+        this.replica = replica;
+        this.calls = calls;
+        this.name = name;
+        this.address = address;
+        this.firstStart = firstStart;
+    }
+
+    /** Begins the rounds. */
+    public void start() {
+        loop.every(ROUND, this::round);
+    }
+
+    /**
+     * Takes in news of the set's object.
+     *
+     * @param news changed objects
+     */
+    public void setChanged(List<SharedObject> news) {
+        listed = true;
+        news.stream().filter(each -> !each.deleted()).forEach(this::takeIn);
+    }
+
+    /**
+     * Takes in news of retirements.
+     *
+     * @param news changed objects
+     */
+    public void retirementsChanged(List<SharedObject> news) {
+        news.forEach(each -> {
+            LOG.log(Logger.Level.INFO, () -> LogLine.of(each.deleted() ? "retirement_withdrawn" : "retirement_asked")
+                    .with("vm", each.name())
+                    .with("revision", each.revision())
+                    .toString());
+            if (each.deleted()) {
+                retiring.remove(each.name());
+                reported.remove(each.name());
+            } else {
+                retiring.add(each.name());
+            }
+        });
+    }
+
+    private void takeIn(SharedObject object) {
+        try {
+            StoreSet set = StoreSetJson.read(object.content());
+            if (newest.isEmpty() || set.epoch() > newest.get().epoch()) {
+                newest = Optional.of(set);
+                revision = OptionalLong.of(object.revision());
+                completeEpochs.clear();
+                replica.adopt(set);
+                askMembers(set);
+            }
+        } catch (StepException fault) {
+            LOG.log(
+                    Logger.Level.ERROR,
+                    LogLine.of("store_set_unreadable").failure(fault).toString());
+        }
+    }
+
+    private void round() {
+        newest.ifPresent(this::askMembers);
+        if (!listed || writing) {
+            return;
+        }
+        if (newest.isEmpty()) {
+            if (firstStart) {
+                write(new StoreSet(1, List.of(self()), List.of()), OptionalLong.empty());
+            }
+            return;
+        }
+        SetChange.View view = view(newest.get());
+        SetChange.decide(view).ifPresent(next -> write(next, revision));
+        reportRetirements(view);
+    }
+
+    private SetChange.View view(StoreSet set) {
+        long now = loop.clock().nanos();
+        completeEpochs.put(replica.disk(), replica.complete() ? replica.progress().completeEpoch() : 0L);
+        Set<String> complete = set.members().stream()
+                .map(StoreMember::disk)
+                .filter(disk -> completeEpochs.getOrDefault(disk, 0L) >= set.epoch())
+                .collect(Collectors.toSet());
+        Set<String> silent = set.members().stream()
+                .map(StoreMember::disk)
+                .filter(disk -> !disk.equals(replica.disk()))
+                .filter(disk -> now - answeredAt.computeIfAbsent(disk, any -> now) > SILENT_LONG.toNanos())
+                .collect(Collectors.toSet());
+        Set<String> alive = set.members().stream()
+                .map(StoreMember::disk)
+                .filter(disk -> !silent.contains(disk))
+                .collect(Collectors.toSet());
+        return new SetChange.View(self(), set, alive, complete, silent, Set.copyOf(retiring));
+    }
+
+    private void askMembers(StoreSet set) {
+        set.members().stream()
+                .filter(each -> !each.disk().equals(replica.disk()))
+                .forEach(each -> calls.ask(each.address(), new ReplicaRequest.Tell(newest), PATIENCE)
+                        .whenComplete((reply, failure) -> {
+                            if (reply instanceof ReplicaReply.Progress progress) {
+                                answeredAt.put(progress.disk(), loop.clock().nanos());
+                                completeEpochs.put(progress.disk(), progress.completeEpoch());
+                            }
+                        }));
+    }
+
+    private void write(StoreSet next, OptionalLong condition) {
+        writing = true;
+        objects.put(ObjectKind.STORE_SET, SET_NAME, condition, StoreSetJson.write(next))
+                .whenComplete((written, failure) -> loop.execute(() -> {
+                    writing = false;
+                    LOG.log(Logger.Level.INFO, () -> {
+                        LogLine line = LogLine.of("store_set_write")
+                                .with("epoch", next.epoch())
+                                .with(
+                                        "members",
+                                        next.members().stream()
+                                                .map(StoreMember::name)
+                                                .toList())
+                                .with("ok", failure == null);
+                        return (failure == null ? line : line.failure(failure)).toString();
+                    });
+                    if (written != null) {
+                        takeIn(written);
+                    } else {
+                        refresh();
+                    }
+                }));
+    }
+
+    /** After a refused or unanswered write the object may have changed either way. */
+    private void refresh() {
+        objects.list(ObjectKind.STORE_SET).whenComplete((list, failure) -> loop.execute(() -> {
+            if (list != null) {
+                setChanged(list.objects());
+            }
+        }));
+    }
+
+    private void reportRetirements(SetChange.View view) {
+        if (!SetChange.leads(view)) {
+            return;
+        }
+        Set<String> members =
+                view.set().members().stream().map(StoreMember::name).collect(Collectors.toSet());
+        boolean copied = view.completeMembers().size() == view.set().members().size();
+        retiring.stream()
+                .filter(vm -> !members.contains(vm) && copied && reported.add(vm))
+                .toList()
+                .forEach(this::reportComplete);
+    }
+
+    private void reportComplete(String vm) {
+        objects.reportRetirement(vm, RetirementProgress.COMPLETE)
+                .whenComplete((done, failure) -> loop.execute(() -> {
+                    LOG.log(Logger.Level.INFO, () -> LogLine.of("retirement_reported")
+                            .with("vm", vm)
+                            .with("ok", failure == null)
+                            .toString());
+                    if (failure != null) {
+                        reported.remove(vm);
+                    }
+                }));
+    }
+
+    private StoreMember self() {
+        return new StoreMember(name, replica.disk(), address);
+    }
+}
--- /dev/null
+++ b/parsleydrift-logging/src/main/java/org/parsleydrift/logging/LogRing.java
@@ -0,0 +1,150 @@
+package org.parsleydrift.logging;
+
+import com.lmax.disruptor.EventPoller;
+import com.lmax.disruptor.RingBuffer;
+import com.lmax.disruptor.SleepingWaitStrategy;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.lang.System.Logger.Level;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import org.parsleydrift.kernel.LogLine;
+import org.parsleydrift.kernel.RuntimeClock;
+
+/**
+ * A bounded log. Callers never wait: a full ring drops the line and counts it. Each kind of event has a rate, so that a
+ * storm of one kind neither fills the output nor hides the others; what was left out is told once a second.
+ */
+final class LogRing {
+    /** Lines that may wait, a power of two; a second's worth at the rates below. */
+    private static final int SIZE = 1 << 12;
+    /** Lines of one kind in a second; twice the usual requests of a node, so that only storms are thinned. */
+    private static final int LINES_PER_SECOND = 60;
+
+    private static final Duration DRAIN_PERIOD = Duration.ofMillis(100);
+    private static final Duration WINDOW = Duration.ofSeconds(1);
+
+    private final RingBuffer<Line> ring = RingBuffer.createMultiProducer(Line::new, SIZE, new SleepingWaitStrategy());
+    private final EventPoller<Line> poller = ring.newPoller();
+    private final AtomicLong dropped = new AtomicLong();
+    private final Map<String, Window> windows = new ConcurrentHashMap<>();
+    private final OutputStream out;
+    private final RuntimeClock clock;
+    private final StringBuilder batch = new StringBuilder();
+    private long windowStart;
+
+    LogRing(OutputStream out, RuntimeClock clock) {
+        this.out = out;
+        this.clock = clock;
+        ring.addGatingSequences(poller.getSequence());
+        Thread thread = new Thread(this::run, "log");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** Hands in a line; never waits. */
+    void publish(Level level, String logger, String message, Throwable thrown) {
+        if (level.getSeverity() < Level.ERROR.getSeverity() && !admitted(message)) {
+            return;
+        }
+        long now = clock.instant().toEpochMilli();
+        boolean taken = ring.tryPublishEvent((line, sequence) -> line.set(now, level, logger, message, thrown));
+        if (!taken) {
+            dropped.incrementAndGet();
+        }
+    }
+
+    private boolean admitted(String message) {
+        int end = message.indexOf(' ');
+        String kind = end < 0 ? message : message.substring(0, end);
+        return windows.computeIfAbsent(kind, any -> new Window()).lines.incrementAndGet() <= LINES_PER_SECOND;
+    }
+
+    private void run() {
+        while (!Thread.currentThread().isInterrupted()) {
+            LockSupport.parkNanos(DRAIN_PERIOD.toNanos());
+            drain();
+        }
+    }
+
+    /** Writes out all that waits. */
+    synchronized void drain() {
+        try {
+            poller.poll((line, sequence, endOfBatch) -> {
+                line.appendTo(batch);
+                return true;
+            });
+            tellLeftOut();
+            if (!batch.isEmpty()) {
+                out.write(batch.toString().getBytes(StandardCharsets.UTF_8));
+                batch.setLength(0);
+            }
+        } catch (IOException fault) {
+            throw new UncheckedIOException(fault);
+        } catch (Exception fault) {
+            throw new IllegalStateException(fault);
+        }
+    }
+
+    private void tellLeftOut() {
+        long now = clock.nanos();
+        if (now - windowStart < WINDOW.toNanos()) {
+            return;
+        }
+        windowStart = now;
+        windows.forEach((kind, window) -> {
+            long over = window.lines.getAndSet(0) - LINES_PER_SECOND;
+            if (over > 0) {
+                batch.append(LogLine.of("log_lines_left_out").with("kind", kind).with("count", over))
+                        .append('\n');
+            }
+        });
+        long lost = dropped.getAndSet(0);
+        if (lost > 0) {
+            batch.append(LogLine.of("log_lines_dropped").with("count", lost)).append('\n');
+        }
+    }
+
+    private static final class Window {
+        private final AtomicLong lines = new AtomicLong();
+    }
+
+    private static final class Line {
+        private long atMillis;
+        private Level level;
+        private String logger;
+        private String message;
+        private Throwable thrown;
+
+        private void set(long at, Level newLevel, String newLogger, String newMessage, Throwable newThrown) {
+            atMillis = at;
+            level = newLevel;
+            logger = newLogger;
+            message = newMessage;
+            thrown = newThrown;
+        }
+
+        private void appendTo(StringBuilder text) {
+            text.append(message)
+                    .append(" at_ms=")
+                    .append(atMillis)
+                    .append(" level=")
+                    .append(level)
+                    .append(" logger=")
+                    .append(logger)
+                    .append('\n');
+            if (thrown != null) {
+                text.append("  ").append(thrown).append('\n');
+                for (StackTraceElement frame : thrown.getStackTrace()) {
+                    text.append("    ").append(frame).append('\n');
+                }
+            }
+            thrown = null;
+        }
+    }
+}
--- /dev/null
+++ b/parsleydrift-logging/src/main/java/org/parsleydrift/logging/RingLogger.java
@@ -0,0 +1,46 @@
+package org.parsleydrift.logging;
+
+import java.text.MessageFormat;
+import java.util.ResourceBundle;
+
+/** A logger that hands lines to the ring. Lines below INFO, and those of libraries below WARNING, are left out. */
+final class RingLogger implements System.Logger {
+    private static final String OWN = "org.parsleydrift";
+
+    private final String name;
+    private final String shortName;
+    private final LogRing ring;
+    private final Level least;
+
+    RingLogger(String name, LogRing ring) {
+        this.name = name;
+        this.shortName = name.substring(name.lastIndexOf('.') + 1);
+        this.ring = ring;
+        this.least = name.startsWith(OWN) ? Level.INFO : Level.WARNING;
+    }
+
+    @Override
+    public String getName() {
+        return name;
+    }
+
+    @Override
+    public boolean isLoggable(Level level) {
+        return level.getSeverity() >= least.getSeverity() && level != Level.OFF;
+    }
+
+    @Override
+    public void log(Level level, ResourceBundle bundle, String message, Throwable thrown) {
+        if (isLoggable(level)) {
+            ring.publish(level, shortName, message, thrown);
+        }
+    }
+
+    @Override
+    public void log(Level level, ResourceBundle bundle, String format, Object... parameters) {
+        if (isLoggable(level)) {
+            boolean plain = parameters == null || parameters.length == 0;
+            ring.publish(level, shortName, plain ? format : MessageFormat.format(format, parameters), null);
+        }
+    }
+}
--- /dev/null
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/Candidate.java
@@ -0,0 +1,16 @@
+package org.parsleydrift.placement;
+
+import org.parsleydrift.registry.Runner;
+
+/**
+ * A runner as seen when a request is placed.
+ *
+ * @param runner the runner
+ * @param load requests that this node and, by their last report, its peers have there
+ * @param suspended whether it has failed lately and is left alone for a while
+ */
+public record Candidate(Runner runner, int load, boolean suspended) {
+    boolean hasRoom() {
+        return load < runner.slots();
+    }
+}
--- /dev/null
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/ObjectFollower.java
@@ -0,0 +1,145 @@
+package org.parsleydrift.registry;
+
+import java.lang.System.Logger;
+import java.time.Duration;
+import java.util.random.RandomGenerator;
+import org.parsleydrift.kernel.EventLoop;
+import org.parsleydrift.kernel.LogLine;
+import org.parsleydrift.kernel.platform.StoreException;
+import org.parsleydrift.kernel.platform.StoreFailure;
+
+/**
+ * Follows one kind of shared objects: a list, then watches, each resumed where the previous one ended. After a failure
+ * it waits a random, growing time, so that many nodes don't come back together; when the history is gone it lists anew.
+ */
+public final class ObjectFollower {
+    private static final Logger LOG = System.getLogger(ObjectFollower.class.getName());
+    /** Pause after the first failure, ms; short, since drains must be known within about two seconds. */
+    private static final long FIRST_PAUSE_MILLIS = 60;
+    /** Longest pause between tries, ms: a quarter of the time in which a drain must be known. */
+    private static final long LAST_PAUSE_MILLIS = 500;
+
+    private final ObjectKind kind;
+    private final SharedObjects objects;
+    private final EventLoop loop;
+    private final RandomGenerator random;
+    private final Duration wait;
+    private final Listener listener;
+    private final VersionedTable table;
+    private long pauseMillis = FIRST_PAUSE_MILLIS;
+    private boolean listed;
+    private boolean reached = true;
+    private long run;
+
+    /**
+     * Makes a follower; {@link #start} starts it.
+     *
+     * @param kind the kind to follow
+     * @param objects where from
+     * @param loop runs it
+     * @param random spreads tries
+     * @param wait the longest wait of a watch
+     * @param table takes in what is learned
+     * @param listener is told of news
+     */
+    public ObjectFollower(
+            ObjectKind kind,
+            SharedObjects objects,
+            EventLoop loop,
+            RandomGenerator random,
+            Duration wait,
+            VersionedTable table,
+            Listener listener) {
+        this.kind = kind;
+        this.objects = objects;
+        this.loop = loop;
+        this.random = random;
+        this.wait = wait;
+        this.table = table;
+        this.listener = listener;
+    }
+
+    /** Receives what a follower learns, on its loop. */
+    public interface Listener {
+        /**
+         * Changes were taken in.
+         *
+         * @param news the changes that were news
+         */
+        void changed(java.util.List<SharedObject> news);
+
+        /**
+         * The platform was lost or is reached again.
+         *
+         * @param reached whether it answers
+         */
+        void reached(boolean reached);
+    }
+
+    /** Starts following. */
+    public void start() {
+        next(++run);
+    }
+
+    /**
+     * Drops the present watch and asks anew: another node knows more, so this watch has gone silent or is turned away.
+     */
+    public void restart() {
+        next(++run);
+    }
+
+    private void next(long mine) {
+        if (mine != run) {
+            return;
+        }
+        var asked = listed ? objects.watch(kind, table.asOf(), wait) : objects.list(kind);
+        boolean list = !listed;
+        asked.whenComplete((changes, failure) -> loop.execute(() -> {
+            if (mine != run) {
+                return;
+            }
+            if (failure == null) {
+                took(list, changes, mine);
+            } else {
+                failed(StoreException.of(failure), mine);
+            }
+        }));
+    }
+
+    private void took(boolean list, ObjectChanges changes, long mine) {
+        var news = list ? table.replace(changes) : table.apply(changes);
+        listed = true;
+        pauseMillis = FIRST_PAUSE_MILLIS;
+        tell(true, "answered");
+        if (list || !news.isEmpty()) {
+            listener.changed(news);
+        }
+        next(mine);
+    }
+
+    private void failed(StoreFailure failure, long mine) {
+        if (failure == StoreFailure.ABSENT) {
+            LOG.log(Logger.Level.INFO, () -> LogLine.of("history_gone")
+                    .with("kind", kind)
+                    .with("as_of", table.asOf())
+                    .toString());
+            listed = false;
+        }
+        tell(false, failure.toString());
+        long pause = pauseMillis / 2 + random.nextLong(pauseMillis);
+        pauseMillis = Math.min(LAST_PAUSE_MILLIS, pauseMillis * 2);
+        loop.schedule(Duration.ofMillis(pause), () -> next(mine));
+    }
+
+    private void tell(boolean now, String reason) {
+        if (now != reached) {
+            reached = now;
+            LOG.log(Logger.Level.INFO, () -> LogLine.of(now ? "platform_regained" : "platform_lost")
+                    .with("kind", kind)
+                    .with("as_of", table.asOf())
+                    .with("reason", reason)
+                    .toString());
+            listener.reached(now);
+        }
+    }
+}
--- /dev/null
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/Registry.java
@@ -0,0 +1,186 @@
+package org.parsleydrift.registry;
+
+import java.lang.System.Logger;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.parsleydrift.kernel.EventLoop;
+import org.parsleydrift.kernel.LogLine;
+import org.parsleydrift.kernel.StepException;
+
+/** What this node believes of the manifest and of the runners. Confined to one loop. */
+public final class Registry {
+    private static final Logger LOG = System.getLogger(Registry.class.getName());
+    /**
+     * Entries of runners lapse while the platform is away and are back about two seconds after its return, if the runner
+     * lives. A node that dropped them at once would refuse requests that the runners could serve.
+     */
+    private static final Duration LAPSE_GRACE = Duration.ofMillis(1900);
+    /** A removal this soon after an outage may be a lapse; later it is a runner that left. */
+    private static final Duration AFTER_OUTAGE = Duration.ofSeconds(3);
+
+    private final EventLoop loop;
+    private final ObjectDecoder decoder;
+    private final Map<String, Runner> runners = new HashMap<>();
+    private final Map<String, Runner> lapsed = new HashMap<>();
+    private Runnable onChange = () -> {};
+    private RoutingManifest manifest;
+    private boolean platformReached = true;
+    private long platformBackNanos;
+    private boolean hadOutage;
+
+    /**
+     * Makes an empty registry.
+     *
+     * @param loop its loop
+     * @param decoder reads contents
+     */
+    public Registry(EventLoop loop, ObjectDecoder decoder) {
+        this.loop = loop;
+        this.decoder = decoder;
+    }
+
+    /**
+     * Says what to run when runners or the manifest changed.
+     *
+     * @param task what to run
+     */
+    public void onChange(Runnable task) {
+        onChange = task;
+    }
+
+    /**
+     * The newest known manifest.
+     *
+     * @return the manifest, if one is known
+     */
+    public Optional<RoutingManifest> manifest() {
+        return Optional.ofNullable(manifest);
+    }
+
+    /**
+     * Runners of a service that may get new requests.
+     *
+     * @param service the service
+     * @return the runners
+     */
+    public List<Runner> runners(String service) {
+        return java.util.stream.Stream.concat(runners.values().stream(), lapsed.values().stream())
+                .filter(each -> each.service().equals(service) && !each.draining())
+                .toList();
+    }
+
+    /**
+     * Whether a runner may still get new requests.
+     *
+     * @param id its id
+     * @return whether it is known and not leaving
+     */
+    public boolean usable(String id) {
+        Runner runner = runners.getOrDefault(id, lapsed.get(id));
+        return runner != null && !runner.draining();
+    }
+
+    /**
+     * Notes whether the platform answers.
+     *
+     * @param reached whether it does
+     */
+    public void platformReached(boolean reached) {
+        if (reached && !platformReached) {
+            platformBackNanos = loop.clock().nanos();
+        }
+        hadOutage |= !reached;
+        platformReached = reached;
+    }
+
+    /**
+     * Takes in news of runners.
+     *
+     * @param news changed entries
+     */
+    public void runnersChanged(List<SharedObject> news) {
+        news.forEach(this::runnerChanged);
+        onChange.run();
+    }
+
+    /**
+     * Takes in news of the manifest.
+     *
+     * @param news changed objects
+     */
+    public void manifestChanged(List<SharedObject> news) {
+        news.stream().filter(each -> !each.deleted()).forEach(each -> {
+            try {
+                RoutingManifest read = decoder.manifest(each.content());
+                manifest = read;
+                LOG.log(Logger.Level.INFO, () -> LogLine.of("manifest_in_force")
+                        .with("version", read.version())
+                        .with("revision", each.revision())
+                        .toString());
+            } catch (StepException fault) {
+                // The previous manifest stays in force; the operator's version can't be read here.
+                LOG.log(Logger.Level.ERROR, LogLine.of("manifest_unreadable")
+                        .with("revision", each.revision())
+                        .failure(fault)
+                        .toString());
+            }
+        });
+        onChange.run();
+    }
+
+    private void runnerChanged(SharedObject change) {
+        Runner before = runners.get(change.name());
+        if (change.deleted()) {
+            runners.remove(change.name());
+            if (before != null) {
+                removed(before, change);
+            }
+            return;
+        }
+        try {
+            Runner now = decoder.runner(change.name(), change.content());
+            lapsed.remove(change.name());
+            runners.put(change.name(), now);
+            if (!now.equals(before)) {
+                log(before == null ? "runner_known" : "runner_changed", now, change);
+            }
+        } catch (StepException fault) {
+            LOG.log(Logger.Level.ERROR, LogLine.of("runner_unreadable")
+                    .with("runner", change.name())
+                    .failure(fault)
+                    .toString());
+        }
+    }
+
+    private void removed(Runner runner, SharedObject change) {
+        boolean outageNear = hadOutage
+                && (!platformReached
+                        || loop.clock().nanos() - platformBackNanos < AFTER_OUTAGE.toNanos());
+        if (!outageNear || runner.draining()) {
+            log("runner_gone", runner, change);
+            return;
+        }
+        lapsed.put(runner.id(), runner);
+        log("runner_lapsed", runner, change);
+        loop.schedule(LAPSE_GRACE, () -> {
+            if (lapsed.remove(runner.id()) != null) {
+                log("runner_gone", runner, change);
+                onChange.run();
+            }
+        });
+    }
+
+    private static void log(String event, Runner runner, SharedObject change) {
+        LOG.log(Logger.Level.INFO, () -> LogLine.of(event)
+                .with("runner", runner.id())
+                .with("service", runner.service())
+                .with("address", runner.address())
+                .with("zone", runner.zone())
+                .with("draining", runner.draining())
+                .with("revision", change.revision())
+                .toString());
+    }
+}
--- /dev/null
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerServer.java
@@ -0,0 +1,113 @@
+package org.parsleydrift.relay;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.parsleydrift.kernel.EventLoop;
+import org.parsleydrift.registry.CallerLimits;
+import org.parsleydrift.wire.NetworkThreads;
+
+/** Listens for callers. Confined to the one network thread. */
+public final class CallerServer implements AutoCloseable {
+    /** Connections that may wait to be accepted; a full queue costs a caller seconds. */
+    private static final int BACKLOG = 1024;
+
+    private static final Duration IDLE_CHECK = Duration.ofMillis(500);
+
+    private final Supplier<CallerLimits> limits;
+    private final Set<CallerConnection> connections = new HashSet<>();
+    private final Channel listener;
+    private boolean draining;
+
+    /**
+     * Starts listening.
+     *
+     * @param threads the network threads; one
+     * @param loop the loop on that thread
+     * @param address IP and port
+     * @param relay serves the requests
+     * @param limits limits in force
+     */
+    public CallerServer(
+            NetworkThreads threads, EventLoop loop, InetSocketAddress address, Relay relay, Supplier<CallerLimits> limits) {
+        this.limits = limits;
+        this.listener = new ServerBootstrap()
+                .group(threads.group())
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline()
+                                .addLast(new StrictRequestDecoder(limits.get().maxHeaderBytes()))
+                                .addLast(new HttpResponseEncoder())
+                                .addLast(new CallerConnection(relay, CallerServer.this, loop.clock()));
+                    }
+                })
+                .bind(address)
+                .syncUninterruptibly()
+                .channel();
+        loop.every(IDLE_CHECK, () -> List.copyOf(connections).forEach(each -> each.checkIdle(limits.get())));
+    }
+
+    /**
+     * The port it listens on.
+     *
+     * @return the port
+     */
+    public int port() {
+        return ((InetSocketAddress) listener.localAddress()).getPort();
+    }
+
+    /** From now on each answer announces that its connection closes. */
+    public void drain() {
+        draining = true;
+    }
+
+    /** Takes no new connections and closes those between requests. */
+    public void closeIdle() {
+        listener.close();
+        List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
+    }
+
+    /**
+     * Open connections.
+     *
+     * @return their number
+     */
+    public int connections() {
+        return connections.size();
+    }
+
+    @Override
+    public void close() {
+        listener.close().syncUninterruptibly();
+    }
+
+    CallerLimits limits() {
+        return limits.get();
+    }
+
+    boolean draining() {
+        return draining;
+    }
+
+    void opened(CallerConnection connection) {
+        connections.add(connection);
+    }
+
+    void closed(CallerConnection connection) {
+        connections.remove(connection);
+    }
+}
--- /dev/null
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
@@ -0,0 +1,144 @@
+package org.parsleydrift.relay;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import org.parsleydrift.placement.Candidate;
+import org.parsleydrift.placement.RunnerChoice;
+import org.parsleydrift.placement.RunnerHealth;
+import org.parsleydrift.registry.Registry;
+import org.parsleydrift.registry.Runner;
+
+/**
+ * Requests that wait, and places taken at runners. Load pattern: bursts of twice the usual rate. Runners start requests
+ * in order of arrival and slow down as they fill, so they get just as many as they have slots; the rest waits here,
+ * where it can be put in order or withdrawn. Confined to one loop.
+ */
+public final class Dispatcher {
+    private static final Comparator<Entry> ORDER = Comparator.<Entry, Boolean>comparing(
+                    each -> !each.waiter().underWay())
+            .thenComparingInt(each -> each.waiter().priority())
+            .thenComparingLong(Entry::arrival);
+
+    private final Registry registry;
+    private final RandomGenerator random;
+    private final LongSupplier nanos;
+    private final List<Entry> waiting = new ArrayList<>();
+    private final Map<String, Integer> ownLoad = new HashMap<>();
+    private final Map<String, Map<String, Integer>> peerLoad = new HashMap<>();
+    private final Map<String, RunnerHealth> health = new HashMap<>();
+    private long arrivals;
+
+    /**
+     * Makes a dispatcher.
+     *
+     * @param registry knows the runners
+     * @param random breaks ties
+     * @param nanos the loop's clock
+     */
+    public Dispatcher(Registry registry, RandomGenerator random, LongSupplier nanos) {
+        this.registry = registry;
+        this.random = random;
+        this.nanos = nanos;
+    }
+
+    /**
+     * Requests that this node has at each runner.
+     *
+     * @return numbers by runner id
+     */
+    public Map<String, Integer> ownLoad() {
+        return Map.copyOf(ownLoad);
+    }
+
+    /**
+     * Takes in what another node has at each runner.
+     *
+     * @param node the node
+     * @param load numbers by runner id; empty for a node that is gone
+     */
+    public void peerLoad(String node, Map<String, Integer> load) {
+        peerLoad.put(node, Map.copyOf(load));
+        dispatch();
+    }
+
+    /**
+     * Requests that wait.
+     *
+     * @return their number
+     */
+    public int waiting() {
+        return waiting.size();
+    }
+
+    /** Places what can be placed; to be called when runners changed. */
+    public void dispatch() {
+        if (waiting.isEmpty()) {
+            return;
+        }
+        waiting.sort(ORDER);
+        for (Entry entry : List.copyOf(waiting)) {
+            place(entry);
+        }
+    }
+
+    void submit(Waiter waiter) {
+        Entry entry = new Entry(waiter, arrivals++);
+        waiting.add(entry);
+        if (waiting.size() == 1) {
+            place(entry);
+        } else {
+            dispatch();
+        }
+    }
+
+    boolean withdraw(Waiter waiter) {
+        return waiting.removeIf(each -> each.waiter().equals(waiter));
+    }
+
+    /** A place is free again. */
+    void finished(String runnerId) {
+        ownLoad.computeIfPresent(runnerId, (id, load) -> load <= 1 ? null : load - 1);
+        dispatch();
+    }
+
+    RunnerHealth health(String runnerId) {
+        return health.computeIfAbsent(runnerId, any -> new RunnerHealth());
+    }
+
+    /** Runners of a service that may get new requests. */
+    List<Runner> runners(String service) {
+        return registry.runners(service);
+    }
+
+    private void place(Entry entry) {
+        Waiter waiter = entry.waiter();
+        long now = nanos.getAsLong();
+        List<Candidate> candidates = registry.runners(waiter.service()).stream()
+                .filter(each -> !waiter.avoided().contains(each.id()))
+                .map(each -> candidate(each, now))
+                .toList();
+        Optional<Candidate> chosen = RunnerChoice.choose(candidates, waiter.warmRunner(), random);
+        if (chosen.isPresent() && waiting.remove(entry)) {
+            Runner runner = chosen.get().runner();
+            ownLoad.merge(runner.id(), 1, Integer::sum);
+            waiter.offered(runner, chosen.get().load());
+        }
+    }
+
+    private Candidate candidate(Runner runner, long now) {
+        int peers = peerLoad.values().stream()
+                .mapToInt(load -> load.getOrDefault(runner.id(), 0))
+                .sum();
+        RunnerHealth known = health.get(runner.id());
+        return new Candidate(
+                runner, ownLoad.getOrDefault(runner.id(), 0) + peers, known != null && known.suspended(now));
+    }
+
+    private record Entry(Waiter waiter, long arrival) {}
+}
--- /dev/null
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/KeepAliveHeader.java
@@ -0,0 +1,26 @@
+package org.parsleydrift.relay;
+
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Optional;
+
+/** Reads the Keep-Alive header. */
+final class KeepAliveHeader {
+    private static final String TIMEOUT = "timeout=";
+
+    private KeepAliveHeader() {}
+
+    /** The time for which an idle connection is kept, if it is said. */
+    static Optional<Duration> seconds(String value) {
+        if (value == null) {
+            return Optional.empty();
+        }
+        return Arrays.stream(value.split(","))
+                .map(String::trim)
+                .filter(each -> each.startsWith(TIMEOUT))
+                .map(each -> each.substring(TIMEOUT.length()))
+                .filter(each -> !each.isEmpty() && each.chars().allMatch(Character::isDigit))
+                .map(each -> Duration.ofSeconds(Long.parseLong(each)))
+                .findFirst();
+    }
+}
--- /dev/null
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -0,0 +1,467 @@
+package org.parsleydrift.relay;
+
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.lang.System.Logger;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.parsleydrift.conversation.BeginRequest;
+import org.parsleydrift.conversation.BeginResult;
+import org.parsleydrift.conversation.Grant;
+import org.parsleydrift.conversation.GrantState;
+import org.parsleydrift.conversation.Turn;
+import org.parsleydrift.kernel.LogLine;
+import org.parsleydrift.kernel.LoopTimer;
+import org.parsleydrift.registry.CallKind;
+import org.parsleydrift.registry.Route;
+import org.parsleydrift.registry.RoutingManifest;
+import org.parsleydrift.registry.Runner;
+
+/**
+ * The life of one request: matched, begun at the store VMs where it is a turn, waiting, offered to a runner, answered,
+ * committed, ended. It ends in one of three ways that are never confused: <i>not run</i>, said only when no runner can
+ * have begun it; the runner's own answer; and <i>unknown</i>, for everything else.
+ */
+final class RelayedRequest implements Waiter {
+    private static final Logger LOG = System.getLogger(RelayedRequest.class.getName());
+
+    private final Relay relay;
+    private final CallerRequest request;
+    private final CallerAnswer caller;
+    private final RequestFacts facts;
+    private final long startNanos;
+    private final Set<String> avoided = new HashSet<>();
+    private Stage stage = Stage.MATCHED;
+    private long manifestVersion;
+    private Route route;
+    private String service = "";
+    private long endNanos;
+    private LoopTimer timeout = () -> {};
+    private LoopTimer queueTimer = () -> {};
+    private boolean reserved;
+    private String warmRunner = "";
+    private boolean chained;
+    private byte[] body;
+    private RunnerExchange exchange;
+    private int offers;
+    private int runs;
+
+    /** Where a request is. */
+    private enum Stage {
+        MATCHED,
+        BEGINNING,
+        WAITING,
+        OFFERED,
+        COMMITTING,
+        ENDED
+    }
+
+    RelayedRequest(Relay relay, CallerRequest request, Optional<RequestFacts> facts, CallerAnswer caller) {
+        this.relay = relay;
+        this.request = request;
+        this.caller = caller;
+        this.facts = facts.orElse(null);
+        this.startNanos = relay.loop().clock().nanos();
+        this.body = request.body();
+    }
+
+    void start() {
+        Optional<RoutingManifest> manifest = relay.registry().manifest();
+        if (manifest.isEmpty()) {
+            refuse("no manifest known yet", RelayLimits.COME_BACK_START);
+            return;
+        }
+        manifestVersion = manifest.get().version();
+        Optional<Route> match = manifest.get().match(request.host(), request.target());
+        if (match.isEmpty()) {
+            own(404, "denied", "no_route");
+            return;
+        }
+        if (facts == null) {
+            own(400, "denied", "bad_headers");
+            return;
+        }
+        route = match.get();
+        service = route.destination(relay.random().nextDouble());
+        long most = Math.min(
+                route.timeout().toMillis(),
+                facts.deadlineMillis().orElse(route.timeout().toMillis()));
+        endNanos = startNanos + Duration.ofMillis(most).toNanos();
+        timeout = relay.loop().schedule(Duration.ofMillis(Math.max(0, most)), this::timedOut);
+        if (isTurn()) {
+            begin();
+        } else {
+            queue();
+        }
+    }
+
+    /** The caller has left: nothing of the request may go on. */
+    void callerGone() {
+        if (stage == Stage.ENDED || stage == Stage.COMMITTING) {
+            return;
+        }
+        boolean neverOffered = exchange == null;
+        if (exchange != null) {
+            exchange.cancel();
+        }
+        relay.dispatcher().withdraw(this);
+        finish("caller_left", neverOffered ? "before_offer" : "after_offer");
+        if (neverOffered) {
+            releaseGrant();
+        }
+    }
+
+    @Override
+    public String service() {
+        return service;
+    }
+
+    @Override
+    public String warmRunner() {
+        return warmRunner;
+    }
+
+    @Override
+    public Set<String> avoided() {
+        return avoided;
+    }
+
+    @Override
+    public int priority() {
+        return route.priority();
+    }
+
+    @Override
+    public boolean underWay() {
+        return !warmRunner.isEmpty() || chained || (!isTurn() && !facts.program().isEmpty());
+    }
+
+    @Override
+    public void offered(Runner runner, int load) {
+        queueTimer.cancel();
+        stage = Stage.OFFERED;
+        offers++;
+        LOG.log(Logger.Level.INFO, () -> line("request_placed")
+                .with("runner", runner.id())
+                .with("load", load)
+                .with("slots", runner.slots())
+                .with("warm", runner.id().equals(warmRunner))
+                .with("offer", offers)
+                .with("manifest", manifestVersion)
+                .toString());
+        relay.meters().phase("wait", elapsed());
+        exchange = new RunnerExchange(this, relay, runner, streaming(), route.keepsConversation());
+        exchange.start();
+    }
+
+    /** Time left, ms. */
+    long leftMillis() {
+        return Math.max(0, (endNanos - relay.loop().clock().nanos()) / 1_000_000);
+    }
+
+    CallerAnswer caller() {
+        return caller;
+    }
+
+    RunnerRequest runnerRequest(Runner runner) {
+        HttpHeaders headers = ForwardedHeaders.toRunner(request.headers(), relay.dialect());
+        headers.set(relay.dialect().requestId(), facts.id());
+        headers.set(relay.dialect().deadlineMillis(), leftMillis());
+        headers.set(relay.dialect().expectInstance(), runner.id());
+        headers.set("Host", request.host());
+        if (body.length > 0 || !"GET".equals(request.method())) {
+            headers.setInt("Content-Length", body.length);
+        }
+        return new RunnerRequest(facts.id(), request.method(), request.target(), headers, body, repeatable());
+    }
+
+    /** The runner said, or it is certain, that the request was not begun there. */
+    void notRun(Runner runner, String reason) {
+        exchange = null;
+        avoided.add(runner.id());
+        LOG.log(Logger.Level.INFO, () -> line("not_run_at_runner")
+                .with("runner", runner.id())
+                .with("reason", reason)
+                .toString());
+        boolean others = relay.dispatcher().runners(service).stream().anyMatch(each -> !avoided.contains(each.id()));
+        if (offers < RelayLimits.MOST_OFFERS && others) {
+            queue();
+        } else {
+            refuse(reason, RelayLimits.COME_BACK_FULL);
+        }
+    }
+
+    /** No whole answer came, and the runner may have begun the request. Nothing has gone to the caller yet. */
+    void unknown(Runner runner, String reason) {
+        exchange = null;
+        runs++;
+        avoided.add(runner.id());
+        if (repeatable() && runs < route.maxAttempts() && leftMillis() > 0) {
+            LOG.log(Logger.Level.INFO, () -> line("sent_again")
+                    .with("runner", runner.id())
+                    .with("reason", reason)
+                    .toString());
+            queue();
+            return;
+        }
+        own(502, "unknown", reason);
+    }
+
+    /** A stream broke after its start; the caller must see that it is not complete. */
+    void streamBroken(String reason) {
+        caller.abort();
+        finish("stream_cut", reason);
+    }
+
+    /** A whole answer that is not a stream. */
+    void answered(Runner runner, int status, HttpHeaders headers, byte[] bytes) {
+        caller.whole(status, ForwardedHeaders.toCaller(headers), bytes);
+        if (isTurn() && status >= 400 && status < 500) {
+            settle(Optional.of(grant(runner, 0)));
+        }
+        finish("answered", String.valueOf(status));
+    }
+
+    /** A stream has come whole; its end is passed on once the turn can't be lost any more. */
+    void streamEnded(Runner runner, EventStreamReader events) {
+        stage = Stage.COMMITTING;
+        long begun = relay.loop().clock().nanos();
+        int perEvent = relay.registry()
+                .manifest()
+                .flatMap(each -> each.service(service))
+                .map(each -> each.tokensPerEvent())
+                .orElse(0);
+        Optional<Grant> grant =
+                reserved ? Optional.of(grant(runner, events.events() * perEvent)) : Optional.empty();
+        if (!route.keepsConversation()) {
+            settle(grant).whenComplete((done, failure) -> endStream(begun));
+            return;
+        }
+        Turn turn = new Turn(facts.id(), facts.previousTurn(), request.body(), events.data());
+        Duration patience = Duration.ofMillis(Math.min(leftMillis(), RelayLimits.COMMIT_MOST.toMillis()));
+        relay.conversations()
+                .commit(grant, Optional.of(turn), route.retention(), patience)
+                .whenComplete((done, failure) -> relay.loop().execute(() -> {
+                    if (failure == null) {
+                        endStream(begun);
+                    } else if (stage != Stage.ENDED) {
+                        LOG.log(
+                                Logger.Level.WARNING,
+                                () -> line("commit_failed").failure(failure).toString());
+                        streamBroken("commit_failed");
+                    }
+                }));
+    }
+
+    private void endStream(long commitBegunNanos) {
+        if (stage == Stage.ENDED) {
+            return;
+        }
+        relay.meters()
+                .phase("commit", Duration.ofNanos(relay.loop().clock().nanos() - commitBegunNanos));
+        caller.endStream();
+        finish("answered", "stream");
+    }
+
+    /** Notes what was generated; waits for a while only, since nothing of the answer depends on it. */
+    private CompletableFuture<Void> settle(Optional<Grant> grant) {
+        if (grant.isEmpty() || !reserved) {
+            return CompletableFuture.completedFuture(null);
+        }
+        CompletableFuture<Void> waited = new CompletableFuture<>();
+        relay.conversations()
+                .commit(grant, Optional.empty(), route.retention(), RelayLimits.SETTLE_WAIT)
+                .whenComplete((done, failure) -> relay.loop().execute(() -> {
+                    if (failure != null) {
+                        relay.conversations().background(grant.get(), route.retention());
+                    }
+                    waited.complete(null);
+                }));
+        return waited;
+    }
+
+    private void begin() {
+        stage = Stage.BEGINNING;
+        OptionalInt budget = facts.program().isEmpty() ? OptionalInt.empty() : facts.budget();
+        Duration patience = share(RelayLimits.BEGIN_SHARE, RelayLimits.BEGIN_MOST);
+        String previous = route.keepsConversation() ? facts.previousTurn() : "";
+        BeginRequest begin = new BeginRequest(
+                facts.program(), facts.id(), budget, facts.mostTokens(), previous, route.retention(), patience);
+        relay.conversations().begin(begin).whenComplete((result, failure) -> relay.loop()
+                .execute(() -> begun(begin, result)));
+    }
+
+    private void begun(BeginRequest begin, BeginResult result) {
+        boolean granted = result instanceof BeginResult.Granted && begin.budget().isPresent();
+        if (stage != Stage.BEGINNING) {
+            if (granted) {
+                relay.conversations().release(facts.program(), facts.id(), route.retention());
+            }
+            return;
+        }
+        relay.meters().phase("begin", elapsed());
+        reserved = granted;
+        switch (result) {
+            case BeginResult.Granted grantedTurn -> {
+                warmRunner = grantedTurn.lastRunner();
+                chained = !grantedTurn.chain().isEmpty();
+                body = ChainText.assemble(grantedTurn.chain(), request.body());
+                queue();
+            }
+            case BeginResult.Spent spent -> {
+                LOG.log(Logger.Level.INFO, () -> line("budget_spent")
+                        .with("counted", spent.counted())
+                        .with("most", facts.mostTokens())
+                        .with("budget", facts.budget().orElse(0))
+                        .toString());
+                own(402, "denied", "budget_spent");
+            }
+            case BeginResult.NoSuchTurn ignored -> {
+                LOG.log(Logger.Level.INFO, () -> line("no_such_turn")
+                        .with("previous", facts.previousTurn())
+                        .toString());
+                own(404, "denied", "no_such_turn");
+            }
+            case BeginResult.Unavailable unavailable ->
+                refuse("stores: " + unavailable.reason(), RelayLimits.COME_BACK_STORES);
+        }
+    }
+
+    private void queue() {
+        stage = Stage.WAITING;
+        queueTimer.cancel();
+        queueTimer = relay.loop()
+                .schedule(share(RelayLimits.QUEUE_SHARE, RelayLimits.QUEUE_MOST), this::waitedTooLong);
+        relay.dispatcher().submit(this);
+    }
+
+    private void waitedTooLong() {
+        if (stage == Stage.WAITING && relay.dispatcher().withdraw(this)) {
+            if (runs > 0) {
+                own(502, "unknown", "sent once; no other runner had room");
+            } else {
+                refuse("no runner had room", RelayLimits.COME_BACK_FULL);
+            }
+        }
+    }
+
+    private void timedOut() {
+        switch (stage) {
+            case ENDED, MATCHED -> {}
+            case BEGINNING -> refuse("time over before the turn began", RelayLimits.COME_BACK_STORES);
+            case WAITING -> {
+                relay.dispatcher().withdraw(this);
+                if (runs > 0) {
+                    own(504, "timeout", "after an unknown try");
+                } else {
+                    refuse("time over while waiting", RelayLimits.COME_BACK_FULL);
+                }
+            }
+            case OFFERED -> {
+                boolean begun = exchange.streamBegun();
+                exchange.cancel();
+                if (begun) {
+                    streamBroken("timeout");
+                } else {
+                    own(504, "timeout", "at the runner");
+                }
+            }
+            case COMMITTING -> streamBroken("timeout");
+        }
+    }
+
+    /** Says "not run": only where no runner can have begun the request or will. */
+    private void refuse(String reason, Duration comeBack) {
+        HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
+        double seconds = comeBack.toMillis()
+                / 1000.0
+                * (1 + RelayLimits.COME_BACK_SPREAD * relay.random().nextDouble());
+        headers.set("Retry-After", String.format(java.util.Locale.ROOT, "%.2f", seconds));
+        caller.whole(503, headers, new byte[0]);
+        releaseGrant();
+        finish("refused", reason);
+    }
+
+    private void own(int status, String outcome, String reason) {
+        caller.whole(status, DefaultHttpHeadersFactory.headersFactory().newHeaders(), new byte[0]);
+        finish(outcome, reason);
+    }
+
+    private void releaseGrant() {
+        if (reserved) {
+            reserved = false;
+            relay.conversations().release(facts.program(), facts.id(), route.retention());
+        }
+    }
+
+    private void finish(String outcome, String cause) {
+        if (stage == Stage.ENDED) {
+            return;
+        }
+        stage = Stage.ENDED;
+        timeout.cancel();
+        queueTimer.cancel();
+        relay.ended();
+        relay.meters().ended(outcome, outcome.equals("refused") || outcome.equals("unknown") ? "-" : cause);
+        relay.meters().phase("whole", elapsed());
+        LOG.log(Logger.Level.INFO, () -> line("request_ended")
+                .with("outcome", outcome)
+                .with("cause", cause)
+                .with("ms", elapsed().toMillis())
+                .with("offers", offers)
+                .toString());
+    }
+
+    private LogLine line(String event) {
+        return LogLine.of(event)
+                .with("request", facts == null ? "-" : facts.id())
+                .with("program", facts == null ? "-" : facts.program())
+                .with("route", route == null ? "-" : route.name());
+    }
+
+    private Grant grant(Runner runner, int tokens) {
+        return new Grant(facts.program(), facts.id(), GrantState.SETTLED, tokens, runner.id());
+    }
+
+    private Duration share(double share, Duration most) {
+        return Duration.ofMillis(Math.min((long) (leftMillis() * share), most.toMillis()));
+    }
+
+    private Duration elapsed() {
+        return Duration.ofNanos(relay.loop().clock().nanos() - startNanos);
+    }
+
+    private boolean streaming() {
+        return route.kind() == CallKind.STREAMING;
+    }
+
+    private boolean isTurn() {
+        return streaming()
+                && (route.keepsConversation()
+                        || (facts.budget().isPresent() && !facts.program().isEmpty()));
+    }
+
+    private boolean repeatable() {
+        return route.repeatable() || (streaming() && route.resumable());
+    }
+
+    /** Joins earlier turns and the new input. */
+    private static final class ChainText {
+        private ChainText() {}
+
+        private static byte[] assemble(List<Turn> chain, byte[] input) {
+            var text = new java.io.ByteArrayOutputStream();
+            chain.forEach(turn -> {
+                text.writeBytes(turn.input());
+                text.writeBytes(turn.output());
+            });
+            text.writeBytes(input);
+            return text.toByteArray();
+        }
+    }
+}
--- /dev/null
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnections.java
@@ -0,0 +1,130 @@
+package org.parsleydrift.relay;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.parsleydrift.kernel.EventLoop;
+import org.parsleydrift.kernel.Step;
+import org.parsleydrift.kernel.StepException;
+import org.parsleydrift.registry.Runner;
+import org.parsleydrift.wire.NetworkThreads;
+
+/** Connections to runners, kept between requests by the id of the runner's life. Confined to one loop. */
+final class RunnerConnections {
+    /** Time to connect; a healthy runner takes a round trip, a dead VM never answers. */
+    private static final int CONNECT_MILLIS = 400;
+    /** Idle connections are closed after this; a connection takes one of the few that a runner accepts. */
+    private static final Duration KEPT = Duration.ofSeconds(2);
+    /** Kept this much shorter than the runner says, so that its close and our next request don't cross. */
+    private static final Duration CLOSE_MARGIN = Duration.ofMillis(600);
+    /** Reuse where the runner names no time: it may close at any moment. */
+    private static final Duration UNSTATED = Duration.ofMillis(300);
+
+    private static final Duration SWEEP = Duration.ofMillis(250);
+
+    private final Bootstrap bootstrap;
+    private final RelayDialect dialect;
+    private final EventLoop loop;
+    private final Map<String, Deque<RunnerConnection>> idle = new HashMap<>();
+
+    RunnerConnections(NetworkThreads threads, EventLoop loop, RelayDialect dialect) {
+        this.loop = loop;
+        this.dialect = dialect;
+        this.bootstrap = new Bootstrap()
+                .group(threads.group())
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+                .option(ChannelOption.TCP_NODELAY, true);
+        loop.every(SWEEP, this::sweep);
+    }
+
+    /** Gives a connection on which nothing was sent for the next request; fails with StepException. */
+    CompletableFuture<RunnerConnection> acquire(Runner runner) {
+        RunnerConnection kept = takeIdle(runner.id());
+        return kept != null ? CompletableFuture.completedFuture(kept) : connect(runner);
+    }
+
+    void idle(RunnerConnection connection) {
+        idle.computeIfAbsent(connection.runnerId(), any -> new ArrayDeque<>()).addLast(connection);
+    }
+
+    void closed(RunnerConnection connection) {
+        Deque<RunnerConnection> kept = idle.get(connection.runnerId());
+        if (kept != null) {
+            kept.remove(connection);
+            if (kept.isEmpty()) {
+                idle.remove(connection.runnerId());
+            }
+        }
+    }
+
+    private RunnerConnection takeIdle(String runnerId) {
+        Deque<RunnerConnection> kept = idle.get(runnerId);
+        while (kept != null && !kept.isEmpty()) {
+            RunnerConnection newest = kept.pollLast();
+            if (newest.open() && fresh(newest)) {
+                return newest;
+            }
+            newest.close();
+        }
+        return null;
+    }
+
+    private static boolean fresh(RunnerConnection connection) {
+        Duration limit = connection.idleLimit().map(each -> each.minus(CLOSE_MARGIN)).orElse(UNSTATED);
+        Duration least = limit.compareTo(KEPT) < 0 ? limit : KEPT;
+        return connection.idleFor().compareTo(least) < 0;
+    }
+
+    private CompletableFuture<RunnerConnection> connect(Runner runner) {
+        CompletableFuture<RunnerConnection> connected = new CompletableFuture<>();
+        RunnerConnection connection = new RunnerConnection(this, runner.id(), dialect, loop.clock());
+        int colon = runner.address().lastIndexOf(':');
+        var address = new InetSocketAddress(
+                runner.address().substring(0, colon),
+                Integer.parseInt(runner.address().substring(colon + 1)));
+        bootstrap
+                .clone()
+                .handler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpRequestEncoder())
+                                .addLast(new HttpResponseDecoder())
+                                .addLast(connection);
+                    }
+                })
+                .connect(address)
+                .addListener((ChannelFuture done) -> {
+                    if (done.isSuccess()) {
+                        connected.complete(connection);
+                    } else {
+                        connected.completeExceptionally(new StepException(
+                                Step.PLACE,
+                                runner.address(),
+                                "no connection: " + done.cause().getMessage()));
+                    }
+                });
+        return connected;
+    }
+
+    private void sweep() {
+        List.copyOf(idle.values()).stream()
+                .flatMap(each -> List.copyOf(each).stream())
+                .filter(each -> !fresh(each))
+                .forEach(RunnerConnection::close);
+    }
+}
--- /dev/null
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -0,0 +1,284 @@
+package org.parsleydrift.roles;
+
+import java.lang.System.Logger;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.parsleydrift.conversation.ConversationClient;
+import org.parsleydrift.conversation.Conversations;
+import org.parsleydrift.conversation.ReplicaCalls;
+import org.parsleydrift.conversation.StoreSetJson;
+import org.parsleydrift.kernel.LogLine;
+import org.parsleydrift.kernel.Step;
+import org.parsleydrift.kernel.StepException;
+import org.parsleydrift.registry.CallerLimits;
+import org.parsleydrift.registry.ObjectChanges;
+import org.parsleydrift.registry.ObjectFollower;
+import org.parsleydrift.registry.ObjectKind;
+import org.parsleydrift.registry.Registry;
+import org.parsleydrift.registry.RoutingManifest;
+import org.parsleydrift.registry.SharedObject;
+import org.parsleydrift.registry.VersionedTable;
+import org.parsleydrift.relay.CallerServer;
+import org.parsleydrift.relay.Dispatcher;
+import org.parsleydrift.relay.Relay;
+import org.parsleydrift.wire.HttpExchange;
+
+/** The entry role: serves callers, tells them which addresses to use, follows the platform and its peers. */
+final class EntryRole implements Role {
+    private static final Logger LOG = System.getLogger(EntryRole.class.getName());
+    /** Longest wait of a watch for what changes often; a watch that went silent is noticed sooner by peers. */
+    private static final Duration WATCH_WAIT = Duration.ofMillis(2500);
+    /** Longest wait of a watch for what changes rarely. */
+    private static final Duration RARE_WATCH_WAIT = Duration.ofSeconds(10);
+    /** How long callers keep the list of addresses, s; short, so that they leave a stopping node soon. */
+    private static final int KEEP_SECONDS = 1;
+    /** Connections for readiness and directory each. */
+    private static final int SMALL_SERVER_CONNECTIONS = 512;
+    /** After SIGTERM callers with an old list still come for about this share of the grace time. */
+    private static final double OPEN_SHARE = 0.6;
+    /** Share of the grace time after which the process ends, whatever is still open. */
+    private static final double END_SHARE = 0.93;
+
+    private static final Duration DRAIN_CHECK = Duration.ofMillis(50);
+    private static final Duration ENTRY_RETRY = Duration.ofMillis(700);
+
+    private final ProcessParts parts;
+    private final NodeIdentity self;
+    private final Registry registry;
+    private final ConversationClient stores;
+    private final ReplicaCalls calls;
+    private final Dispatcher dispatcher;
+    private final Relay relay;
+    private final NodeMesh mesh;
+    private final VersionedTable runners = new VersionedTable();
+    private final VersionedTable manifests = new VersionedTable();
+    private final ObjectFollower runnerFollower;
+    private final ObjectFollower manifestFollower;
+    private final CallerServer callers;
+    private volatile boolean draining;
+
+    EntryRole(ProcessParts parts) {
+        this.parts = parts;
+        RoleSettings settings = parts.settings;
+        self = new NodeIdentity(
+                settings.vm(),
+                settings.zone(),
+                settings.callers().orElseThrow().toString(),
+                settings.link().toString());
+        registry = new Registry(parts.loop, parts.outside.decoder());
+        StoreRole.Frames frames = new StoreRole.Frames(parts, this::receive);
+        calls = new ReplicaCalls(
+                parts.loop,
+                frames,
+                self.link(),
+                request -> CompletableFuture.failedFuture(
+                        new StepException(Step.FORWARD, self.name(), "an entry node keeps no conversations")));
+        stores = new ConversationClient(parts.loop, calls);
+        dispatcher = new Dispatcher(registry, parts.random, parts.loop.clock()::nanos);
+        registry.onChange(dispatcher::dispatch);
+        relay = new Relay(
+                parts.threads,
+                parts.loop,
+                registry,
+                dispatcher,
+                new Conversations(stores),
+                parts.outside.dialect(),
+                parts.random,
+                parts.meters);
+        runnerFollower = parts.follow(
+                ObjectKind.RUNNERS, WATCH_WAIT, runners, listener(registry::runnersChanged, registry::platformReached));
+        manifestFollower = parts.follow(
+                ObjectKind.MANIFEST, WATCH_WAIT, manifests, listener(registry::manifestChanged, reached -> {}));
+        mesh = new NodeMesh(
+                parts.loop,
+                frames,
+                self,
+                dispatcher,
+                this::ready,
+                Map.of(
+                        ObjectKind.RUNNERS,
+                        followed(runners, registry::runnersChanged, runnerFollower),
+                        ObjectKind.MANIFEST,
+                        followed(manifests, registry::manifestChanged, manifestFollower)));
+        callers = new CallerServer(
+                parts.threads,
+                parts.loop,
+                settings.callers().orElseThrow().socket(),
+                relay,
+                () -> registry.manifest().map(RoutingManifest::limits).orElseGet(CallerLimits::defaults));
+        parts.serve(settings.readiness().orElseThrow(), SMALL_SERVER_CONNECTIONS, this::readiness);
+        parts.serve(settings.directory().orElseThrow(), SMALL_SERVER_CONNECTIONS, this::directory);
+        parts.meters.gauge("parsleydrift.requests.open", relay, Relay::open);
+        parts.meters.gauge("parsleydrift.requests.waiting", dispatcher, Dispatcher::waiting);
+    }
+
+    @Override
+    public void start() {
+        parts.loop.execute(() -> {
+            runnerFollower.start();
+            manifestFollower.start();
+            parts.follow(
+                            ObjectKind.STORE_SET,
+                            RARE_WATCH_WAIT,
+                            new VersionedTable(),
+                            listener(this::storeSetChanged, reached -> {}))
+                    .start();
+            parts.follow(
+                            ObjectKind.NODES,
+                            RARE_WATCH_WAIT,
+                            new VersionedTable(),
+                            listener(this::nodesChanged, reached -> {}))
+                    .start();
+            mesh.start();
+            writeEntry();
+        });
+    }
+
+    @Override
+    public void drain() {
+        LOG.log(Logger.Level.INFO, LogLine.of("drain_begun").toString());
+        draining = true;
+        CountDownLatch ended = new CountDownLatch(1);
+        long begun = parts.loop.clock().nanos();
+        parts.loop.execute(() -> {
+            mesh.tellNow();
+            callers.drain();
+            parts.loop.every(DRAIN_CHECK, () -> drainStep(begun, ended));
+        });
+        try {
+            long most = (long) (parts.settings.grace().toMillis() * END_SHARE);
+            boolean whole = ended.await(most, TimeUnit.MILLISECONDS);
+            LOG.log(Logger.Level.INFO, LogLine.of("drain_ended").with("whole", whole).toString());
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Override
+    public void reload(RoleSettings settings) {
+        // Addresses can't change in a running process; all else is learned from the platform.
+        boolean changed = !settings.equals(parts.settings);
+        LOG.log(
+                Logger.Level.INFO,
+                LogLine.of("settings_reloaded").with("changed", changed).toString());
+    }
+
+    private void drainStep(long begunNanos, CountDownLatch ended) {
+        long sinceMillis = (parts.loop.clock().nanos() - begunNanos) / 1_000_000;
+        if (sinceMillis > parts.settings.grace().toMillis() * OPEN_SHARE) {
+            callers.closeIdle();
+            if (relay.open() == 0 && callers.connections() == 0) {
+                ended.countDown();
+            }
+        }
+    }
+
+    private boolean ready() {
+        return !draining && registry.manifest().isPresent();
+    }
+
+    private void readiness(HttpExchange exchange) {
+        boolean known = exchange.path().equals(parts.outside.readinessPath());
+        exchange.respond(known ? (ready() ? 200 : 503) : 404, "text/plain", "", Map.of());
+    }
+
+    private void directory(HttpExchange exchange) {
+        if (!exchange.path().equals(parts.outside.directoryPath())) {
+            exchange.respond(404, "text/plain", "", Map.of());
+            return;
+        }
+        List<String> addresses = mesh.readyAddresses();
+        if (addresses.isEmpty()) {
+            exchange.respond(503, "text/plain", "", Map.of("Retry-After", "0.3"));
+            return;
+        }
+        exchange.respond(
+                200, "application/json", parts.outside.directoryAnswer(addresses, KEEP_SECONDS), Map.of());
+    }
+
+    private void receive(byte[] frame) {
+        if (!mesh.receive(frame)) {
+            calls.receive(frame);
+        }
+    }
+
+    private void storeSetChanged(List<SharedObject> news) {
+        news.stream()
+                .filter(each -> !each.deleted())
+                .forEach(each -> stores.adopt(StoreSetJson.read(each.content())));
+    }
+
+    private void nodesChanged(List<SharedObject> news) {
+        news.stream().filter(each -> !each.deleted()).forEach(each -> mesh.known(NodeIdentity.read(each.content())));
+    }
+
+    /** Names this node to its peers; tried until it is done, since a node that no peer knows gets no callers. */
+    private void writeEntry() {
+        parts.objects
+                .put(ObjectKind.NODES, self.name(), OptionalLong.empty(), self.json())
+                .exceptionallyCompose(conflict -> replaceEntry())
+                .whenComplete((written, failure) -> {
+                    if (failure != null) {
+                        LOG.log(
+                                Logger.Level.WARNING,
+                                LogLine.of("node_entry_not_written")
+                                        .failure(failure)
+                                        .toString());
+                        parts.loop.schedule(ENTRY_RETRY, this::writeEntry);
+                    }
+                });
+    }
+
+    private CompletableFuture<SharedObject> replaceEntry() {
+        return parts.objects.list(ObjectKind.NODES).thenCompose(list -> list.objects().stream()
+                .filter(each -> each.name().equals(self.name()))
+                .findAny()
+                .map(each -> parts.objects.put(
+                        ObjectKind.NODES, self.name(), OptionalLong.of(each.revision()), self.json()))
+                .orElseGet(() -> CompletableFuture.failedFuture(
+                        new StepException(Step.PLATFORM, "platform", "node entry neither made nor found"))));
+    }
+
+    private static ObjectFollower.Listener listener(
+            Consumer<List<SharedObject>> news, Consumer<Boolean> platformReached) {
+        return new ObjectFollower.Listener() {
+            @Override
+            public void changed(List<SharedObject> changed) {
+                news.accept(changed);
+            }
+
+            @Override
+            public void reached(boolean reached) {
+                platformReached.accept(reached);
+            }
+        };
+    }
+
+    private static NodeMesh.FollowedKind followed(
+            VersionedTable table, Consumer<List<SharedObject>> news, ObjectFollower follower) {
+        return new NodeMesh.FollowedKind() {
+            @Override
+            public long asOf() {
+                return table.asOf();
+            }
+
+            @Override
+            public List<SharedObject> present() {
+                return table.present();
+            }
+
+            @Override
+            public void learn(ObjectChanges list) {
+                news.accept(table.replace(list));
+                // This node's own watch lags behind its peers': it may have gone silent.
+                follower.restart();
+            }
+        };
+    }
+}
--- /dev/null
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
@@ -0,0 +1,292 @@
+package org.parsleydrift.roles;
+
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+import org.parsleydrift.conversation.FrameSender;
+import org.parsleydrift.kernel.EventLoop;
+import org.parsleydrift.kernel.LogLine;
+import org.parsleydrift.kernel.Step;
+import org.parsleydrift.kernel.StepException;
+import org.parsleydrift.registry.ObjectChanges;
+import org.parsleydrift.registry.ObjectKind;
+import org.parsleydrift.registry.SharedObject;
+import org.parsleydrift.relay.Dispatcher;
+
+/**
+ * What entry nodes tell each other: whether they are ready, what they have at each runner, and how new their knowledge
+ * is. The platform may turn some nodes away while it serves others; a node that sees that a peer knows more asks that
+ * peer for all of it, and so learns of drains and manifests in time.
+ */
+final class NodeMesh {
+    private static final Logger LOG = System.getLogger(NodeMesh.class.getName());
+    /** Period of status frames while the load changes; a burst doubles the load of a runner in about this time. */
+    private static final Duration STATUS_PERIOD = Duration.ofMillis(60);
+    /** Status frames while nothing changes, in periods. */
+    private static final int QUIET_PERIODS = 5;
+    /** A peer unheard for this long is not named to callers: three quiet status frames. */
+    private static final Duration SILENT = Duration.ofSeconds(1);
+    /** How long a peer's newer knowledge is waited for from the platform before the peer is asked. */
+    private static final Duration LAG_BORNE = Duration.ofMillis(250);
+
+    private static final byte STATUS = 11;
+    private static final byte FETCH = 12;
+    private static final byte OBJECTS = 13;
+
+    private final EventLoop loop;
+    private final FrameSender frames;
+    private final NodeIdentity self;
+    private final Dispatcher dispatcher;
+    private final BooleanSupplier ready;
+    private final Map<ObjectKind, FollowedKind> followed;
+    private final Map<String, Peer> peers = new HashMap<>();
+    private Map<String, Integer> lastLoad = Map.of();
+    private boolean lastReady;
+    private int quiet;
+
+    NodeMesh(
+            EventLoop loop,
+            FrameSender frames,
+            NodeIdentity self,
+            Dispatcher dispatcher,
+            BooleanSupplier ready,
+            Map<ObjectKind, FollowedKind> followed) {
+        this.loop = loop;
+        this.frames = frames;
+        this.self = self;
+        this.dispatcher = dispatcher;
+        this.ready = ready;
+        this.followed = Map.copyOf(followed);
+    }
+
+    /** A kind of shared objects that is followed here. */
+    interface FollowedKind {
+        long asOf();
+
+        List<SharedObject> present();
+
+        /** Takes in a peer's full list. */
+        void learn(ObjectChanges list);
+    }
+
+    private static final class Peer {
+        private final NodeIdentity identity;
+        private boolean ready;
+        private long heardNanos;
+        private boolean heard;
+        private final Map<ObjectKind, Long> aheadSince = new HashMap<>();
+
+        private Peer(NodeIdentity identity) {
+            this.identity = identity;
+        }
+    }
+
+    void start() {
+        loop.every(STATUS_PERIOD, this::tell);
+    }
+
+    /** A peer was named by the platform, or spoke. */
+    void known(NodeIdentity identity) {
+        if (identity.name().equals(self.name())) {
+            return;
+        }
+        Peer peer = peers.get(identity.name());
+        if (peer == null || !peer.identity.equals(identity)) {
+            peers.put(identity.name(), new Peer(identity));
+            LOG.log(Logger.Level.INFO, () -> LogLine.of("peer_known")
+                    .with("peer", identity.name())
+                    .with("link", identity.link())
+                    .with("zone", identity.zone())
+                    .toString());
+        }
+    }
+
+    /** Addresses for callers of all nodes that are ready, this one included. */
+    List<String> readyAddresses() {
+        Stream<NodeIdentity> others = peers.values().stream()
+                .filter(each -> each.ready && alive(each))
+                .map(each -> each.identity);
+        Stream<NodeIdentity> own = ready.getAsBoolean() ? Stream.of(self) : Stream.empty();
+        return Stream.concat(own, others)
+                .sorted(Comparator.comparing(NodeIdentity::name))
+                .map(NodeIdentity::callers)
+                .toList();
+    }
+
+    /** Tells peers at once, outside the period. */
+    void tellNow() {
+        quiet = QUIET_PERIODS;
+        tell();
+    }
+
+    /** Takes in a frame; gives whether it was one of the mesh. */
+    boolean receive(byte[] frame) {
+        try (MessageUnpacker in = MessagePack.newDefaultUnpacker(frame)) {
+            byte type = in.unpackByte();
+            switch (type) {
+                case STATUS -> takeStatus(in);
+                case FETCH -> answerFetch(in.unpackString(), ObjectKind.valueOf(in.unpackString()));
+                case OBJECTS -> takeObjects(in);
+                default -> {
+                    return false;
+                }
+            }
+            return true;
+        } catch (IOException fault) {
+            throw new StepException(Step.PARSE, "peer", "bad frame: " + fault.getMessage());
+        }
+    }
+
+    private void tell() {
+        forgetSilent();
+        Map<String, Integer> load = dispatcher.ownLoad();
+        boolean nowReady = ready.getAsBoolean();
+        boolean same = load.equals(lastLoad) && nowReady == lastReady;
+        if (same && ++quiet < QUIET_PERIODS) {
+            return;
+        }
+        quiet = 0;
+        lastLoad = load;
+        lastReady = nowReady;
+        byte[] frame = status(load, nowReady);
+        peers.values().forEach(each -> frames.send(each.identity.link(), frame));
+    }
+
+    private void forgetSilent() {
+        peers.values().stream().filter(each -> each.heard && !alive(each)).forEach(each -> {
+            each.heard = false;
+            frames.reset(each.identity.link());
+            dispatcher.peerLoad(each.identity.name(), Map.of());
+            logPeer("peer_silent", each.identity.name());
+        });
+    }
+
+    private byte[] status(Map<String, Integer> load, boolean nowReady) {
+        return encode(out -> {
+            out.packByte(STATUS);
+            out.packString(self.name()).packString(self.zone());
+            out.packString(self.callers()).packString(self.link());
+            out.packBoolean(nowReady);
+            out.packMapHeader(followed.size());
+            for (Map.Entry<ObjectKind, FollowedKind> each : followed.entrySet()) {
+                out.packString(each.getKey().name()).packLong(each.getValue().asOf());
+            }
+            out.packMapHeader(load.size());
+            for (Map.Entry<String, Integer> each : load.entrySet()) {
+                out.packString(each.getKey()).packInt(each.getValue());
+            }
+        });
+    }
+
+    private void takeStatus(MessageUnpacker in) throws IOException {
+        NodeIdentity sender =
+                new NodeIdentity(in.unpackString(), in.unpackString(), in.unpackString(), in.unpackString());
+        known(sender);
+        Peer peer = peers.get(sender.name());
+        if (peer == null) {
+            return;
+        }
+        boolean nowReady = in.unpackBoolean();
+        if (!peer.heard || peer.ready != nowReady) {
+            logPeer(nowReady ? "peer_ready" : "peer_not_ready", sender.name());
+        }
+        peer.ready = nowReady;
+        peer.heard = true;
+        peer.heardNanos = loop.clock().nanos();
+        int kinds = in.unpackMapHeader();
+        for (int i = 0; i < kinds; i++) {
+            compare(peer, ObjectKind.valueOf(in.unpackString()), in.unpackLong());
+        }
+        Map<String, Integer> load = new HashMap<>();
+        int runners = in.unpackMapHeader();
+        for (int i = 0; i < runners; i++) {
+            load.put(in.unpackString(), in.unpackInt());
+        }
+        dispatcher.peerLoad(sender.name(), load);
+    }
+
+    private void compare(Peer peer, ObjectKind kind, long asOf) {
+        FollowedKind own = followed.get(kind);
+        if (own == null || asOf <= own.asOf()) {
+            peer.aheadSince.remove(kind);
+            return;
+        }
+        long now = loop.clock().nanos();
+        long since = peer.aheadSince.computeIfAbsent(kind, any -> now);
+        if (now - since > LAG_BORNE.toNanos()) {
+            peer.aheadSince.remove(kind);
+            frames.send(peer.identity.link(), encode(out -> out.packByte(FETCH)
+                    .packString(self.link())
+                    .packString(kind.name())));
+        }
+    }
+
+    private void answerFetch(String asker, ObjectKind kind) {
+        FollowedKind own = followed.get(kind);
+        if (own == null || own.asOf() == 0) {
+            return;
+        }
+        List<SharedObject> present = own.present();
+        frames.send(asker, encode(out -> {
+            out.packByte(OBJECTS).packString(kind.name()).packLong(own.asOf());
+            out.packArrayHeader(present.size());
+            for (SharedObject each : present) {
+                out.packString(each.name()).packLong(each.revision());
+                out.packBinaryHeader(each.content().length).addPayload(each.content());
+            }
+        }));
+    }
+
+    private void takeObjects(MessageUnpacker in) throws IOException {
+        ObjectKind kind = ObjectKind.valueOf(in.unpackString());
+        long asOf = in.unpackLong();
+        int size = in.unpackArrayHeader();
+        List<SharedObject> objects = new ArrayList<>();
+        for (int i = 0; i < size; i++) {
+            objects.add(new SharedObject(
+                    in.unpackString(), in.unpackLong(), false, in.readPayload(in.unpackBinaryHeader())));
+        }
+        FollowedKind own = followed.get(kind);
+        if (own != null && asOf > own.asOf()) {
+            LOG.log(Logger.Level.INFO, () -> LogLine.of("learned_from_peer")
+                    .with("kind", kind)
+                    .with("own_as_of", own.asOf())
+                    .with("as_of", asOf)
+                    .toString());
+            own.learn(new ObjectChanges(objects, asOf));
+        }
+    }
+
+    private boolean alive(Peer peer) {
+        return peer.heard && loop.clock().nanos() - peer.heardNanos < SILENT.toNanos();
+    }
+
+    private static void logPeer(String event, String peer) {
+        LOG.log(
+                Logger.Level.INFO,
+                () -> LogLine.of(event).with("peer", peer).toString());
+    }
+
+    private interface Writer {
+        void write(MessageBufferPacker out) throws IOException;
+    }
+
+    private static byte[] encode(Writer writer) {
+        try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+            writer.write(out);
+            return out.toByteArray();
+        } catch (IOException fault) {
+            throw new StepException(Step.PARSE, "self", "cannot encode: " + fault.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/StoreRole.java
@@ -0,0 +1,115 @@
+package org.parsleydrift.roles;
+
+import java.lang.System.Logger;
+import java.time.Duration;
+import java.util.HexFormat;
+import java.util.List;
+import org.parsleydrift.conversation.ConversationReplica;
+import org.parsleydrift.conversation.FileDurableLog;
+import org.parsleydrift.conversation.FrameSender;
+import org.parsleydrift.conversation.ReplicaCalls;
+import org.parsleydrift.conversation.StoreSetKeeper;
+import org.parsleydrift.kernel.LogLine;
+import org.parsleydrift.kernel.SystemClock;
+import org.parsleydrift.registry.ObjectFollower;
+import org.parsleydrift.registry.ObjectKind;
+import org.parsleydrift.registry.SharedObject;
+import org.parsleydrift.registry.VersionedTable;
+import org.parsleydrift.wire.FrameLinks;
+
+/** The store role: a replica on the disk and the upkeep of the set. */
+final class StoreRole implements Role {
+    private static final Logger LOG = System.getLogger(StoreRole.class.getName());
+    /** Longest wait of a watch: rare changes, and members tell each other of the set directly. */
+    private static final Duration WATCH_WAIT = Duration.ofSeconds(5);
+
+    private static final int DISK_ID_BYTES = 8;
+
+    private final ProcessParts parts;
+    private final FileDurableLog log;
+    private final ConversationReplica replica;
+    private final ReplicaCalls calls;
+    private final StoreSetKeeper keeper;
+
+    StoreRole(ProcessParts parts) {
+        this.parts = parts;
+        RoleSettings settings = parts.settings;
+        byte[] id = new byte[DISK_ID_BYTES];
+        new java.security.SecureRandom().nextBytes(id);
+        this.log = new FileDurableLog(settings.dataFolder().orElseThrow(), new SystemClock());
+        this.replica = new ConversationReplica(
+                parts.loop, log, settings.vm(), HexFormat.of().formatHex(id));
+        Frames frames = new Frames(parts, this::receive);
+        this.calls = new ReplicaCalls(parts.loop, frames, settings.link().toString(), replica);
+        this.keeper = new StoreSetKeeper(
+                parts.loop,
+                parts.objects,
+                replica,
+                calls,
+                settings.vm(),
+                settings.link().toString(),
+                settings.firstStart());
+    }
+
+    @Override
+    public void start() {
+        parts.loop.execute(() -> {
+            replica.start(calls);
+            follow(ObjectKind.STORE_SET, keeper::setChanged);
+            follow(ObjectKind.RETIREMENTS, keeper::retirementsChanged);
+            keeper.start();
+        });
+    }
+
+    @Override
+    public void drain() {
+        // What was acknowledged is on disk; nothing else here is owed to anybody.
+        LOG.log(Logger.Level.INFO, LogLine.of("store_stopping").toString());
+    }
+
+    @Override
+    public void reload(RoleSettings settings) {
+        LOG.log(
+                Logger.Level.INFO,
+                LogLine.of("settings_reloaded").with("changed", false).toString());
+    }
+
+    private void receive(byte[] frame) {
+        calls.receive(frame);
+    }
+
+    private void follow(ObjectKind kind, java.util.function.Consumer<List<SharedObject>> news) {
+        parts.follow(kind, WATCH_WAIT, new VersionedTable(), new ObjectFollower.Listener() {
+                    @Override
+                    public void changed(List<SharedObject> changed) {
+                        news.accept(changed);
+                    }
+
+                    @Override
+                    public void reached(boolean reached) {
+                        // The follower has logged it; the set stays as it is until the platform is back.
+                    }
+                })
+                .start();
+    }
+
+    /** Frames over TCP. */
+    static final class Frames implements FrameSender {
+        private final FrameLinks links;
+
+        Frames(ProcessParts parts, java.util.function.Consumer<byte[]> receiver) {
+            Address link = parts.settings.link();
+            links = new FrameLinks(parts.threads, link.host(), link.port(), receiver);
+        }
+
+        @Override
+        public void send(String address, byte[] frame) {
+            links.send(address, frame);
+        }
+
+        @Override
+        public void reset(String address) {
+            links.reset(address);
+        }
+    }
+}
--- a/parsleydrift-wire/src/main/java/org/parsleydrift/wire/NetworkThreads.java
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/NetworkThreads.java
@@ -20,7 +20,12 @@
         group = new MultiThreadIoEventLoopGroup(count, new DefaultThreadFactory(name, true), NioIoHandler.newFactory());
     }
 
-    EventLoopGroup group() {
+    /**
+     * The event loops.
+     *
+     * @return the group
+     */
+    public EventLoopGroup group() {
         return group;
     }
 
