--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationClient.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationClient.java
@@ -44,10 +44,16 @@
     public void adopt(StoreSet newer) {
         if (set.isEmpty() || newer.epoch() > set.get().epoch()) {
             set = Optional.of(newer);
-            LOG.log(Logger.Level.INFO, () -> LogLine.of("store_set_known")
-                    .with("epoch", newer.epoch())
-                    .with("members", newer.members().stream().map(StoreMember::name).toList())
-                    .toString());
+            LOG.log(
+                    Logger.Level.INFO,
+                    () -> LogLine.of("store_set_known")
+                            .with("epoch", newer.epoch())
+                            .with(
+                                    "members",
+                                    newer.members().stream()
+                                            .map(StoreMember::name)
+                                            .toList())
+                            .toString());
         }
     }
 
@@ -108,8 +114,8 @@
                                 reply instanceof ReplicaReply.Found found ? found.turns() : List.<Turn>of()))
                 .toList();
         return CompletableFuture.allOf(asked.toArray(CompletableFuture[]::new))
-                .thenApply(
-                        all -> asked.stream().flatMap(each -> each.join().stream()).toList());
+                .thenApply(all ->
+                        asked.stream().flatMap(each -> each.join().stream()).toList());
     }
 
     /**
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationCodec.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationCodec.java
@@ -124,8 +124,7 @@
             case 5 -> new ReplicaReply.Incomplete();
             case 6 ->
                 new ReplicaReply.Keys(list(in, MessageUnpacker::unpackString), list(in, ConversationCodec::grant));
-            case 7 ->
-                new ReplicaReply.Progress(in.unpackString(), in.unpackString(), in.unpackLong(), in.unpackLong());
+            case 7 -> new ReplicaReply.Progress(in.unpackString(), in.unpackString(), in.unpackLong(), in.unpackLong());
             default -> throw new IOException("unknown reply " + type);
         };
     }
@@ -164,8 +163,7 @@
     }
 
     static StoreSet set(MessageUnpacker in) throws IOException {
-        return new StoreSet(
-                in.unpackLong(), list(in, ConversationCodec::member), list(in, ConversationCodec::member));
+        return new StoreSet(in.unpackLong(), list(in, ConversationCodec::member), list(in, ConversationCodec::member));
     }
 
     private static void member(MessagePacker out, StoreMember member) throws IOException {
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationReplica.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationReplica.java
@@ -57,14 +57,16 @@
         if (known.isEmpty()) {
             log.saveState(state.encode());
         }
-        LOG.log(Logger.Level.INFO, () -> LogLine.of("store_opened")
-                .with("vm", name)
-                .with("disk", state.disk())
-                .with("fresh", known.isEmpty())
-                .with("turns", held.size())
-                .with("adopted_epoch", state.adoptedEpoch())
-                .with("complete_epoch", state.completeEpoch())
-                .toString());
+        LOG.log(
+                Logger.Level.INFO,
+                () -> LogLine.of("store_opened")
+                        .with("vm", name)
+                        .with("disk", state.disk())
+                        .with("fresh", known.isEmpty())
+                        .with("turns", held.size())
+                        .with("adopted_epoch", state.adoptedEpoch())
+                        .with("complete_epoch", state.completeEpoch())
+                        .toString());
     }
 
     /**
@@ -126,14 +128,17 @@
         if (set.epoch() <= state.adoptedEpoch()) {
             return CompletableFuture.completedFuture(null);
         }
-        LOG.log(Logger.Level.INFO, () -> LogLine.of("store_set_adopted")
-                .with("epoch", set.epoch())
-                .with("members", set.members().stream().map(StoreMember::name).toList())
-                .with("complete_epoch", state.completeEpoch())
-                .toString());
+        LOG.log(
+                Logger.Level.INFO,
+                () -> LogLine.of("store_set_adopted")
+                        .with("epoch", set.epoch())
+                        .with(
+                                "members",
+                                set.members().stream().map(StoreMember::name).toList())
+                        .with("complete_epoch", state.completeEpoch())
+                        .toString());
         state = new ReplicaState(state.disk(), Optional.of(set), state.completeEpoch());
-        return log.saveState(state.encode())
-                .thenAccept(saved -> loop.execute(this::takeOver));
+        return log.saveState(state.encode()).thenAccept(saved -> loop.execute(this::takeOver));
     }
 
     @Override
@@ -142,8 +147,8 @@
             case ReplicaRequest.Write write -> write(write);
             case ReplicaRequest.Read read -> CompletableFuture.completedFuture(read(read));
             case ReplicaRequest.Fetch fetch -> CompletableFuture.completedFuture(fetch(fetch));
-            case ReplicaRequest.TakeOver takeOver -> adopt(takeOver.set())
-                    .thenApplyAsync(adopted -> keys(takeOver.set()), loop);
+            case ReplicaRequest.TakeOver takeOver ->
+                adopt(takeOver.set()).thenApplyAsync(adopted -> keys(takeOver.set()), loop);
             case ReplicaRequest.Tell tell -> {
                 tell.set().ifPresent(this::adopt);
                 yield CompletableFuture.completedFuture(progress());
@@ -162,9 +167,10 @@
     }
 
     private ReplicaReply read(ReplicaRequest.Read read) {
-        return checkEpoch(read.epoch()).orElseGet(() -> complete()
-                ? new ReplicaReply.Found(held.ledger(read.program()), held.chain(read.lastTurn()))
-                : new ReplicaReply.Incomplete());
+        return checkEpoch(read.epoch())
+                .orElseGet(() -> complete()
+                        ? new ReplicaReply.Found(held.ledger(read.program()), held.chain(read.lastTurn()))
+                        : new ReplicaReply.Incomplete());
     }
 
     private ReplicaReply fetch(ReplicaRequest.Fetch fetch) {
@@ -187,8 +193,7 @@
         if (state.adoptedEpoch() > set.epoch()) {
             return new ReplicaReply.Stale(state.adopted().orElseThrow());
         }
-        boolean member =
-                set.previous().stream().anyMatch(each -> each.disk().equals(state.disk()));
+        boolean member = set.previous().stream().anyMatch(each -> each.disk().equals(state.disk()));
         return member && state.completeEpoch() >= set.epoch() - 1
                 ? new ReplicaReply.Keys(held.turnIds(), held.grants())
                 : new ReplicaReply.Incomplete();
@@ -218,11 +223,13 @@
                 .whenComplete((saved, failure) -> loop.execute(() -> {
                     if (failure == null && state.adoptedEpoch() == set.epoch()) {
                         state = next;
-                        LOG.log(Logger.Level.INFO, () -> LogLine.of("store_complete")
-                                .with("epoch", set.epoch())
-                                .with("taken_over", taken)
-                                .with("turns", held.size())
-                                .toString());
+                        LOG.log(
+                                Logger.Level.INFO,
+                                () -> LogLine.of("store_complete")
+                                        .with("epoch", set.epoch())
+                                        .with("taken_over", taken)
+                                        .with("turns", held.size())
+                                        .toString());
                     } else {
                         takeOver();
                     }
@@ -263,8 +270,7 @@
                 takeOverEnded(set, false, 0);
                 return;
             }
-            others.forEach(other -> calls.ask(
-                            other.address(), new ReplicaRequest.TakeOver(set), TAKE_OVER_PATIENCE)
+            others.forEach(other -> calls.ask(other.address(), new ReplicaRequest.TakeOver(set), TAKE_OVER_PATIENCE)
                     .whenComplete((reply, failure) -> loop.execute(() -> answered(other, reply))));
         }
 
@@ -320,13 +326,14 @@
         private void keepTaken(List<Grant> grants, List<Turn> turns, Runnable then) {
             var entries = held.keep(grants, turns, TAKEN_OVER_KEEP_MILLIS, nowMillis());
             taken += entries.size();
-            log.append(entries).whenComplete((done, failure) -> loop.execute(() -> {
-                if (failure == null) {
-                    then.run();
-                } else {
-                    takeOverEnded(set, false, taken);
-                }
-            }));
+            log.append(entries)
+                    .whenComplete((done, failure) -> loop.execute(() -> {
+                        if (failure == null) {
+                            then.run();
+                        } else {
+                            takeOverEnded(set, false, taken);
+                        }
+                    }));
         }
     }
 }
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/Conversations.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/Conversations.java
@@ -97,12 +97,14 @@
                 .whenComplete((done, failure) -> {
                     if (failure != null) {
                         // The reservation stays at its most, which errs on the side of the budget.
-                        LOG.log(Logger.Level.WARNING, () -> LogLine.of("grant_not_noted")
-                                .with("program", grant.program())
-                                .with("request", grant.request())
-                                .with("state", grant.state())
-                                .failure(failure)
-                                .toString());
+                        LOG.log(
+                                Logger.Level.WARNING,
+                                () -> LogLine.of("grant_not_noted")
+                                        .with("program", grant.program())
+                                        .with("request", grant.request())
+                                        .with("state", grant.state())
+                                        .failure(failure)
+                                        .toString());
                     }
                 });
     }
@@ -112,7 +114,8 @@
                 .filter(each -> !each.request().equals(begin.request()))
                 .mapToInt(Grant::counted)
                 .sum();
-        if (begin.budget().isPresent() && counted + begin.mostTokens() > begin.budget().getAsInt()) {
+        if (begin.budget().isPresent()
+                && counted + begin.mostTokens() > begin.budget().getAsInt()) {
             return CompletableFuture.completedFuture(new BeginResult.Spent(counted));
         }
         String lastRunner = found.grants().values().stream()
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/FileDurableLog.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/FileDurableLog.java
@@ -148,10 +148,12 @@
                 replayed.add(entry);
             });
             if (good < bytes.length) {
-                LOG.log(Logger.Level.WARNING, LogLine.of("torn_end_cut")
-                        .with("file", file.getFileName())
-                        .with("bytes", bytes.length - good)
-                        .toString());
+                LOG.log(
+                        Logger.Level.WARNING,
+                        LogLine.of("torn_end_cut")
+                                .with("file", file.getFileName())
+                                .with("bytes", bytes.length - good)
+                                .toString());
             }
             segments.add(segment);
         }
@@ -212,10 +214,7 @@
     private void replaceState(byte[] state) throws IOException {
         Path fresh = folder.resolve(STATE + ".new");
         try (FileChannel channel = FileChannel.open(
-                fresh,
-                StandardOpenOption.CREATE,
-                StandardOpenOption.TRUNCATE_EXISTING,
-                StandardOpenOption.WRITE)) {
+                fresh, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)) {
             ByteBuffer frame = RecordFrames.frame(state);
             while (frame.hasRemaining()) {
                 channel.write(frame);
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaCalls.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaCalls.java
@@ -93,7 +93,8 @@
             if (direction == REQUEST) {
                 ReplicaRequest request = ConversationCodec.request(in);
                 handler.handle(request)
-                        .whenComplete((reply, failure) -> loop.execute(() -> answer(from, correlation, reply, failure)));
+                        .whenComplete(
+                                (reply, failure) -> loop.execute(() -> answer(from, correlation, reply, failure)));
             } else {
                 Waiting known = waiting.remove(correlation);
                 if (known != null) {
@@ -108,10 +109,12 @@
     private void answer(String to, long correlation, ReplicaReply reply, Throwable failure) {
         if (failure != null) {
             // The asker waits out its time and asks again; the line says why.
-            LOG.log(Logger.Level.WARNING, () -> LogLine.of("store_request_failed")
-                    .with("from", to)
-                    .failure(failure)
-                    .toString());
+            LOG.log(
+                    Logger.Level.WARNING,
+                    () -> LogLine.of("store_request_failed")
+                            .with("from", to)
+                            .failure(failure)
+                            .toString());
             return;
         }
         frames.send(to, ConversationCodec.encode(out -> {
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/StoreSetKeeper.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/StoreSetKeeper.java
@@ -103,10 +103,12 @@
      */
     public void retirementsChanged(List<SharedObject> news) {
         news.forEach(each -> {
-            LOG.log(Logger.Level.INFO, () -> LogLine.of(each.deleted() ? "retirement_withdrawn" : "retirement_asked")
-                    .with("vm", each.name())
-                    .with("revision", each.revision())
-                    .toString());
+            LOG.log(
+                    Logger.Level.INFO,
+                    () -> LogLine.of(each.deleted() ? "retirement_withdrawn" : "retirement_asked")
+                            .with("vm", each.name())
+                            .with("revision", each.revision())
+                            .toString());
             if (each.deleted()) {
                 retiring.remove(each.name());
                 reported.remove(each.name());
@@ -151,7 +153,8 @@
 
     private SetChange.View view(StoreSet set) {
         long now = loop.clock().nanos();
-        completeEpochs.put(replica.disk(), replica.complete() ? replica.progress().completeEpoch() : 0L);
+        completeEpochs.put(
+                replica.disk(), replica.complete() ? replica.progress().completeEpoch() : 0L);
         Set<String> complete = set.members().stream()
                 .map(StoreMember::disk)
                 .filter(disk -> completeEpochs.getOrDefault(disk, 0L) >= set.epoch())
@@ -206,11 +209,12 @@
 
     /** After a refused or unanswered write the object may have changed either way. */
     private void refresh() {
-        objects.list(ObjectKind.STORE_SET).whenComplete((list, failure) -> loop.execute(() -> {
-            if (list != null) {
-                setChanged(list.objects());
-            }
-        }));
+        objects.list(ObjectKind.STORE_SET)
+                .whenComplete((list, failure) -> loop.execute(() -> {
+                    if (list != null) {
+                        setChanged(list.objects());
+                    }
+                }));
     }
 
     private void reportRetirements(SetChange.View view) {
@@ -229,10 +233,12 @@
     private void reportComplete(String vm) {
         objects.reportRetirement(vm, RetirementProgress.COMPLETE)
                 .whenComplete((done, failure) -> loop.execute(() -> {
-                    LOG.log(Logger.Level.INFO, () -> LogLine.of("retirement_reported")
-                            .with("vm", vm)
-                            .with("ok", failure == null)
-                            .toString());
+                    LOG.log(
+                            Logger.Level.INFO,
+                            () -> LogLine.of("retirement_reported")
+                                    .with("vm", vm)
+                                    .with("ok", failure == null)
+                                    .toString());
                     if (failure != null) {
                         reported.remove(vm);
                     }
--- /dev/null
+++ b/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/FileDurableLogTest.java
@@ -0,0 +1,87 @@
+package org.parsleydrift.conversation;
+
+import static org.testng.Assert.assertEquals;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+import java.util.stream.Stream;
+import org.parsleydrift.kernel.ManualScheduler;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** What is on disk after a process or a VM has ended at any point. */
+public class FileDurableLogTest {
+    private final ManualScheduler time = new ManualScheduler();
+    private Path folder;
+
+    @BeforeMethod
+    public void makeFolder() throws IOException {
+        folder = Files.createTempDirectory("log");
+    }
+
+    @AfterMethod
+    public void removeFolder() throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            files.toList().forEach(file -> file.toFile().delete());
+        }
+        Files.delete(folder);
+    }
+
+    private static DurableLog.Entry entry(String text) {
+        return new DurableLog.Entry(text.getBytes(StandardCharsets.UTF_8), Long.MAX_VALUE);
+    }
+
+    private List<String> texts(FileDurableLog log) {
+        return log.replay().stream()
+                .map(each -> new String(each.bytes(), StandardCharsets.UTF_8))
+                .toList();
+    }
+
+    @Test
+    public void recordsAndStateComeBackInOrder() {
+        try (FileDurableLog log = new FileDurableLog(folder, time)) {
+            log.append(List.of(entry("one"), entry("two"))).join();
+            log.saveState("s1".getBytes(StandardCharsets.UTF_8)).join();
+            log.saveState("s2".getBytes(StandardCharsets.UTF_8)).join();
+        }
+        try (FileDurableLog log = new FileDurableLog(folder, time)) {
+            assertEquals(texts(log), List.of("one", "two"));
+            assertEquals(new String(log.state().orElseThrow(), StandardCharsets.UTF_8), "s2");
+        }
+    }
+
+    /**
+     * Symptom: a half record is read as one, or records after it are lost. Events: power goes while a record is written;
+     * the next life appends more. Cause: reading on past a torn frame, or appending behind it.
+     */
+    @Test
+    public void aTornEndIsCutAndLaterRecordsAreReadable() throws IOException {
+        try (FileDurableLog log = new FileDurableLog(folder, time)) {
+            log.append(List.of(entry("one"))).join();
+        }
+        Path segment = segments().getFirst();
+        byte[] torn = RecordFrames.frame("half of a record".getBytes(StandardCharsets.UTF_8))
+                .array();
+        Files.write(segment, java.util.Arrays.copyOf(torn, torn.length - 3), StandardOpenOption.APPEND);
+        try (FileDurableLog log = new FileDurableLog(folder, time)) {
+            assertEquals(texts(log), List.of("one"));
+            log.append(List.of(entry("two"))).join();
+        }
+        try (FileDurableLog log = new FileDurableLog(folder, time)) {
+            assertEquals(texts(log), List.of("one", "two"));
+        }
+    }
+
+    private List<Path> segments() throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            return files.filter(each -> each.toString().endsWith(".log"))
+                    .sorted()
+                    .toList();
+        }
+    }
+}
--- /dev/null
+++ b/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/MemoryDurableLog.java
@@ -0,0 +1,59 @@
+package org.parsleydrift.conversation;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.parsleydrift.kernel.EventLoop;
+
+/** A disk on virtual time: what was not synced is gone after a loss of power. */
+final class MemoryDurableLog implements DurableLog {
+    private static final Duration SYNC = Duration.ofMillis(2);
+
+    private final List<Entry> synced = new ArrayList<>();
+    private byte[] syncedState;
+    private EventLoop loop;
+    private int life;
+
+    /** Opens the disk for a new process; whatever the former one had not synced is lost. */
+    void open(EventLoop newLoop) {
+        loop = newLoop;
+        life++;
+    }
+
+    @Override
+    public List<Entry> replay() {
+        return List.copyOf(synced);
+    }
+
+    @Override
+    public Optional<byte[]> state() {
+        return Optional.ofNullable(syncedState);
+    }
+
+    @Override
+    public CompletableFuture<Void> append(List<Entry> entries) {
+        return sync(() -> synced.addAll(entries));
+    }
+
+    @Override
+    public CompletableFuture<Void> saveState(byte[] state) {
+        return sync(() -> syncedState = state);
+    }
+
+    @Override
+    public void close() {}
+
+    private CompletableFuture<Void> sync(Runnable write) {
+        CompletableFuture<Void> durable = new CompletableFuture<>();
+        int mine = life;
+        loop.schedule(SYNC, () -> {
+            if (mine == life) {
+                write.run();
+                durable.complete(null);
+            }
+        });
+        return durable;
+    }
+}
--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/ObjectFollower.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/ObjectFollower.java
@@ -23,7 +23,7 @@
     private final SharedObjects objects;
     private final EventLoop loop;
     private final RandomGenerator random;
-    private final Duration wait;
+    private final Duration longestWait;
     private final Listener listener;
     private final VersionedTable table;
     private long pauseMillis = FIRST_PAUSE_MILLIS;
@@ -38,7 +38,8 @@
      * @param objects where from
      * @param loop runs it
      * @param random spreads tries
-     * @param wait the longest wait of a watch
+     * @param longestWait the longest wait of a watch; each waits a random time from half of it, so that of many nodes
+     *     whose watches went silent at once, some ask anew soon and tell the others
      * @param table takes in what is learned
      * @param listener is told of news
      */
@@ -47,14 +48,14 @@
             SharedObjects objects,
             EventLoop loop,
             RandomGenerator random,
-            Duration wait,
+            Duration longestWait,
             VersionedTable table,
             Listener listener) {
         this.kind = kind;
         this.objects = objects;
         this.loop = loop;
         this.random = random;
-        this.wait = wait;
+        this.longestWait = longestWait;
         this.table = table;
         this.listener = listener;
     }
@@ -92,7 +93,7 @@
         if (mine != run) {
             return;
         }
-        var asked = listed ? objects.watch(kind, table.asOf(), wait) : objects.list(kind);
+        var asked = listed ? objects.watch(kind, table.asOf(), nextWait()) : objects.list(kind);
         boolean list = !listed;
         asked.whenComplete((changes, failure) -> loop.execute(() -> {
             if (mine != run) {
@@ -106,6 +107,11 @@
         }));
     }
 
+    private Duration nextWait() {
+        long most = longestWait.toMillis();
+        return Duration.ofMillis(most / 2 + random.nextLong(most / 2 + 1));
+    }
+
     private void took(boolean list, ObjectChanges changes, long mine) {
         var news = list ? table.replace(changes) : table.apply(changes);
         listed = true;
@@ -119,10 +125,12 @@
 
     private void failed(StoreFailure failure, long mine) {
         if (failure == StoreFailure.ABSENT) {
-            LOG.log(Logger.Level.INFO, () -> LogLine.of("history_gone")
-                    .with("kind", kind)
-                    .with("as_of", table.asOf())
-                    .toString());
+            LOG.log(
+                    Logger.Level.INFO,
+                    () -> LogLine.of("history_gone")
+                            .with("kind", kind)
+                            .with("as_of", table.asOf())
+                            .toString());
             listed = false;
         }
         tell(false, failure.toString());
@@ -134,11 +142,13 @@
     private void tell(boolean now, String reason) {
         if (now != reached) {
             reached = now;
-            LOG.log(Logger.Level.INFO, () -> LogLine.of(now ? "platform_regained" : "platform_lost")
-                    .with("kind", kind)
-                    .with("as_of", table.asOf())
-                    .with("reason", reason)
-                    .toString());
+            LOG.log(
+                    Logger.Level.INFO,
+                    () -> LogLine.of(now ? "platform_regained" : "platform_lost")
+                            .with("kind", kind)
+                            .with("as_of", table.asOf())
+                            .with("reason", reason)
+                            .toString());
             listener.reached(now);
         }
     }
--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/Registry.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/Registry.java
@@ -116,16 +116,20 @@
             try {
                 RoutingManifest read = decoder.manifest(each.content());
                 manifest = read;
-                LOG.log(Logger.Level.INFO, () -> LogLine.of("manifest_in_force")
-                        .with("version", read.version())
-                        .with("revision", each.revision())
-                        .toString());
+                LOG.log(
+                        Logger.Level.INFO,
+                        () -> LogLine.of("manifest_in_force")
+                                .with("version", read.version())
+                                .with("revision", each.revision())
+                                .toString());
             } catch (StepException fault) {
                 // The previous manifest stays in force; the operator's version can't be read here.
-                LOG.log(Logger.Level.ERROR, LogLine.of("manifest_unreadable")
-                        .with("revision", each.revision())
-                        .failure(fault)
-                        .toString());
+                LOG.log(
+                        Logger.Level.ERROR,
+                        LogLine.of("manifest_unreadable")
+                                .with("revision", each.revision())
+                                .failure(fault)
+                                .toString());
             }
         });
         onChange.run();
@@ -148,17 +152,18 @@
                 log(before == null ? "runner_known" : "runner_changed", now, change);
             }
         } catch (StepException fault) {
-            LOG.log(Logger.Level.ERROR, LogLine.of("runner_unreadable")
-                    .with("runner", change.name())
-                    .failure(fault)
-                    .toString());
+            LOG.log(
+                    Logger.Level.ERROR,
+                    LogLine.of("runner_unreadable")
+                            .with("runner", change.name())
+                            .failure(fault)
+                            .toString());
         }
     }
 
     private void removed(Runner runner, SharedObject change) {
-        boolean outageNear = hadOutage
-                && (!platformReached
-                        || loop.clock().nanos() - platformBackNanos < AFTER_OUTAGE.toNanos());
+        boolean outageNear =
+                hadOutage && (!platformReached || loop.clock().nanos() - platformBackNanos < AFTER_OUTAGE.toNanos());
         if (!outageNear || runner.draining()) {
             log("runner_gone", runner, change);
             return;
@@ -174,13 +179,15 @@
     }
 
     private static void log(String event, Runner runner, SharedObject change) {
-        LOG.log(Logger.Level.INFO, () -> LogLine.of(event)
-                .with("runner", runner.id())
-                .with("service", runner.service())
-                .with("address", runner.address())
-                .with("zone", runner.zone())
-                .with("draining", runner.draining())
-                .with("revision", change.revision())
-                .toString());
+        LOG.log(
+                Logger.Level.INFO,
+                () -> LogLine.of(event)
+                        .with("runner", runner.id())
+                        .with("service", runner.service())
+                        .with("address", runner.address())
+                        .with("zone", runner.zone())
+                        .with("draining", runner.draining())
+                        .with("revision", change.revision())
+                        .toString());
     }
 }
--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/RoutingManifest.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/RoutingManifest.java
@@ -29,8 +29,7 @@
         this.services =
                 services.stream().collect(Collectors.toUnmodifiableMap(UpstreamService::name, Function.identity()));
         Map<String, Map<String, Route>> byHost = new HashMap<>();
-        routes.forEach(route -> byHost.computeIfAbsent(
-                        route.host().toLowerCase(Locale.ROOT), any -> new HashMap<>())
+        routes.forEach(route -> byHost.computeIfAbsent(route.host().toLowerCase(Locale.ROOT), any -> new HashMap<>())
                 .put(route.pathPrefix(), route));
         this.routesByHost = byHost;
     }
--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/VersionedTable.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/VersionedTable.java
@@ -13,6 +13,7 @@
 public final class VersionedTable {
     private final Map<String, SharedObject> objects = new HashMap<>();
     private long asOf;
+    private long newestChange;
 
     /**
      * The revision up to which the table is complete.
@@ -23,6 +24,25 @@
         return asOf;
     }
 
+    /**
+     * The revision of the newest change that is known. Of two nodes the one with the higher value knows more;
+     * {@link #asOf} can't tell that, since it grows with changes of other kinds too.
+     *
+     * @return the revision; 0 before the first list
+     */
+    public long newestChange() {
+        return newestChange;
+    }
+
+    /**
+     * Notes that a peer's list, which was taken in, holds all changes up to its newest.
+     *
+     * @param revision the revision of the peer's newest change
+     */
+    public void knows(long revision) {
+        newestChange = Math.max(newestChange, revision);
+    }
+
     /**
      * Objects that are present.
      *
@@ -39,8 +59,10 @@
      * @return those that were news
      */
     public List<SharedObject> apply(ObjectChanges changes) {
-        List<SharedObject> news = changes.objects().stream().filter(this::takeIn).toList();
+        List<SharedObject> news =
+                changes.objects().stream().filter(this::takeIn).toList();
         asOf = Math.max(asOf, changes.asOf());
+        news.forEach(each -> newestChange = Math.max(newestChange, each.deleted() ? changes.asOf() : each.revision()));
         return news;
     }
 
@@ -57,6 +79,9 @@
                 .map(each -> new SharedObject(each.name(), each.revision(), true, new byte[0]))
                 .toList();
         removed.forEach(each -> objects.put(each.name(), each));
+        if (!removed.isEmpty()) {
+            newestChange = Math.max(newestChange, list.asOf());
+        }
         List<SharedObject> news = apply(list);
         return java.util.stream.Stream.concat(removed.stream(), news.stream()).toList();
     }
--- /dev/null
+++ b/parsleydrift-registry/src/test/java/org/parsleydrift/registry/VersionedTableTest.java
@@ -0,0 +1,41 @@
+package org.parsleydrift.registry;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.List;
+import org.testng.annotations.Test;
+
+/** Objects learned on several ways never go back. */
+public class VersionedTableTest {
+    private final VersionedTable table = new VersionedTable();
+
+    private static SharedObject at(String name, long revision) {
+        return new SharedObject(name, revision, false, new byte[0]);
+    }
+
+    private static SharedObject removed(String name, long revision) {
+        return new SharedObject(name, revision, true, new byte[0]);
+    }
+
+    /** Symptom: a leaving runner gets requests again. Cause: an older entry, passed on by a slow peer, wins. */
+    @Test
+    public void olderNewsChangesNothing() {
+        VersionedTable fresh = new VersionedTable();
+        fresh.apply(new ObjectChanges(List.of(at("r", 5)), 5));
+        assertEquals(fresh.apply(new ObjectChanges(List.of(at("r", 4)), 4)), List.of());
+        assertEquals(fresh.apply(new ObjectChanges(List.of(removed("r", 5)), 7)).size(), 1);
+        assertEquals(fresh.apply(new ObjectChanges(List.of(at("r", 5)), 6)), List.of());
+        assertEquals(fresh.present(), List.of());
+        assertEquals(fresh.apply(new ObjectChanges(List.of(at("r", 9)), 9)).size(), 1);
+    }
+
+    @Test
+    public void aListRemovesWhatItLacksUnlessThatIsNewer() {
+        table.apply(new ObjectChanges(List.of(at("old", 3), at("new", 12)), 12));
+        List<SharedObject> news = table.replace(new ObjectChanges(List.of(at("other", 10)), 10));
+        assertEquals(news.stream().map(SharedObject::name).toList(), List.of("old", "other"));
+        assertEquals(table.present().stream().map(SharedObject::name).sorted().toList(), List.of("new", "other"));
+        assertEquals(table.asOf(), 12);
+        assertEquals(table.newestChange(), 12);
+    }
+}
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
@@ -41,7 +41,7 @@
     private static final long MAX_UNSENT_BYTES = 1 << 20;
 
     private final RequestHandler handler;
-    private final CallerServer server;
+    private final ConnectionOwner server;
     private final RuntimeClock clock;
     private final Deque<HttpObject> waiting = new ArrayDeque<>();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -51,7 +51,7 @@
     private boolean closing;
     private long quietSinceNanos;
 
-    CallerConnection(RequestHandler handler, CallerServer server, RuntimeClock clock) {
+    CallerConnection(RequestHandler handler, ConnectionOwner server, RuntimeClock clock) {
         this.handler = handler;
         this.server = server;
         this.clock = clock;
@@ -104,8 +104,8 @@
         if (busy || closing) {
             return;
         }
-        long limit = (head == null ? limits.idleTimeout() : limits.headerTimeout().plus(limits.idleTimeout()))
-                .toNanos();
+        long limit =
+                (head == null ? limits.idleTimeout() : limits.headerTimeout().plus(limits.idleTimeout())).toNanos();
         if (clock.nanos() - quietSinceNanos > limit) {
             close();
         }
@@ -164,9 +164,7 @@
 
     private void refuseFraming(HttpObject part) {
         boolean tooLong = part.decoderResult().cause() instanceof TooLongFrameException;
-        refuse(
-                tooLong ? 431 : 400,
-                String.valueOf(part.decoderResult().cause().getMessage()));
+        refuse(tooLong ? 431 : 400, String.valueOf(part.decoderResult().cause().getMessage()));
     }
 
     private void begin(HttpRequest request) {
@@ -206,11 +204,13 @@
 
     /** Refuses what can't be read. The rest of the connection can't be told apart any more, so it closes. */
     private void refuse(int status, String reason) {
-        LOG.log(Logger.Level.INFO, () -> LogLine.of("caller_request_unreadable")
-                .with("status", status)
-                .with("peer", channel.remoteAddress())
-                .with("reason", reason)
-                .toString());
+        LOG.log(
+                Logger.Level.INFO,
+                () -> LogLine.of("caller_request_unreadable")
+                        .with("status", status)
+                        .with("peer", channel.remoteAddress())
+                        .with("reason", reason)
+                        .toString());
         closing = true;
         var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
         response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, 0);
@@ -248,8 +248,7 @@
 
         @Override
         public void beginStream(int status, HttpHeaders headers) {
-            var response =
-                    new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers);
+            var response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers);
             response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
             announceClose(response.headers());
             channel.writeAndFlush(response);
@@ -259,9 +258,11 @@
         public void events(byte[] bytes) {
             var unsent = channel.unsafe().outboundBuffer();
             if (unsent != null && unsent.totalPendingWriteBytes() > MAX_UNSENT_BYTES) {
-                LOG.log(Logger.Level.INFO, () -> LogLine.of("caller_reads_too_slowly")
-                        .with("peer", channel.remoteAddress())
-                        .toString());
+                LOG.log(
+                        Logger.Level.INFO,
+                        () -> LogLine.of("caller_reads_too_slowly")
+                                .with("peer", channel.remoteAddress())
+                                .toString());
                 channel.close();
                 return;
             }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerServer.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerServer.java
@@ -26,6 +26,7 @@
     private final Supplier<CallerLimits> limits;
     private final Set<CallerConnection> connections = new HashSet<>();
     private final Channel listener;
+    private final Owner owner = new Owner();
     private boolean draining;
 
     /**
@@ -38,7 +39,11 @@
      * @param limits limits in force
      */
     public CallerServer(
-            NetworkThreads threads, EventLoop loop, InetSocketAddress address, Relay relay, Supplier<CallerLimits> limits) {
+            NetworkThreads threads,
+            EventLoop loop,
+            InetSocketAddress address,
+            Relay relay,
+            Supplier<CallerLimits> limits) {
         this.limits = limits;
         this.listener = new ServerBootstrap()
                 .group(threads.group())
@@ -52,7 +57,7 @@
                         channel.pipeline()
                                 .addLast(new StrictRequestDecoder(limits.get().maxHeaderBytes()))
                                 .addLast(new HttpResponseEncoder())
-                                .addLast(new CallerConnection(relay, CallerServer.this, loop.clock()));
+                                .addLast(new CallerConnection(relay, owner, loop.clock()));
                     }
                 })
                 .bind(address)
@@ -95,19 +100,25 @@
         listener.close().syncUninterruptibly();
     }
 
-    CallerLimits limits() {
-        return limits.get();
-    }
+    private final class Owner implements ConnectionOwner {
+        @Override
+        public CallerLimits limits() {
+            return limits.get();
+        }
 
-    boolean draining() {
-        return draining;
-    }
+        @Override
+        public boolean draining() {
+            return draining;
+        }
 
-    void opened(CallerConnection connection) {
-        connections.add(connection);
-    }
+        @Override
+        public void opened(CallerConnection connection) {
+            connections.add(connection);
+        }
 
-    void closed(CallerConnection connection) {
-        connections.remove(connection);
+        @Override
+        public void closed(CallerConnection connection) {
+            connections.remove(connection);
+        }
     }
 }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -138,7 +138,9 @@
 
     @Override
     public boolean underWay() {
-        return !warmRunner.isEmpty() || chained || (!isTurn() && !facts.program().isEmpty());
+        return !warmRunner.isEmpty()
+                || chained
+                || (!isTurn() && !facts.program().isEmpty());
     }
 
     @Override
@@ -146,14 +148,16 @@
         queueTimer.cancel();
         stage = Stage.OFFERED;
         offers++;
-        LOG.log(Logger.Level.INFO, () -> line("request_placed")
-                .with("runner", runner.id())
-                .with("load", load)
-                .with("slots", runner.slots())
-                .with("warm", runner.id().equals(warmRunner))
-                .with("offer", offers)
-                .with("manifest", manifestVersion)
-                .toString());
+        LOG.log(
+                Logger.Level.INFO,
+                () -> line("request_placed")
+                        .with("runner", runner.id())
+                        .with("load", load)
+                        .with("slots", runner.slots())
+                        .with("warm", runner.id().equals(warmRunner))
+                        .with("offer", offers)
+                        .with("manifest", manifestVersion)
+                        .toString());
         relay.meters().phase("wait", elapsed());
         exchange = new RunnerExchange(this, relay, runner, streaming(), route.keepsConversation());
         exchange.start();
@@ -184,10 +188,12 @@
     void notRun(Runner runner, String reason) {
         exchange = null;
         avoided.add(runner.id());
-        LOG.log(Logger.Level.INFO, () -> line("not_run_at_runner")
-                .with("runner", runner.id())
-                .with("reason", reason)
-                .toString());
+        LOG.log(
+                Logger.Level.INFO,
+                () -> line("not_run_at_runner")
+                        .with("runner", runner.id())
+                        .with("reason", reason)
+                        .toString());
         boolean others = relay.dispatcher().runners(service).stream().anyMatch(each -> !avoided.contains(each.id()));
         if (offers < RelayLimits.MOST_OFFERS && others) {
             queue();
@@ -202,10 +208,12 @@
         runs++;
         avoided.add(runner.id());
         if (repeatable() && runs < route.maxAttempts() && leftMillis() > 0) {
-            LOG.log(Logger.Level.INFO, () -> line("sent_again")
-                    .with("runner", runner.id())
-                    .with("reason", reason)
-                    .toString());
+            LOG.log(
+                    Logger.Level.INFO,
+                    () -> line("sent_again")
+                            .with("runner", runner.id())
+                            .with("reason", reason)
+                            .toString());
             queue();
             return;
         }
@@ -236,8 +244,7 @@
                 .flatMap(each -> each.service(service))
                 .map(each -> each.tokensPerEvent())
                 .orElse(0);
-        Optional<Grant> grant =
-                reserved ? Optional.of(grant(runner, events.events() * perEvent)) : Optional.empty();
+        Optional<Grant> grant = reserved ? Optional.of(grant(runner, events.events() * perEvent)) : Optional.empty();
         if (!route.keepsConversation()) {
             settle(grant).whenComplete((done, failure) -> endStream(begun));
             return;
@@ -262,8 +269,7 @@
         if (stage == Stage.ENDED) {
             return;
         }
-        relay.meters()
-                .phase("commit", Duration.ofNanos(relay.loop().clock().nanos() - commitBegunNanos));
+        relay.meters().phase("commit", Duration.ofNanos(relay.loop().clock().nanos() - commitBegunNanos));
         caller.endStream();
         finish("answered", "stream");
     }
@@ -292,12 +298,14 @@
         String previous = route.keepsConversation() ? facts.previousTurn() : "";
         BeginRequest begin = new BeginRequest(
                 facts.program(), facts.id(), budget, facts.mostTokens(), previous, route.retention(), patience);
-        relay.conversations().begin(begin).whenComplete((result, failure) -> relay.loop()
-                .execute(() -> begun(begin, result)));
+        relay.conversations()
+                .begin(begin)
+                .whenComplete((result, failure) -> relay.loop().execute(() -> begun(begin, result)));
     }
 
     private void begun(BeginRequest begin, BeginResult result) {
-        boolean granted = result instanceof BeginResult.Granted && begin.budget().isPresent();
+        boolean granted =
+                result instanceof BeginResult.Granted && begin.budget().isPresent();
         if (stage != Stage.BEGINNING) {
             if (granted) {
                 relay.conversations().release(facts.program(), facts.id(), route.retention());
@@ -314,17 +322,21 @@
                 queue();
             }
             case BeginResult.Spent spent -> {
-                LOG.log(Logger.Level.INFO, () -> line("budget_spent")
-                        .with("counted", spent.counted())
-                        .with("most", facts.mostTokens())
-                        .with("budget", facts.budget().orElse(0))
-                        .toString());
+                LOG.log(
+                        Logger.Level.INFO,
+                        () -> line("budget_spent")
+                                .with("counted", spent.counted())
+                                .with("most", facts.mostTokens())
+                                .with("budget", facts.budget().orElse(0))
+                                .toString());
                 own(402, "denied", "budget_spent");
             }
             case BeginResult.NoSuchTurn ignored -> {
-                LOG.log(Logger.Level.INFO, () -> line("no_such_turn")
-                        .with("previous", facts.previousTurn())
-                        .toString());
+                LOG.log(
+                        Logger.Level.INFO,
+                        () -> line("no_such_turn")
+                                .with("previous", facts.previousTurn())
+                                .toString());
                 own(404, "denied", "no_such_turn");
             }
             case BeginResult.Unavailable unavailable ->
@@ -335,8 +347,7 @@
     private void queue() {
         stage = Stage.WAITING;
         queueTimer.cancel();
-        queueTimer = relay.loop()
-                .schedule(share(RelayLimits.QUEUE_SHARE, RelayLimits.QUEUE_MOST), this::waitedTooLong);
+        queueTimer = relay.loop().schedule(share(RelayLimits.QUEUE_SHARE, RelayLimits.QUEUE_MOST), this::waitedTooLong);
         relay.dispatcher().submit(this);
     }
 
@@ -409,12 +420,14 @@
         relay.ended();
         relay.meters().ended(outcome, outcome.equals("refused") || outcome.equals("unknown") ? "-" : cause);
         relay.meters().phase("whole", elapsed());
-        LOG.log(Logger.Level.INFO, () -> line("request_ended")
-                .with("outcome", outcome)
-                .with("cause", cause)
-                .with("ms", elapsed().toMillis())
-                .with("offers", offers)
-                .toString());
+        LOG.log(
+                Logger.Level.INFO,
+                () -> line("request_ended")
+                        .with("outcome", outcome)
+                        .with("cause", cause)
+                        .with("ms", elapsed().toMillis())
+                        .with("offers", offers)
+                        .toString());
     }
 
     private LogLine line(String event) {
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnection.java
@@ -33,7 +33,7 @@
 
     private final RelayDialect dialect;
     private final RuntimeClock clock;
-    private final RunnerConnections pool;
+    private final IdleConnections pool;
     private final String runnerId;
     private Channel channel;
     private ChannelFuture written;
@@ -48,7 +48,7 @@
     private long idleSinceNanos;
     private Optional<Duration> idleLimit = Optional.empty();
 
-    RunnerConnection(RunnerConnections pool, String runnerId, RelayDialect dialect, RuntimeClock clock) {
+    RunnerConnection(IdleConnections pool, String runnerId, RelayDialect dialect, RuntimeClock clock) {
         this.pool = pool;
         this.runnerId = runnerId;
         this.dialect = dialect;
@@ -153,12 +153,14 @@
         if (skipping) {
             if (status >= 200) {
                 reusable = false;
-                LOG.log(Logger.Level.INFO, () -> LogLine.of("answer_of_other_request_skipped")
-                        .with("request", request.id())
-                        .with("answer_for", response.headers().get(dialect.requestId()))
-                        .with("runner", runnerId)
-                        .with("status", status)
-                        .toString());
+                LOG.log(
+                        Logger.Level.INFO,
+                        () -> LogLine.of("answer_of_other_request_skipped")
+                                .with("request", request.id())
+                                .with("answer_for", response.headers().get(dialect.requestId()))
+                                .with("runner", runnerId)
+                                .with("status", status)
+                                .toString());
             }
             return;
         }
@@ -211,10 +213,12 @@
     }
 
     private void unasked() {
-        LOG.log(Logger.Level.INFO, () -> LogLine.of("unasked_answer")
-                .with("runner", runnerId)
-                .with("served", served)
-                .toString());
+        LOG.log(
+                Logger.Level.INFO,
+                () -> LogLine.of("unasked_answer")
+                        .with("runner", runnerId)
+                        .with("served", served)
+                        .toString());
         close();
     }
 
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnections.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnections.java
@@ -23,7 +23,7 @@
 import org.parsleydrift.wire.NetworkThreads;
 
 /** Connections to runners, kept between requests by the id of the runner's life. Confined to one loop. */
-final class RunnerConnections {
+final class RunnerConnections implements IdleConnections {
     /** Time to connect; a healthy runner takes a round trip, a dead VM never answers. */
     private static final int CONNECT_MILLIS = 400;
     /** Idle connections are closed after this; a connection takes one of the few that a runner accepts. */
@@ -57,11 +57,13 @@
         return kept != null ? CompletableFuture.completedFuture(kept) : connect(runner);
     }
 
-    void idle(RunnerConnection connection) {
+    @Override
+    public void idle(RunnerConnection connection) {
         idle.computeIfAbsent(connection.runnerId(), any -> new ArrayDeque<>()).addLast(connection);
     }
 
-    void closed(RunnerConnection connection) {
+    @Override
+    public void closed(RunnerConnection connection) {
         Deque<RunnerConnection> kept = idle.get(connection.runnerId());
         if (kept != null) {
             kept.remove(connection);
@@ -84,7 +86,8 @@
     }
 
     private static boolean fresh(RunnerConnection connection) {
-        Duration limit = connection.idleLimit().map(each -> each.minus(CLOSE_MARGIN)).orElse(UNSTATED);
+        Duration limit =
+                connection.idleLimit().map(each -> each.minus(CLOSE_MARGIN)).orElse(UNSTATED);
         Duration least = limit.compareTo(KEPT) < 0 ? limit : KEPT;
         return connection.idleFor().compareTo(least) < 0;
     }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerExchange.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerExchange.java
@@ -29,8 +29,9 @@
     }
 
     void start() {
-        relay.connections().acquire(runner).whenComplete((acquired, failure) -> relay.loop()
-                .execute(() -> connected(acquired, failure)));
+        relay.connections()
+                .acquire(runner)
+                .whenComplete((acquired, failure) -> relay.loop().execute(() -> connected(acquired, failure)));
     }
 
     /** Gives the request up; a runner that works on it stops as its connection closes. */
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerRequest.java
@@ -12,5 +12,4 @@
  * @param body its body
  * @param repeatable whether it may be sent again if nothing comes back
  */
-record RunnerRequest(
-        String id, String method, String target, HttpHeaders headers, byte[] body, boolean repeatable) {}
+record RunnerRequest(String id, String method, String target, HttpHeaders headers, byte[] body, boolean repeatable) {}
--- /dev/null
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/CallerConnectionTest.java
@@ -0,0 +1,134 @@
+package org.parsleydrift.relay;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.util.ArrayList;
+import java.util.List;
+import org.parsleydrift.kernel.ManualScheduler;
+import org.parsleydrift.registry.CallerLimits;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Framing of callers' requests. */
+public class CallerConnectionTest {
+    private final List<CallerRequest> requests = new ArrayList<>();
+    private final List<CallerAnswer> answers = new ArrayList<>();
+    private int gone;
+
+    private EmbeddedChannel connect() {
+        requests.clear();
+        answers.clear();
+        gone = 0;
+        RequestHandler handler = (request, answer) -> {
+            requests.add(request);
+            answers.add(answer);
+            return () -> gone++;
+        };
+        ConnectionOwner owner = new ConnectionOwner() {
+            @Override
+            public CallerLimits limits() {
+                return CallerLimits.defaults();
+            }
+
+            @Override
+            public boolean draining() {
+                return false;
+            }
+
+            @Override
+            public void opened(CallerConnection connection) {}
+
+            @Override
+            public void closed(CallerConnection connection) {}
+        };
+        return new EmbeddedChannel(
+                new StrictRequestDecoder(16384),
+                new HttpResponseEncoder(),
+                new CallerConnection(handler, owner, new ManualScheduler()));
+    }
+
+    private static void send(EmbeddedChannel channel, String text) {
+        channel.writeInbound(Unpooled.copiedBuffer(text, UTF_8));
+    }
+
+    private static String sent(EmbeddedChannel channel) {
+        channel.runPendingTasks();
+        StringBuilder text = new StringBuilder();
+        for (ByteBuf part = channel.readOutbound(); part != null; part = channel.readOutbound()) {
+            text.append(part.toString(UTF_8));
+        }
+        return text.toString();
+    }
+
+    @DataProvider
+    Object[][] ambiguous() {
+        return new Object[][] {
+            {"POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+            {"POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcde"},
+            {"POST /a/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n"},
+            {"POST /a/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding : chunked\r\n\r\n0\r\n\r\n"},
+            {
+                "POST /a/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n0\r\n\r\n"
+            },
+            {"POST /a/ HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+            {"POST /a/ HTTP/1.1\r\nHost: h\r\nHost: g\r\nContent-Length: 0\r\n\r\n"},
+            {"POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n"},
+        };
+    }
+
+    /**
+     * Symptom: a runner runs a request that no caller sent. Events: a caller sends a request whose length can be read in
+     * two ways. Cause: the node reads it one way and the runner the other.
+     */
+    @Test(dataProvider = "ambiguous")
+    public void refusesAmbiguousFraming(String text) {
+        EmbeddedChannel channel = connect();
+        send(channel, text + "GET /smuggled/ HTTP/1.1\r\nHost: h\r\n\r\n");
+        assertTrue(sent(channel).startsWith("HTTP/1.1 400 "));
+        assertEquals(requests.size(), 0);
+        assertFalse(channel.isOpen());
+    }
+
+    @Test
+    public void answersOneRequestAfterTheOther() {
+        EmbeddedChannel channel = connect();
+        String request = "POST /a/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+        send(channel, request + request);
+        assertEquals(requests.size(), 1);
+        assertEquals(new String(requests.getFirst().body(), UTF_8), "abc");
+        answers.getFirst().whole(200, DefaultHttpHeadersFactory.headersFactory().newHeaders(), new byte[] {'x'});
+        assertTrue(sent(channel).endsWith("\r\n\r\nx"));
+        assertEquals(requests.size(), 2);
+        assertTrue(channel.isOpen());
+    }
+
+    /** Symptom: a runner works on for a caller that has left. Cause: nobody looks at the connection meanwhile. */
+    @Test
+    public void tellsThatACallerHasLeft() {
+        EmbeddedChannel channel = connect();
+        send(channel, "GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n");
+        channel.close();
+        assertEquals(gone, 1);
+    }
+
+    /** An answer that broke off must not look complete. */
+    @Test
+    public void anAbortedStreamHasNoEnd() {
+        EmbeddedChannel channel = connect();
+        send(channel, "GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n");
+        answers.getFirst()
+                .beginStream(200, DefaultHttpHeadersFactory.headersFactory().newHeaders());
+        answers.getFirst().events("id: 1\n\n".getBytes(UTF_8));
+        answers.getFirst().abort();
+        assertFalse(sent(channel).contains("\r\n0\r\n\r\n"));
+        assertFalse(channel.isOpen());
+    }
+}
--- /dev/null
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/EventStreamReaderTest.java
@@ -0,0 +1,43 @@
+package org.parsleydrift.relay;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.Test;
+
+public class EventStreamReaderTest {
+    private static String take(EventStreamReader reader, String text) {
+        return new String(reader.take(text.getBytes(UTF_8)), UTF_8);
+    }
+
+    @Test
+    public void passesOnWholeEventsOnly() {
+        EventStreamReader reader = new EventStreamReader(true);
+        assertEquals(take(reader, "id: 1\nda"), "");
+        assertFalse(reader.sound());
+        assertEquals(take(reader, "ta: one\n\nid: 2\n"), "id: 1\ndata: one\n\n");
+        assertEquals(take(reader, "data: two\n\n"), "id: 2\ndata: two\n\n");
+        assertTrue(reader.sound());
+        assertEquals(reader.events(), 2);
+        assertEquals(new String(reader.data(), UTF_8), "one\ntwo\n");
+    }
+
+    /** Symptom: a caller gets a stream with a piece missing. Cause: events are passed on whatever their ids. */
+    @Test
+    public void stopsAtAGap() {
+        EventStreamReader reader = new EventStreamReader(false);
+        assertEquals(take(reader, "id: 1\ndata: a\n\n"), "id: 1\ndata: a\n\n");
+        assertEquals(take(reader, "id: 3\ndata: c\n\n"), "");
+        assertTrue(reader.outOfOrder());
+    }
+
+    @Test
+    public void keepsTheLineThatSaysAVersionChanged() {
+        EventStreamReader reader = new EventStreamReader(true);
+        String event = "x-version: 3\nid: 7\ndata: a\n\n";
+        assertEquals(take(reader, event), event);
+        assertEquals(new String(reader.data(), UTF_8), "a\n");
+    }
+}
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -32,10 +32,10 @@
 /** The entry role: serves callers, tells them which addresses to use, follows the platform and its peers. */
 final class EntryRole implements Role {
     private static final Logger LOG = System.getLogger(EntryRole.class.getName());
-    /** Longest wait of a watch for what changes often; a watch that went silent is noticed sooner by peers. */
-    private static final Duration WATCH_WAIT = Duration.ofMillis(2500);
+    /** Longest wait of a watch for what changes often; a watch that went silent is noticed sooner, as peers know more. */
+    private static final Duration WATCH_WAIT = Duration.ofSeconds(8);
     /** Longest wait of a watch for what changes rarely. */
-    private static final Duration RARE_WATCH_WAIT = Duration.ofSeconds(10);
+    private static final Duration RARE_WATCH_WAIT = Duration.ofSeconds(25);
     /** How long callers keep the list of addresses, s; short, so that they leave a stopping node soon. */
     private static final int KEEP_SECONDS = 1;
     /** Connections for readiness and directory each. */
@@ -154,7 +154,9 @@
         try {
             long most = (long) (parts.settings.grace().toMillis() * END_SHARE);
             boolean whole = ended.await(most, TimeUnit.MILLISECONDS);
-            LOG.log(Logger.Level.INFO, LogLine.of("drain_ended").with("whole", whole).toString());
+            LOG.log(
+                    Logger.Level.INFO,
+                    LogLine.of("drain_ended").with("whole", whole).toString());
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
         }
@@ -198,8 +200,7 @@
             exchange.respond(503, "text/plain", "", Map.of("Retry-After", "0.3"));
             return;
         }
-        exchange.respond(
-                200, "application/json", parts.outside.directoryAnswer(addresses, KEEP_SECONDS), Map.of());
+        exchange.respond(200, "application/json", parts.outside.directoryAnswer(addresses, KEEP_SECONDS), Map.of());
     }
 
     private void receive(byte[] frame) {
@@ -209,9 +210,7 @@
     }
 
     private void storeSetChanged(List<SharedObject> news) {
-        news.stream()
-                .filter(each -> !each.deleted())
-                .forEach(each -> stores.adopt(StoreSetJson.read(each.content())));
+        news.stream().filter(each -> !each.deleted()).forEach(each -> stores.adopt(StoreSetJson.read(each.content())));
     }
 
     private void nodesChanged(List<SharedObject> news) {
@@ -236,13 +235,15 @@
     }
 
     private CompletableFuture<SharedObject> replaceEntry() {
-        return parts.objects.list(ObjectKind.NODES).thenCompose(list -> list.objects().stream()
-                .filter(each -> each.name().equals(self.name()))
-                .findAny()
-                .map(each -> parts.objects.put(
-                        ObjectKind.NODES, self.name(), OptionalLong.of(each.revision()), self.json()))
-                .orElseGet(() -> CompletableFuture.failedFuture(
-                        new StepException(Step.PLATFORM, "platform", "node entry neither made nor found"))));
+        return parts.objects
+                .list(ObjectKind.NODES)
+                .thenCompose(list -> list.objects().stream()
+                        .filter(each -> each.name().equals(self.name()))
+                        .findAny()
+                        .map(each -> parts.objects.put(
+                                ObjectKind.NODES, self.name(), OptionalLong.of(each.revision()), self.json()))
+                        .orElseGet(() -> CompletableFuture.failedFuture(
+                                new StepException(Step.PLATFORM, "platform", "node entry neither made nor found"))));
     }
 
     private static ObjectFollower.Listener listener(
@@ -268,14 +269,20 @@
                 return table.asOf();
             }
 
+            @Override
+            public long newestChange() {
+                return table.newestChange();
+            }
+
             @Override
             public List<SharedObject> present() {
                 return table.present();
             }
 
             @Override
-            public void learn(ObjectChanges list) {
+            public void learn(ObjectChanges list, long newestChange) {
                 news.accept(table.replace(list));
+                table.knows(newestChange);
                 // This node's own watch lags behind its peers': it may have gone silent.
                 follower.restart();
             }
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
@@ -71,12 +71,16 @@
 
     /** A kind of shared objects that is followed here. */
     interface FollowedKind {
+        /** The revision up to which this node's knowledge is complete. */
         long asOf();
 
+        /** The revision of the newest change that it knows. */
+        long newestChange();
+
         List<SharedObject> present();
 
         /** Takes in a peer's full list. */
-        void learn(ObjectChanges list);
+        void learn(ObjectChanges list, long newestChange);
     }
 
     private static final class Peer {
@@ -103,11 +107,13 @@
         Peer peer = peers.get(identity.name());
         if (peer == null || !peer.identity.equals(identity)) {
             peers.put(identity.name(), new Peer(identity));
-            LOG.log(Logger.Level.INFO, () -> LogLine.of("peer_known")
-                    .with("peer", identity.name())
-                    .with("link", identity.link())
-                    .with("zone", identity.zone())
-                    .toString());
+            LOG.log(
+                    Logger.Level.INFO,
+                    () -> LogLine.of("peer_known")
+                            .with("peer", identity.name())
+                            .with("link", identity.link())
+                            .with("zone", identity.zone())
+                            .toString());
         }
     }
 
@@ -179,7 +185,7 @@
             out.packBoolean(nowReady);
             out.packMapHeader(followed.size());
             for (Map.Entry<ObjectKind, FollowedKind> each : followed.entrySet()) {
-                out.packString(each.getKey().name()).packLong(each.getValue().asOf());
+                out.packString(each.getKey().name()).packLong(each.getValue().newestChange());
             }
             out.packMapHeader(load.size());
             for (Map.Entry<String, Integer> each : load.entrySet()) {
@@ -215,9 +221,9 @@
         dispatcher.peerLoad(sender.name(), load);
     }
 
-    private void compare(Peer peer, ObjectKind kind, long asOf) {
+    private void compare(Peer peer, ObjectKind kind, long newestChange) {
         FollowedKind own = followed.get(kind);
-        if (own == null || asOf <= own.asOf()) {
+        if (own == null || newestChange <= own.newestChange()) {
             peer.aheadSince.remove(kind);
             return;
         }
@@ -225,9 +231,9 @@
         long since = peer.aheadSince.computeIfAbsent(kind, any -> now);
         if (now - since > LAG_BORNE.toNanos()) {
             peer.aheadSince.remove(kind);
-            frames.send(peer.identity.link(), encode(out -> out.packByte(FETCH)
-                    .packString(self.link())
-                    .packString(kind.name())));
+            frames.send(
+                    peer.identity.link(),
+                    encode(out -> out.packByte(FETCH).packString(self.link()).packString(kind.name())));
         }
     }
 
@@ -238,7 +244,7 @@
         }
         List<SharedObject> present = own.present();
         frames.send(asker, encode(out -> {
-            out.packByte(OBJECTS).packString(kind.name()).packLong(own.asOf());
+            out.packByte(OBJECTS).packString(kind.name()).packLong(own.asOf()).packLong(own.newestChange());
             out.packArrayHeader(present.size());
             for (SharedObject each : present) {
                 out.packString(each.name()).packLong(each.revision());
@@ -250,6 +256,7 @@
     private void takeObjects(MessageUnpacker in) throws IOException {
         ObjectKind kind = ObjectKind.valueOf(in.unpackString());
         long asOf = in.unpackLong();
+        long newestChange = in.unpackLong();
         int size = in.unpackArrayHeader();
         List<SharedObject> objects = new ArrayList<>();
         for (int i = 0; i < size; i++) {
@@ -257,13 +264,15 @@
                     in.unpackString(), in.unpackLong(), false, in.readPayload(in.unpackBinaryHeader())));
         }
         FollowedKind own = followed.get(kind);
-        if (own != null && asOf > own.asOf()) {
-            LOG.log(Logger.Level.INFO, () -> LogLine.of("learned_from_peer")
-                    .with("kind", kind)
-                    .with("own_as_of", own.asOf())
-                    .with("as_of", asOf)
-                    .toString());
-            own.learn(new ObjectChanges(objects, asOf));
+        if (own != null && newestChange > own.newestChange()) {
+            LOG.log(
+                    Logger.Level.INFO,
+                    () -> LogLine.of("learned_from_peer")
+                            .with("kind", kind)
+                            .with("own_as_of", own.asOf())
+                            .with("as_of", asOf)
+                            .toString());
+            own.learn(new ObjectChanges(objects, asOf), newestChange);
         }
     }
 
@@ -272,9 +281,7 @@
     }
 
     private static void logPeer(String event, String peer) {
-        LOG.log(
-                Logger.Level.INFO,
-                () -> LogLine.of(event).with("peer", peer).toString());
+        LOG.log(Logger.Level.INFO, () -> LogLine.of(event).with("peer", peer).toString());
     }
 
     private interface Writer {
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/ProcessParts.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/ProcessParts.java
@@ -35,8 +35,8 @@
                 .map(ServiceLoader.Provider::get)
                 .filter(each -> each.name().equals(settings.outside()))
                 .findFirst()
-                .orElseThrow(() -> new StepException(
-                        Step.CONFIGURE, "settings", "no plug-in named '" + settings.outside() + "'"));
+                .orElseThrow(() ->
+                        new StepException(Step.CONFIGURE, "settings", "no plug-in named '" + settings.outside() + "'"));
         this.objects = new MeteredObjects(outside.objects(new HttpClient(threads), settings.platform()), meters);
         serve(settings.metrics(), METRICS_CONNECTIONS, exchange -> {
             if (exchange.path().equals("/metrics")) {
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RoleMain.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RoleMain.java
@@ -44,13 +44,15 @@
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(role), "drain"));
         onHangUp(() -> parts.loop.execute(() -> reload(role, file)));
         role.start();
-        LOG.log(Logger.Level.INFO, () -> LogLine.of("role_started")
-                .with("role", settings.role())
-                .with("vm", settings.vm())
-                .with("zone", settings.zone())
-                .with("link", settings.link())
-                .with("first_start", settings.firstStart())
-                .toString());
+        LOG.log(
+                Logger.Level.INFO,
+                () -> LogLine.of("role_started")
+                        .with("role", settings.role())
+                        .with("vm", settings.vm())
+                        .with("zone", settings.zone())
+                        .with("link", settings.link())
+                        .with("first_start", settings.firstStart())
+                        .toString());
         new CountDownLatch(1).await();
     }
 
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/StoreRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/StoreRole.java
@@ -21,7 +21,7 @@
 final class StoreRole implements Role {
     private static final Logger LOG = System.getLogger(StoreRole.class.getName());
     /** Longest wait of a watch: rare changes, and members tell each other of the set directly. */
-    private static final Duration WATCH_WAIT = Duration.ofSeconds(5);
+    private static final Duration WATCH_WAIT = Duration.ofSeconds(8);
 
     private static final int DISK_ID_BYTES = 8;
 
