--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationClient.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationClient.java
@@ -57,6 +57,19 @@
         }
     }
 
+    /**
+     * Whether a write quorum is within direct reach, as far as the last requests tell.
+     *
+     * @return false if too many paths gave no reply
+     */
+    public boolean reachesStores() {
+        return set.filter(known -> known.members().stream()
+                                .filter(each -> calls.reaches(each.address()))
+                                .count()
+                        >= known.writeQuorum())
+                .isPresent();
+    }
+
     /**
      * The newest set heard of.
      *
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/Conversations.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/Conversations.java
@@ -23,6 +23,7 @@
     private static final Duration BACKGROUND_PATIENCE = Duration.ofSeconds(20);
 
     private final ConversationClient client;
+    private final SpentPrograms spent = new SpentPrograms();
 
     /**
      * Makes it.
@@ -40,6 +41,11 @@
      * @return whether it may run; never fails
      */
     public CompletableFuture<BeginResult> begin(BeginRequest begin) {
+        int generated = spent.atLeast(begin.program());
+        if (begin.budget().isPresent()
+                && generated + begin.mostTokens() > begin.budget().getAsInt()) {
+            return CompletableFuture.completedFuture(new BeginResult.Spent(generated));
+        }
         CompletableFuture<Void> reserved = begin.budget().isEmpty()
                 ? CompletableFuture.completedFuture(null)
                 : client.write(
@@ -110,6 +116,12 @@
     }
 
     private CompletableFuture<BeginResult> judge(BeginRequest begin, ConversationClient.Joined found) {
+        spent.settled(
+                begin.program(),
+                found.grants().values().stream()
+                        .filter(each -> each.state() == GrantState.SETTLED)
+                        .mapToInt(Grant::counted)
+                        .sum());
         int counted = found.grants().values().stream()
                 .filter(each -> !each.request().equals(begin.request()))
                 .mapToInt(Grant::counted)
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaCalls.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaCalls.java
@@ -1,10 +1,15 @@
 package org.parsleydrift.conversation;
 
+import java.io.IOException;
 import java.lang.System.Logger;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
 import org.parsleydrift.kernel.EventLoop;
 import org.parsleydrift.kernel.LogLine;
 import org.parsleydrift.kernel.LoopTimer;
@@ -14,17 +19,34 @@
 /**
  * Requests to store VMs and their replies, over frames. Confined to one loop. A request without a reply in its time
  * fails and resets the connection, since a connection may go silent for good while new ones work.
+ *
+ * <p>An entry node may be cut off from the store VMs while its peers reach them: its callers' turns would all be refused.
+ * After a request without a reply the next ones go by way of a peer, and now and then one goes directly as well, to find
+ * out whether the path is whole again.
  */
 public final class ReplicaCalls {
     private static final Logger LOG = System.getLogger(ReplicaCalls.class.getName());
+    /** How often a path that gave no reply is tried again beside the way over a peer. */
+    private static final Duration PROBE_PERIOD = Duration.ofMillis(500);
+
     private static final byte REQUEST = 1;
     private static final byte REPLY = 2;
+    /** Asks a peer to hand a request on to a store VM. */
+    private static final byte HAND_ON = 3;
+    /** A request that came over a peer; the reply goes back the same way. */
+    private static final byte HANDED_ON = 4;
+    /** Asks a peer to hand a reply back to who asked. */
+    private static final byte HAND_BACK = 5;
+    /** A reply that came over a peer. */
+    private static final byte HANDED_BACK = 6;
 
     private final EventLoop loop;
     private final FrameSender frames;
     private final String ownAddress;
     private final Map<Long, Waiting> waiting = new HashMap<>();
+    private final Map<String, Long> brokenSinceProbe = new HashMap<>();
     private final Handler handler;
+    private Supplier<Optional<String>> peer = Optional::empty;
     private long lastCorrelation;
 
     /**
@@ -53,6 +75,25 @@
         CompletableFuture<ReplicaReply> handle(ReplicaRequest request);
     }
 
+    /**
+     * Says how to find a peer that reaches the store VMs.
+     *
+     * @param finder gives the address of such a peer, if there is one
+     */
+    public void overPeers(Supplier<Optional<String>> finder) {
+        peer = finder;
+    }
+
+    /**
+     * Whether the last direct request to an address was answered, or none was made yet.
+     *
+     * @param address the address
+     * @return false after a request without a reply
+     */
+    public boolean reaches(String address) {
+        return !brokenSinceProbe.containsKey(address);
+    }
+
     /**
      * Asks a store VM.
      *
@@ -64,18 +105,20 @@
     public CompletableFuture<ReplicaReply> ask(String address, ReplicaRequest request, Duration patience) {
         long correlation = ++lastCorrelation;
         CompletableFuture<ReplicaReply> reply = new CompletableFuture<>();
-        LoopTimer timer = loop.schedule(patience, () -> {
-            if (waiting.remove(correlation) != null) {
-                frames.reset(address);
-                reply.completeExceptionally(
-                        new StepException(Step.COMMIT, address, "no reply in " + patience.toMillis() + " ms"));
-            }
-        });
+        LoopTimer timer = loop.schedule(patience, () -> gaveUp(address, correlation, patience));
         waiting.put(correlation, new Waiting(reply, timer));
-        frames.send(address, ConversationCodec.encode(out -> {
+        byte[] frame = encode(out -> {
             out.packByte(REQUEST).packLong(correlation).packString(ownAddress);
             ConversationCodec.request(out, request);
-        }));
+        });
+        Optional<String> way = reaches(address) ? Optional.empty() : peer.get();
+        way.ifPresent(via -> frames.send(via, encode(out -> {
+            out.packByte(HAND_ON).packString(address);
+            bytes(out, frame);
+        })));
+        if (way.isEmpty() || probeIsDue(address)) {
+            frames.send(address, frame);
+        }
         return reply;
     }
 
@@ -87,40 +130,135 @@
      */
     public void receive(byte[] frame) {
         ConversationCodec.decode(frame, in -> {
-            byte direction = in.unpackByte();
-            long correlation = in.unpackLong();
-            String from = in.unpackString();
-            if (direction == REQUEST) {
-                ReplicaRequest request = ConversationCodec.request(in);
-                handler.handle(request)
-                        .whenComplete(
-                                (reply, failure) -> loop.execute(() -> answer(from, correlation, reply, failure)));
-            } else {
-                Waiting known = waiting.remove(correlation);
-                if (known != null) {
-                    known.timer().cancel();
-                    known.reply().complete(ConversationCodec.reply(in));
-                }
+            byte type = in.unpackByte();
+            switch (type) {
+                case REQUEST -> takeRequest(in, Optional.empty());
+                case REPLY -> takeReply(in, true);
+                case HAND_ON -> handOn(in.unpackString(), bytes(in));
+                case HANDED_ON -> takeHandedOn(in.unpackString(), bytes(in));
+                case HAND_BACK -> handBack(in.unpackString(), bytes(in));
+                case HANDED_BACK -> takeHandedBack(bytes(in));
+                default -> throw new IOException("unknown frame " + type);
             }
             return null;
         });
     }
 
-    private void answer(String to, long correlation, ReplicaReply reply, Throwable failure) {
+    private void gaveUp(String address, long correlation, Duration patience) {
+        Waiting known = waiting.remove(correlation);
+        if (known == null) {
+            return;
+        }
+        if (brokenSinceProbe.putIfAbsent(address, loop.clock().nanos()) == null) {
+            LOG.log(Logger.Level.INFO, () -> LogLine.of("store_path_broken")
+                    .with("store", address)
+                    .with("waited_ms", patience.toMillis())
+                    .toString());
+        }
+        frames.reset(address);
+        known.reply()
+                .completeExceptionally(
+                        new StepException(Step.COMMIT, address, "no reply in " + patience.toMillis() + " ms"));
+    }
+
+    private boolean probeIsDue(String address) {
+        long now = loop.clock().nanos();
+        boolean due = now - brokenSinceProbe.getOrDefault(address, now) > PROBE_PERIOD.toNanos();
+        if (due) {
+            brokenSinceProbe.put(address, now);
+        }
+        return due;
+    }
+
+    private void takeRequest(MessageUnpacker in, Optional<String> via) throws IOException {
+        long correlation = in.unpackLong();
+        String from = in.unpackString();
+        ReplicaRequest request = ConversationCodec.request(in);
+        handler.handle(request)
+                .whenComplete((reply, failure) -> loop.execute(() -> answer(from, via, correlation, reply, failure)));
+    }
+
+    private void takeReply(MessageUnpacker in, boolean direct) throws IOException {
+        long correlation = in.unpackLong();
+        String from = in.unpackString();
+        if (direct && brokenSinceProbe.remove(from) != null) {
+            LOG.log(
+                    Logger.Level.INFO,
+                    () -> LogLine.of("store_path_whole").with("store", from).toString());
+        }
+        Waiting known = waiting.remove(correlation);
+        if (known != null) {
+            known.timer().cancel();
+            known.reply().complete(ConversationCodec.reply(in));
+        }
+    }
+
+    private void handOn(String to, byte[] request) {
+        frames.send(to, encode(out -> {
+            out.packByte(HANDED_ON).packString(ownAddress);
+            bytes(out, request);
+        }));
+    }
+
+    private void takeHandedOn(String via, byte[] request) {
+        ConversationCodec.decode(request, in -> {
+            if (in.unpackByte() == REQUEST) {
+                takeRequest(in, Optional.of(via));
+            }
+            return null;
+        });
+    }
+
+    private void handBack(String to, byte[] reply) {
+        frames.send(to, encode(out -> {
+            out.packByte(HANDED_BACK);
+            bytes(out, reply);
+        }));
+    }
+
+    private void takeHandedBack(byte[] reply) {
+        ConversationCodec.decode(reply, in -> {
+            if (in.unpackByte() == REPLY) {
+                takeReply(in, false);
+            }
+            return null;
+        });
+    }
+
+    private void answer(
+            String to, Optional<String> via, long correlation, ReplicaReply reply, Throwable failure) {
         if (failure != null) {
             // The asker waits out its time and asks again; the line says why.
-            LOG.log(
-                    Logger.Level.WARNING,
-                    () -> LogLine.of("store_request_failed")
-                            .with("from", to)
-                            .failure(failure)
-                            .toString());
+            LOG.log(Logger.Level.WARNING, () -> LogLine.of("store_request_failed")
+                    .with("from", to)
+                    .failure(failure)
+                    .toString());
             return;
         }
-        frames.send(to, ConversationCodec.encode(out -> {
+        byte[] frame = encode(out -> {
             out.packByte(REPLY).packLong(correlation).packString(ownAddress);
             ConversationCodec.reply(out, reply);
-        }));
+        });
+        if (via.isEmpty()) {
+            frames.send(to, frame);
+        } else {
+            frames.send(via.get(), encode(out -> {
+                out.packByte(HAND_BACK).packString(to);
+                bytes(out, frame);
+            }));
+        }
+    }
+
+    private static byte[] encode(ConversationCodec.Writer writer) {
+        return ConversationCodec.encode(writer);
+    }
+
+    private static void bytes(MessagePacker out, byte[] bytes) throws IOException {
+        out.packBinaryHeader(bytes.length).addPayload(bytes);
+    }
+
+    private static byte[] bytes(MessageUnpacker in) throws IOException {
+        return in.readPayload(in.unpackBinaryHeader());
     }
 
     private record Waiting(CompletableFuture<ReplicaReply> reply, LoopTimer timer) {}
--- a/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/StoreCluster.java
+++ b/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/StoreCluster.java
@@ -31,6 +31,7 @@
     final Map<String, Store> stores = new HashMap<>();
     private final Map<String, Consumer<byte[]>> receivers = new HashMap<>();
     private final Set<String> cut = new HashSet<>();
+    private final Set<String> cutFromStores = new HashSet<>();
     private final List<Held> held = new ArrayList<>();
     private Predicate<Held> holds = frame -> false;
     private int diskCount;
@@ -105,8 +106,14 @@
         cut.add(name);
     }
 
+    /** Cuts an entry node off from all store VMs, but not from other entry nodes. */
+    void cutFromStores(String entry) {
+        cutFromStores.add(entry);
+    }
+
     void heal(String name) {
         cut.remove(name);
+        cutFromStores.remove(name);
     }
 
     /** Holds back frames until {@link #letGo}. */
@@ -126,9 +133,15 @@
     }
 
     Conversations entry(String name) {
+        return entry(name, Optional.empty());
+    }
+
+    /** An entry node that may ask store VMs over a peer. */
+    Conversations entry(String name, Optional<String> peer) {
         ManualEventLoop loop = time.newLoop();
         ReplicaCalls calls = new ReplicaCalls(loop, sender(name), name, request -> new CompletableFuture<>());
         receivers.put(name, frame -> loop.execute(() -> calls.receive(frame)));
+        calls.overPeers(() -> peer);
         ConversationClient client = new ConversationClient(loop, calls);
         poll(loop, ObjectKind.STORE_SET, news -> news.forEach(each -> client.adopt(StoreSetJson.read(each.content()))));
         return new Conversations(client);
@@ -160,7 +173,9 @@
             @Override
             public void send(String address, byte[] frame) {
                 Held sent = new Held(from, address, frame);
-                if (cut.contains(from) || cut.contains(address)) {
+                boolean toStore = stores.containsKey(address) && cutFromStores.contains(from);
+                boolean fromStore = stores.containsKey(from) && cutFromStores.contains(address);
+                if (cut.contains(from) || cut.contains(address) || toStore || fromStore) {
                     return;
                 }
                 if (holds.test(sent)) {
--- a/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/TokenBudgetTest.java
+++ b/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/TokenBudgetTest.java
@@ -82,6 +82,26 @@
         assertTrue(small instanceof BeginResult.Granted, small.toString());
     }
 
+    /**
+     * Symptom: store VMs are kept busy by programs whose budget is spent. Cause: each refusal costs a write, a read and
+     * a release. Once settled tokens alone leave no room, a node that has read so refuses by itself.
+     */
+    @Test
+    public void aProgramThatIsSurelySpentCostsNoRequest() {
+        StoreCluster cluster = StoreCluster.ofThree();
+        Conversations entry = cluster.entry("e");
+        cluster.await(entry.begin(StoreCluster.begin("p", "r1", MOST, MOST, "")));
+        cluster.await(entry.commit(
+                Optional.of(new Grant("p", "r1", GrantState.SETTLED, 90, "x")),
+                Optional.empty(),
+                StoreCluster.RETENTION,
+                Duration.ofSeconds(1)));
+        cluster.await(entry.begin(StoreCluster.begin("p", "r2", MOST, MOST, "")));
+        List.of("a", "b", "c").forEach(cluster::cut);
+        assertTrue(entry.begin(StoreCluster.begin("p", "r3", MOST, MOST, "")).isDone());
+        assertTrue(!entry.begin(StoreCluster.begin("p", "r4", MOST, 10, "")).isDone());
+    }
+
     /** The ledger survives a loss of power and an emptied disk. */
     @Test
     public void spentStaysSpentOverRestarts() {
--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/Candidate.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/Candidate.java
@@ -8,8 +8,9 @@
  * @param runner the runner
  * @param load requests that this node and, by their last report, its peers have there
  * @param suspended whether it has failed lately and is left alone for a while
+ * @param near whether it is in this node's availability zone
  */
-public record Candidate(Runner runner, int load, boolean suspended) {
+public record Candidate(Runner runner, int load, boolean suspended, boolean near) {
     boolean hasRoom() {
         return load < runner.slots();
     }
--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/RunnerChoice.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/RunnerChoice.java
@@ -7,7 +7,8 @@
 
 /**
  * Chooses a runner. Load pattern: callers spread over all nodes at random, and each node sees the others' share with a
- * delay; ties are broken by lot, since nodes that all took the first would meet at one runner.
+ * delay; ties are broken by lot, since nodes that all took the first would meet at one runner. Among equals those of the
+ * node's own zone go first: they save two crossings between zones, 2.8 ms and the bytes of prompt and answer.
  */
 public final class RunnerChoice {
     /**
@@ -43,7 +44,9 @@
     private static Optional<Candidate> leastLoaded(List<Candidate> open, RandomGenerator random) {
         return open.stream()
                 .map(each -> new Drawn(each, random.nextDouble()))
-                .min(Comparator.comparingDouble(Drawn::share).thenComparingDouble(Drawn::lot))
+                .min(Comparator.comparingDouble(Drawn::share)
+                        .thenComparing(each -> !each.candidate().near())
+                        .thenComparingDouble(Drawn::lot))
                 .map(Drawn::candidate);
     }
 
--- a/parsleydrift-placement/src/test/java/org/parsleydrift/placement/RunnerChoiceTest.java
+++ b/parsleydrift-placement/src/test/java/org/parsleydrift/placement/RunnerChoiceTest.java
@@ -10,7 +10,7 @@
 
 public class RunnerChoiceTest {
     private static Candidate candidate(String id, int load, boolean suspended) {
-        return new Candidate(new Runner(id, "s", "10.0.0.1:1", "z", 4, false), load, suspended);
+        return new Candidate(new Runner(id, "s", "10.0.0.1:1", "z", 4, false), load, suspended, id.startsWith("near"));
     }
 
     private static String choose(String warm, Candidate... candidates) {
@@ -30,6 +30,12 @@
         assertEquals(choose("a", candidate("a", 3, false), candidate("b", 1, false)), "b");
     }
 
+    @Test
+    public void amongEqualsTheNearOneGoesFirst() {
+        assertEquals(choose("", candidate("a", 1, false), candidate("near", 1, false), candidate("c", 1, false)), "near");
+        assertEquals(choose("", candidate("a", 0, false), candidate("near", 1, false)), "a");
+    }
+
     @Test
     public void fullRunnersGetNothing() {
         assertEquals(choose("a", candidate("a", 4, false)), "none");
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
@@ -27,10 +27,11 @@
 
     private final Registry registry;
     private final RandomGenerator random;
+    private final String zone;
     private final LongSupplier nanos;
     private final List<Entry> waiting = new ArrayList<>();
     private final Map<String, Integer> ownLoad = new HashMap<>();
-    private final Map<String, Map<String, Integer>> peerLoad = new HashMap<>();
+    private final Map<String, Map<Integer, Integer>> peerLoad = new HashMap<>();
     private final Map<String, RunnerHealth> health = new HashMap<>();
     private long arrivals;
 
@@ -39,11 +40,13 @@
      *
      * @param registry knows the runners
      * @param random breaks ties
+     * @param zone this node's availability zone
      * @param nanos the loop's clock
      */
-    public Dispatcher(Registry registry, RandomGenerator random, LongSupplier nanos) {
+    public Dispatcher(Registry registry, RandomGenerator random, String zone, LongSupplier nanos) {
         this.registry = registry;
         this.random = random;
+        this.zone = zone;
         this.nanos = nanos;
     }
 
@@ -60,9 +63,9 @@
      * Takes in what another node has at each runner.
      *
      * @param node the node
-     * @param load numbers by runner id; empty for a node that is gone
+     * @param load numbers by the hash of the runner's id; empty for a node that is gone
      */
-    public void peerLoad(String node, Map<String, Integer> load) {
+    public void peerLoad(String node, Map<Integer, Integer> load) {
         peerLoad.put(node, Map.copyOf(load));
         dispatch();
     }
@@ -133,11 +136,14 @@
 
     private Candidate candidate(Runner runner, long now) {
         int peers = peerLoad.values().stream()
-                .mapToInt(load -> load.getOrDefault(runner.id(), 0))
+                .mapToInt(load -> load.getOrDefault(runner.id().hashCode(), 0))
                 .sum();
         RunnerHealth known = health.get(runner.id());
         return new Candidate(
-                runner, ownLoad.getOrDefault(runner.id(), 0) + peers, known != null && known.suspended(now));
+                runner,
+                ownLoad.getOrDefault(runner.id(), 0) + peers,
+                known != null && known.suspended(now),
+                runner.zone().equals(zone));
     }
 
     private record Entry(Waiter waiter, long arrival) {}
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DispatcherTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DispatcherTest.java
@@ -88,7 +88,7 @@
                 return new Runner(name, "s", "10.0.0.1:1", "z", SLOTS, content.length > 0);
             }
         });
-        dispatcher = new Dispatcher(registry, new Random(1), time::nanos);
+        dispatcher = new Dispatcher(registry, new Random(1), "z", time::nanos);
         registry.onChange(dispatcher::dispatch);
     }
 
@@ -117,7 +117,7 @@
     public void whatPeersHaveAtARunnerCounts() {
         runner("r1", false);
         runner("r2", false);
-        dispatcher.peerLoad("peer", Map.of("r1", SLOTS));
+        dispatcher.peerLoad("peer", Map.of("r1".hashCode(), SLOTS));
         Request request = new Request("a", 0, false);
         dispatcher.submit(request);
         assertEquals(request.runner.id(), "r2");
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -80,7 +80,7 @@
                 request -> CompletableFuture.failedFuture(
                         new StepException(Step.FORWARD, self.name(), "an entry node keeps no conversations")));
         stores = new ConversationClient(parts.loop, calls);
-        dispatcher = new Dispatcher(registry, parts.random, parts.loop.clock()::nanos);
+        dispatcher = new Dispatcher(registry, parts.random, settings.zone(), parts.loop.clock()::nanos);
         registry.onChange(dispatcher::dispatch);
         relay = new Relay(
                 parts.threads,
@@ -101,11 +101,14 @@
                 self,
                 dispatcher,
                 this::ready,
+                stores::reachesStores,
+                parts.random,
                 Map.of(
                         ObjectKind.RUNNERS,
                         followed(runners, registry::runnersChanged, runnerFollower),
                         ObjectKind.MANIFEST,
                         followed(manifests, registry::manifestChanged, manifestFollower)));
+        calls.overPeers(mesh::peerThatReachesStores);
         callers = new CallerServer(
                 parts.threads,
                 parts.loop,
@@ -182,7 +185,8 @@
     }
 
     private boolean ready() {
-        return !draining && registry.manifest().isPresent();
+        boolean cutOff = !stores.reachesStores() && !mesh.hearsAnyone() && mesh.hasKnownPeers();
+        return !draining && registry.manifest().isPresent() && !cutOff;
     }
 
     private void readiness(HttpExchange exchange) {
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
@@ -8,7 +8,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -31,9 +33,11 @@
 final class NodeMesh {
     private static final Logger LOG = System.getLogger(NodeMesh.class.getName());
     /** Period of status frames while the load changes; a burst doubles the load of a runner in about this time. */
-    private static final Duration STATUS_PERIOD = Duration.ofMillis(60);
+    private static final Duration STATUS_PERIOD = Duration.ofMillis(80);
     /** Status frames while nothing changes, in periods. */
-    private static final int QUIET_PERIODS = 5;
+    private static final int QUIET_PERIODS = 4;
+    /** Of so many status frames one tells the addresses too, for peers that don't know this node yet. */
+    private static final int FULL_EVERY = 8;
     /** A peer unheard for this long is not named to callers: three quiet status frames. */
     private static final Duration SILENT = Duration.ofSeconds(1);
     /** How long a peer's newer knowledge is waited for from the platform before the peer is asked. */
@@ -48,11 +52,14 @@
     private final NodeIdentity self;
     private final Dispatcher dispatcher;
     private final BooleanSupplier ready;
+    private final BooleanSupplier reachesStores;
+    private final RandomGenerator random;
     private final Map<ObjectKind, FollowedKind> followed;
     private final Map<String, Peer> peers = new HashMap<>();
     private Map<String, Integer> lastLoad = Map.of();
     private boolean lastReady;
     private int quiet;
+    private int told;
 
     NodeMesh(
             EventLoop loop,
@@ -60,12 +67,16 @@
             NodeIdentity self,
             Dispatcher dispatcher,
             BooleanSupplier ready,
+            BooleanSupplier reachesStores,
+            RandomGenerator random,
             Map<ObjectKind, FollowedKind> followed) {
         this.loop = loop;
         this.frames = frames;
         this.self = self;
         this.dispatcher = dispatcher;
         this.ready = ready;
+        this.reachesStores = reachesStores;
+        this.random = random;
         this.followed = Map.copyOf(followed);
     }
 
@@ -86,6 +97,7 @@
     private static final class Peer {
         private final NodeIdentity identity;
         private boolean ready;
+        private boolean reachesStores;
         private long heardNanos;
         private boolean heard;
         private final Map<ObjectKind, Long> aheadSince = new HashMap<>();
@@ -129,6 +141,23 @@
                 .toList();
     }
 
+    /** A peer, drawn by lot, that reaches the store VMs. */
+    Optional<String> peerThatReachesStores() {
+        List<String> links = peers.values().stream()
+                .filter(each -> each.reachesStores && alive(each))
+                .map(each -> each.identity.link())
+                .toList();
+        return links.isEmpty() ? Optional.empty() : Optional.of(links.get(random.nextInt(links.size())));
+    }
+
+    boolean hearsAnyone() {
+        return peers.values().stream().anyMatch(this::alive);
+    }
+
+    boolean hasKnownPeers() {
+        return !peers.isEmpty();
+    }
+
     /** Tells peers at once, outside the period. */
     void tellNow() {
         quiet = QUIET_PERIODS;
@@ -180,45 +209,52 @@
     private byte[] status(Map<String, Integer> load, boolean nowReady) {
         return encode(out -> {
             out.packByte(STATUS);
-            out.packString(self.name()).packString(self.zone());
-            out.packString(self.callers()).packString(self.link());
-            out.packBoolean(nowReady);
+            out.packString(self.name());
+            boolean full = told++ % FULL_EVERY == 0;
+            out.packBoolean(full);
+            if (full) {
+                out.packString(self.zone()).packString(self.callers()).packString(self.link());
+            }
+            out.packBoolean(nowReady).packBoolean(reachesStores.getAsBoolean());
             out.packMapHeader(followed.size());
             for (Map.Entry<ObjectKind, FollowedKind> each : followed.entrySet()) {
                 out.packString(each.getKey().name()).packLong(each.getValue().newestChange());
             }
             out.packMapHeader(load.size());
             for (Map.Entry<String, Integer> each : load.entrySet()) {
-                out.packString(each.getKey()).packInt(each.getValue());
+                // A runner's id as a hash: two that meet would only make a runner look busier than it is.
+                out.packInt(each.getKey().hashCode()).packInt(each.getValue());
             }
         });
     }
 
     private void takeStatus(MessageUnpacker in) throws IOException {
-        NodeIdentity sender =
-                new NodeIdentity(in.unpackString(), in.unpackString(), in.unpackString(), in.unpackString());
-        known(sender);
-        Peer peer = peers.get(sender.name());
+        String sender = in.unpackString();
+        if (in.unpackBoolean()) {
+            known(new NodeIdentity(sender, in.unpackString(), in.unpackString(), in.unpackString()));
+        }
+        Peer peer = peers.get(sender);
         if (peer == null) {
             return;
         }
         boolean nowReady = in.unpackBoolean();
         if (!peer.heard || peer.ready != nowReady) {
-            logPeer(nowReady ? "peer_ready" : "peer_not_ready", sender.name());
+            logPeer(nowReady ? "peer_ready" : "peer_not_ready", sender);
         }
         peer.ready = nowReady;
+        peer.reachesStores = in.unpackBoolean();
         peer.heard = true;
         peer.heardNanos = loop.clock().nanos();
         int kinds = in.unpackMapHeader();
         for (int i = 0; i < kinds; i++) {
             compare(peer, ObjectKind.valueOf(in.unpackString()), in.unpackLong());
         }
-        Map<String, Integer> load = new HashMap<>();
+        Map<Integer, Integer> load = new HashMap<>();
         int runners = in.unpackMapHeader();
         for (int i = 0; i < runners; i++) {
-            load.put(in.unpackString(), in.unpackInt());
+            load.merge(in.unpackInt(), in.unpackInt(), Integer::sum);
         }
-        dispatcher.peerLoad(sender.name(), load);
+        dispatcher.peerLoad(sender, load);
     }
 
     private void compare(Peer peer, ObjectKind kind, long newestChange) {
--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/NodeMeshTest.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/NodeMeshTest.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import org.parsleydrift.conversation.FrameSender;
 import org.parsleydrift.kernel.ManualEventLoop;
@@ -34,6 +35,7 @@
         private final List<SharedObject> learned = new ArrayList<>();
         private final ManualEventLoop loop = time.newLoop();
         private boolean ready = true;
+        private boolean reachesStores = true;
         private boolean cut;
         private NodeMesh mesh;
 
@@ -50,9 +52,16 @@
                     throw new UnsupportedOperationException();
                 }
             });
-            Dispatcher dispatcher = new Dispatcher(registry, new Random(1), time::nanos);
+            Dispatcher dispatcher = new Dispatcher(registry, new Random(1), "z", time::nanos);
             mesh = new NodeMesh(
-                    loop, sender(), identity, dispatcher, () -> ready, Map.of(ObjectKind.RUNNERS, followed()));
+                    loop,
+                    sender(),
+                    identity,
+                    dispatcher,
+                    () -> ready,
+                    () -> reachesStores,
+                    new Random(2),
+                    Map.of(ObjectKind.RUNNERS, followed()));
             mesh.start();
         }
 
@@ -153,4 +162,14 @@
         time.advance(Duration.ofMillis(1300));
         assertEquals(a.mesh.readyAddresses(), List.of("a:80"));
     }
+
+    /** A node that is cut off from the store VMs finds a peer that is not. */
+    @Test
+    public void namesAPeerThatReachesTheStores() {
+        Member a = members.get("a");
+        assertEquals(a.mesh.peerThatReachesStores(), Optional.of("b"));
+        members.get("b").reachesStores = false;
+        time.advance(Duration.ofMillis(500));
+        assertEquals(a.mesh.peerThatReachesStores(), Optional.empty());
+    }
 }
