--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaCalls.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaCalls.java
@@ -150,10 +150,12 @@
             return;
         }
         if (brokenSinceProbe.putIfAbsent(address, loop.clock().nanos()) == null) {
-            LOG.log(Logger.Level.INFO, () -> LogLine.of("store_path_broken")
-                    .with("store", address)
-                    .with("waited_ms", patience.toMillis())
-                    .toString());
+            LOG.log(
+                    Logger.Level.INFO,
+                    () -> LogLine.of("store_path_broken")
+                            .with("store", address)
+                            .with("waited_ms", patience.toMillis())
+                            .toString());
         }
         frames.reset(address);
         known.reply()
@@ -225,14 +227,15 @@
         });
     }
 
-    private void answer(
-            String to, Optional<String> via, long correlation, ReplicaReply reply, Throwable failure) {
+    private void answer(String to, Optional<String> via, long correlation, ReplicaReply reply, Throwable failure) {
         if (failure != null) {
             // The asker waits out its time and asks again; the line says why.
-            LOG.log(Logger.Level.WARNING, () -> LogLine.of("store_request_failed")
-                    .with("from", to)
-                    .failure(failure)
-                    .toString());
+            LOG.log(
+                    Logger.Level.WARNING,
+                    () -> LogLine.of("store_request_failed")
+                            .with("from", to)
+                            .failure(failure)
+                            .toString());
             return;
         }
         byte[] frame = encode(out -> {
--- a/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/OverPeersTest.java
+++ b/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/OverPeersTest.java
@@ -24,7 +24,9 @@
         long begun = cluster.time.nanos();
         BeginResult second = cluster.await(entry.begin(StoreCluster.begin("p", "r2", 1000, 10, "")));
         assertTrue(second instanceof BeginResult.Granted, second.toString());
-        assertTrue(cluster.time.nanos() - begun < Duration.ofMillis(30).toNanos(), "known paths that are broken cost time");
+        assertTrue(
+                cluster.time.nanos() - begun < Duration.ofMillis(30).toNanos(),
+                "known paths that are broken cost time");
         cluster.keepTurn(entry, "r2", "", "one", "x");
         cluster.heal("e");
         cluster.run(Duration.ofSeconds(1));
--- a/parsleydrift-placement/src/test/java/org/parsleydrift/placement/RunnerChoiceTest.java
+++ b/parsleydrift-placement/src/test/java/org/parsleydrift/placement/RunnerChoiceTest.java
@@ -32,7 +32,8 @@
 
     @Test
     public void amongEqualsTheNearOneGoesFirst() {
-        assertEquals(choose("", candidate("a", 1, false), candidate("near", 1, false), candidate("c", 1, false)), "near");
+        assertEquals(
+                choose("", candidate("a", 1, false), candidate("near", 1, false), candidate("c", 1, false)), "near");
         assertEquals(choose("", candidate("a", 0, false), candidate("near", 1, false)), "a");
     }
 
--- a/parsleydrift-standin/src/main/java/org/parsleydrift/standin/StandInMain.java
+++ b/parsleydrift-standin/src/main/java/org/parsleydrift/standin/StandInMain.java
@@ -14,7 +14,7 @@
 import org.parsleydrift.wire.HttpServer;
 import org.parsleydrift.wire.NetworkThreads;
 
-/** Runs one stand-in as a process: {@code platform}, {@code engine} or {@code tool}. */
+/** Runs one stand-in as a process: {@code platform}, {@code engine}, {@code tool}, {@code objects} or {@code runner}. */
 public final class StandInMain {
     private static final int MAX_CONNECTIONS = 4096;
     private static final int USAGE = 2;
@@ -29,7 +29,7 @@
      */
     public static void main(String[] arguments) throws Exception {
         OptionParser parser = new OptionParser();
-        OptionSpec<String> kind = parser.nonOptions("platform, engine or tool");
+        OptionSpec<String> kind = parser.nonOptions("platform, engine, tool, objects or runner");
         OptionSpec<Integer> port = parser.accepts("port", "port on 127.0.0.1")
                 .withRequiredArg()
                 .ofType(Integer.class)
@@ -69,6 +69,8 @@
                 Duration takes = Duration.ofMillis(options.valueOf(latency));
                 yield new ToolServer(new StandInTool(name, loop, random, takes), loop);
             }
+            case "objects" -> new SharedObjectsServer(new InMemorySharedObjects(loop, Duration.ofMillis(1)), loop);
+            case "runner" -> new RunnerServer(name, loop);
             default -> null;
         };
         if (handler == null) {
--- a/parsleydrift-wire/src/main/java/org/parsleydrift/wire/HttpExchange.java
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/HttpExchange.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -28,6 +29,7 @@
     private final String method;
     private final QueryStringDecoder target;
     private final byte[] body;
+    private final HttpHeaders headers;
     private final boolean keepAlive;
     private final AtomicBoolean ended = new AtomicBoolean();
 
@@ -36,6 +38,7 @@
         this.method = request.method().name();
         this.target = new QueryStringDecoder(request.uri());
         this.body = ByteBufUtil.getBytes(request.content());
+        this.headers = request.headers();
         this.keepAlive = HttpUtil.isKeepAlive(request);
     }
 
@@ -69,6 +72,17 @@
         return parameters.containsKey(name) ? parameters.get(name).getFirst() : fallback;
     }
 
+    /**
+     * A header of the request.
+     *
+     * @param name its name
+     * @param fallback what to give if it is absent
+     * @return its value
+     */
+    public String header(String name, String fallback) {
+        return headers.get(name, fallback);
+    }
+
     /**
      * The request's body.
      *
@@ -141,11 +155,22 @@
      * @param contentType the body's type
      */
     public void beginStream(String contentType) {
+        beginStream(contentType, Map.of());
+    }
+
+    /**
+     * Begins an answer that comes piece by piece.
+     *
+     * @param contentType the body's type
+     * @param more further headers
+     */
+    public void beginStream(String contentType, Map<String, String> more) {
         var response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
         response.headers()
                 .set(HttpHeaderNames.CONTENT_TYPE, contentType)
                 .set(HttpHeaderNames.CACHE_CONTROL, HttpHeaderValues.NO_CACHE)
                 .set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        more.forEach((name, value) -> response.headers().set(name, value));
         channel.writeAndFlush(response);
     }
 
