--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Relay.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Relay.java
@@ -1,6 +1,8 @@
 package org.parsleydrift.relay;
 
 import io.micrometer.core.instrument.MeterRegistry;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.parsleydrift.conversation.Conversations;
@@ -18,6 +20,7 @@
     private final RelayDialect dialect;
     private final RandomGenerator random;
     private final RelayMeters meters;
+    private final List<RelayedRequest> awaitingManifest = new ArrayList<>();
     private int open;
 
     /**
@@ -49,6 +52,7 @@
         this.dialect = dialect;
         this.random = random;
         this.meters = new RelayMeters(meters);
+        registry.onChange(this::registryChanged);
     }
 
     @Override
@@ -69,6 +73,19 @@
         return open;
     }
 
+    void awaitManifest(RelayedRequest request) {
+        awaitingManifest.add(request);
+    }
+
+    private void registryChanged() {
+        if (registry.manifest().isPresent() && !awaitingManifest.isEmpty()) {
+            List<RelayedRequest> waiting = List.copyOf(awaitingManifest);
+            awaitingManifest.clear();
+            waiting.stream().filter(RelayedRequest::starting).forEach(RelayedRequest::start);
+        }
+        dispatcher.dispatch();
+    }
+
     void ended() {
         open--;
     }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayLimits.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayLimits.java
@@ -22,7 +22,16 @@
     /** Wait for the note of tokens of a turn that is not kept; it goes on in the background. */
     static final Duration SETTLE_WAIT = Duration.ofMillis(250);
 
-    /** When to come back to a node that knows no manifest yet: it lists in a fraction of a second. */
+    /**
+     * Longest wait of a request at a node that has just started and knows no manifest yet. It lists in some 300 ms. Callers
+     * try once or twice more at all; a refusal at once uses these tries up while the node starts.
+     */
+    static final Duration START_WAIT = Duration.ofMillis(800);
+
+    /** Share of the time left for which a request waits for the first manifest. */
+    static final double START_SHARE = 0.3;
+
+    /** When to come back to a node that still knows no manifest. */
     static final Duration COME_BACK_START = Duration.ofMillis(200);
 
     /** When to come back after the store VMs could not answer: an epoch change takes some tens of ms. */
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -53,6 +53,7 @@
 
     /** Where a request is. */
     private enum Stage {
+        STARTING,
         MATCHED,
         BEGINNING,
         WAITING,
@@ -73,9 +74,10 @@
     void start() {
         Optional<RoutingManifest> manifest = relay.registry().manifest();
         if (manifest.isEmpty()) {
-            refuse("no manifest known yet", RelayLimits.COME_BACK_START);
+            waitForManifest();
             return;
         }
+        stage = Stage.MATCHED;
         manifestVersion = manifest.get().version();
         Optional<Route> match = manifest.get().match(request.host(), request.target());
         if (match.isEmpty()) {
@@ -92,7 +94,7 @@
                 route.timeout().toMillis(),
                 facts.deadlineMillis().orElse(route.timeout().toMillis()));
         endNanos = startNanos + Duration.ofMillis(most).toNanos();
-        timeout = relay.loop().schedule(Duration.ofMillis(Math.max(0, most)), this::timedOut);
+        timeout = relay.loop().schedule(Duration.ofMillis(leftMillis()), this::timedOut);
         if (isTurn()) {
             begin();
         } else {
@@ -100,6 +102,23 @@
         }
     }
 
+    /** Whether it waits for the first manifest. */
+    boolean starting() {
+        return stage == Stage.STARTING;
+    }
+
+    private void waitForManifest() {
+        stage = Stage.STARTING;
+        long left = facts == null ? 0 : facts.deadlineMillis().orElse(RelayLimits.START_WAIT.toMillis());
+        long most = Math.min((long) (left * RelayLimits.START_SHARE), RelayLimits.START_WAIT.toMillis());
+        queueTimer = relay.loop().schedule(Duration.ofMillis(most), () -> {
+            if (starting()) {
+                refuse("no manifest known yet", RelayLimits.COME_BACK_START);
+            }
+        });
+        relay.awaitManifest(this);
+    }
+
     /** The caller has left: nothing of the request may go on. */
     void callerGone() {
         if (stage == Stage.ENDED || stage == Stage.COMMITTING) {
@@ -363,7 +382,7 @@
 
     private void timedOut() {
         switch (stage) {
-            case ENDED, MATCHED -> {}
+            case ENDED, STARTING, MATCHED -> {}
             case BEGINNING -> refuse("time over before the turn began", RelayLimits.COME_BACK_STORES);
             case WAITING -> {
                 relay.dispatcher().withdraw(this);
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -81,7 +81,6 @@
                         new StepException(Step.FORWARD, self.name(), "an entry node keeps no conversations")));
         stores = new ConversationClient(parts.loop, calls);
         dispatcher = new Dispatcher(registry, parts.random, settings.zone(), parts.loop.clock()::nanos);
-        registry.onChange(dispatcher::dispatch);
         relay = new Relay(
                 parts.threads,
                 parts.loop,
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/ProcessParts.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/ProcessParts.java
@@ -3,6 +3,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.util.ServiceLoader;
+import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
 import org.parsleydrift.kernel.Step;
 import org.parsleydrift.kernel.StepException;
@@ -21,16 +22,21 @@
     /** Connections of whoever reads metrics; a few at most. */
     private static final int METRICS_CONNECTIONS = 16;
 
+    /** Spreads the seeds of VMs that start in the same millisecond. */
+    private static final long PRIME = 1_000_003L;
+
     final RoleSettings settings;
     final NetworkThreads threads = new NetworkThreads("net", 1);
     final NetworkLoop loop = new NetworkLoop(threads, new SystemClock());
-    final RandomGenerator random = new java.security.SecureRandom();
+    final RandomGenerator random;
     final PrometheusMeterRegistry meters = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     final OutsideInterface outside;
     final SharedObjects objects;
 
     ProcessParts(RoleSettings settings) {
         this.settings = settings;
+        // Ties and pauses only; a secure generator would lengthen the start.
+        this.random = new SplittableRandom(settings.vm().hashCode() * PRIME + loop.clock().instant().toEpochMilli());
         this.outside = ServiceLoader.load(OutsideInterface.class).stream()
                 .map(ServiceLoader.Provider::get)
                 .filter(each -> each.name().equals(settings.outside()))
