The other one of two is given up after 0.7 s of silence

Ruled out: a shorter limit for larger sets; they go on without the silent member, and a restart takes a second. Change: 0.7 s for a set of two.

--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/StoreSetKeeper.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/StoreSetKeeper.java
@@ -36,6 +36,8 @@
      * that a replacement counts again before the next disk may be lost.
      */
     private static final Duration SILENT_LONG = Duration.ofMillis(1500);
+    /** The same for the other one of two, ms: no turn begins or ends meanwhile, and a mistake costs one more change. */
+    private static final Duration SILENT_OF_TWO = Duration.ofMillis(700);
 
     private final EventLoop loop;
     private final SharedObjects objects;
@@ -159,10 +161,11 @@
                 .map(StoreMember::disk)
                 .filter(disk -> completeEpochs.getOrDefault(disk, 0L) >= set.epoch())
                 .collect(Collectors.toSet());
+        long limit = (set.members().size() == 2 ? SILENT_OF_TWO : SILENT_LONG).toNanos();
         Set<String> silent = set.members().stream()
                 .map(StoreMember::disk)
                 .filter(disk -> !disk.equals(replica.disk()))
-                .filter(disk -> now - answeredAt.computeIfAbsent(disk, any -> now) > SILENT_LONG.toNanos())
+                .filter(disk -> now - answeredAt.computeIfAbsent(disk, any -> now) > limit)
                 .collect(Collectors.toSet());
         Set<String> alive = set.members().stream()
                 .map(StoreMember::disk)
