--- /dev/null
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/ScriptedRunner.java
@@ -0,0 +1,113 @@
+package org.parsleydrift.relay;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Function;
+import org.parsleydrift.registry.Runner;
+
+/** A runner that answers as a test says. */
+final class ScriptedRunner implements AutoCloseable {
+    /** Closes with a reset instead of an answer. */
+    static final String RESET = "reset";
+    /** Never answers; the connection stays open. */
+    static final String SILENCE = "silence";
+
+    final List<String> requests = new CopyOnWriteArrayList<>();
+    final CountDownLatch left = new CountDownLatch(1);
+    private final ServerSocket listener;
+    private final String id;
+    private final Function<String, String> script;
+
+    ScriptedRunner(String id, Function<String, String> script) throws IOException {
+        this.id = id;
+        this.script = script;
+        this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        Thread acceptor = new Thread(this::accept, id);
+        acceptor.setDaemon(true);
+        acceptor.start();
+    }
+
+    Runner entry() {
+        return new Runner(id, "s", "127.0.0.1:" + listener.getLocalPort(), "z", 4, false);
+    }
+
+    static String answer(String status, String request, String more, String body) {
+        return "HTTP/1.1 " + status + "\r\nParsleydrift-Request: " + header(request, "Parsleydrift-Request") + "\r\n"
+                + more + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    static String header(String request, String name) {
+        return request.lines()
+                .filter(line -> line.regionMatches(true, 0, name + ":", 0, name.length() + 1))
+                .map(line -> line.substring(name.length() + 1).trim())
+                .findFirst()
+                .orElse("");
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = listener.accept();
+                Thread thread = new Thread(() -> serve(socket), id + "-connection");
+                thread.setDaemon(true);
+                thread.start();
+            }
+        } catch (IOException closed) {
+            // The test has ended.
+            return;
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            InputStream in = socket.getInputStream();
+            for (String request = read(in); !request.isEmpty(); request = read(in)) {
+                requests.add(request);
+                String reply = script.apply(request);
+                if (reply.equals(RESET)) {
+                    socket.setSoLinger(true, 0);
+                    return;
+                }
+                if (!reply.equals(SILENCE)) {
+                    socket.getOutputStream().write(reply.getBytes(ISO_8859_1));
+                }
+            }
+            left.countDown();
+        } catch (IOException closed) {
+            left.countDown();
+        }
+    }
+
+    /** Reads a request with its body; empty at the end of the connection. */
+    private static String read(InputStream in) {
+        try {
+            StringBuilder text = new StringBuilder();
+            while (text.indexOf("\r\n\r\n") < 0) {
+                int next = in.read();
+                if (next < 0) {
+                    return "";
+                }
+                text.append((char) next);
+            }
+            String length = header(text.toString(), "Content-Length");
+            byte[] body = in.readNBytes(length.isEmpty() ? 0 : Integer.parseInt(length));
+            return text + new String(body, ISO_8859_1);
+        } catch (IOException fault) {
+            throw new UncheckedIOException(fault);
+        }
+    }
+}
--- a/parsleydrift-standin/src/main/java/org/parsleydrift/standin/EngineServer.java
+++ b/parsleydrift-standin/src/main/java/org/parsleydrift/standin/EngineServer.java
@@ -13,15 +13,12 @@
 import org.parsleydrift.kernel.upstream.TurnRequest;
 import org.parsleydrift.kernel.upstream.TurnResult;
 import org.parsleydrift.wire.HttpExchange;
-import org.parsleydrift.wire.HttpHandler;
 
 /** A stand-in engine over HTTP: turns as lines of JSON, each naming its stream (docs/design/standins.md). */
-public final class EngineServer implements HttpHandler {
-    private static final String JSON = "application/json";
+public final class EngineServer extends JsonServer {
     private static final String LINES = "application/x-ndjson";
 
     private final StandInEngine engine;
-    private final EventLoop loop;
 
     /**
      * Makes a server.
@@ -30,22 +27,12 @@
      * @param loop the engine's loop
      */
     public EngineServer(StandInEngine engine, EventLoop loop) {
+        super(loop);
         this.engine = engine;
-        this.loop = loop;
     }
 
     @Override
-    public void handle(HttpExchange exchange) {
-        loop.execute(() -> {
-            try {
-                serve(exchange);
-            } catch (JsonProcessingException fault) {
-                exchange.respond(400, JSON, "{}", Map.of());
-            }
-        });
-    }
-
-    private void serve(HttpExchange exchange) throws JsonProcessingException {
+    void serve(HttpExchange exchange) throws JsonProcessingException {
         switch (exchange.method() + " " + exchange.path()) {
             case "POST /v1/turns" -> turn(exchange);
             case "DELETE /v1/memory" -> {
@@ -81,7 +68,7 @@
                     exchange.write(line(request, Map.of("text", text)));
                 },
                 done);
-        exchange.onClose(() -> loop.execute(stream::cancel));
+        exchange.onClose(() -> loop().execute(stream::cancel));
         done.whenComplete((result, failure) -> {
             if (failure == null) {
                 begin.run();
--- a/parsleydrift-standin/src/main/java/org/parsleydrift/standin/SharedObjectsServer.java
+++ b/parsleydrift-standin/src/main/java/org/parsleydrift/standin/SharedObjectsServer.java
@@ -19,12 +19,10 @@
 import org.parsleydrift.registry.ObjectKind;
 import org.parsleydrift.registry.SharedObject;
 import org.parsleydrift.wire.HttpExchange;
-import org.parsleydrift.wire.HttpHandler;
 
 /** The users' platform over HTTP, as far as the product calls it: objects with revisions, conditions and watches. */
-public final class SharedObjectsServer implements HttpHandler {
+public final class SharedObjectsServer extends JsonServer {
     private static final ObjectMapper MAPPER = new ObjectMapper();
-    private static final String JSON = "application/json";
     private static final String ROOT = "/objects/";
     private static final Map<String, ObjectKind> KINDS = Map.of(
             "config", ObjectKind.MANIFEST,
@@ -34,7 +32,6 @@
             "retirements", ObjectKind.RETIREMENTS);
 
     private final InMemorySharedObjects objects;
-    private final EventLoop loop;
 
     /**
      * Makes a server.
@@ -43,27 +40,21 @@
      * @param loop the loop that owns them
      */
     public SharedObjectsServer(InMemorySharedObjects objects, EventLoop loop) {
+        super(loop);
         this.objects = objects;
-        this.loop = loop;
     }
 
     @Override
-    public void handle(HttpExchange exchange) {
-        loop.execute(() -> {
-            List<String> parts = Arrays.stream(exchange.path().split("/", -1))
-                    .filter(each -> !each.isEmpty())
-                    .toList();
-            ObjectKind kind = exchange.path().startsWith(ROOT) && parts.size() >= 2 ? KINDS.get(parts.get(1)) : null;
-            if (kind == null) {
-                exchange.respond(404, JSON, "{}", Map.of());
-                return;
-            }
-            try {
-                serve(exchange, kind, parts.size() > 2 ? Optional.of(parts.get(2)) : Optional.empty());
-            } catch (JsonProcessingException fault) {
-                exchange.respond(400, JSON, "{}", Map.of());
-            }
-        });
+    void serve(HttpExchange exchange) throws JsonProcessingException {
+        List<String> parts = Arrays.stream(exchange.path().split("/", -1))
+                .filter(each -> !each.isEmpty())
+                .toList();
+        ObjectKind kind = exchange.path().startsWith(ROOT) && parts.size() >= 2 ? KINDS.get(parts.get(1)) : null;
+        if (kind == null) {
+            exchange.respond(404, JSON, NOTHING, Map.of());
+            return;
+        }
+        serve(exchange, kind, parts.size() > 2 ? Optional.of(parts.get(2)) : Optional.empty());
     }
 
     private void serve(HttpExchange exchange, ObjectKind kind, Optional<String> name) throws JsonProcessingException {
@@ -74,13 +65,13 @@
                 JsonNode revision = MAPPER.readTree(exchange.body()).at("/metadata/revision");
                 if (revision.isMissingNode()) {
                     objects.write(kind, name.orElseThrow(), spec(exchange));
-                    exchange.respond(200, JSON, "{}", Map.of());
+                    exchange.respond(200, JSON, NOTHING, Map.of());
                 } else {
                     write(exchange, kind, OptionalLong.of(revision.asLong()));
                 }
             }
-            case "DELETE" -> answer(exchange, objects.remove(kind, name.orElseThrow()), done -> "{}");
-            default -> exchange.respond(405, JSON, "{}", Map.of());
+            case "DELETE" -> answer(exchange, objects.remove(kind, name.orElseThrow()), done -> NOTHING);
+            default -> exchange.respond(405, JSON, NOTHING, Map.of());
         }
     }
 
@@ -93,7 +84,7 @@
         Duration wait = Duration.ofMillis(Long.parseLong(exchange.query("wait_ms", "0")));
         objects.watch(kind, Long.parseLong(after), wait).whenComplete((changes, failure) -> {
             if (failure != null) {
-                exchange.respond(410, JSON, "{}", Map.of());
+                exchange.respond(410, JSON, NOTHING, Map.of());
             } else {
                 exchange.respond(200, JSON, events(changes), Map.of());
             }
@@ -154,7 +145,7 @@
                 case ABSENT -> 404;
                 case UNKNOWN -> 500;
             };
-            exchange.respond(status, JSON, "{}", Map.of());
+            exchange.respond(status, JSON, NOTHING, Map.of());
         });
     }
 }
--- a/parsleydrift-standin/src/main/java/org/parsleydrift/standin/ToolServer.java
+++ b/parsleydrift-standin/src/main/java/org/parsleydrift/standin/ToolServer.java
@@ -6,14 +6,11 @@
 import org.parsleydrift.kernel.codec.JsonDocument;
 import org.parsleydrift.kernel.upstream.CallRequest;
 import org.parsleydrift.wire.HttpExchange;
-import org.parsleydrift.wire.HttpHandler;
 
 /** A stand-in tool or plain service over HTTP (docs/design/standins.md). */
-public final class ToolServer implements HttpHandler {
-    private static final String JSON = "application/json";
+public final class ToolServer extends JsonServer {
 
     private final StandInTool tool;
-    private final EventLoop loop;
 
     /**
      * Makes a server.
@@ -22,22 +19,12 @@
      * @param loop the tool's loop
      */
     public ToolServer(StandInTool tool, EventLoop loop) {
+        super(loop);
         this.tool = tool;
-        this.loop = loop;
     }
 
     @Override
-    public void handle(HttpExchange exchange) {
-        loop.execute(() -> {
-            try {
-                serve(exchange);
-            } catch (JsonProcessingException fault) {
-                exchange.respond(400, JSON, "{}", Map.of());
-            }
-        });
-    }
-
-    private void serve(HttpExchange exchange) throws JsonProcessingException {
+    void serve(HttpExchange exchange) throws JsonProcessingException {
         switch (exchange.method() + " " + exchange.path()) {
             case "POST /v1/calls" ->
                 tool.call(JsonDocument.MAPPER.readValue(exchange.body(), CallRequest.class))
