Links between processes acknowledge; one codec for frames written by hand

Cause: found by reading: a connection that goes silent one way is never replaced, since its sender hears the answers on another connection; store replies or peers' states would be lost for good. Two modules had the same frame writer. Ruled out: keep-alive probes of the kernel, which rest while data waits; TCP_USER_TIMEOUT, which NIO lacks. Change: receivers acknowledge what came within 50 ms; after 1 s without, the next frame opens a new connection. MessagePackFrames in the kernel; 'budget_spent' tells how much was generated.

--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationCodec.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationCodec.java
@@ -4,44 +4,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import org.msgpack.core.MessageBufferPacker;
-import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
-import org.parsleydrift.kernel.Step;
-import org.parsleydrift.kernel.StepException;
+import org.parsleydrift.kernel.codec.MessagePackFrames;
 
 /** MessagePack of all that goes between entry nodes and store VMs, and to disk. Written by hand: no reflection at start. */
 final class ConversationCodec {
     private ConversationCodec() {}
 
-    /** Writes one value. */
-    interface Writer {
-        void write(MessagePacker out) throws IOException;
-    }
-
-    /** Reads one value. */
-    interface Reader<T> {
-        T read(MessageUnpacker in) throws IOException;
-    }
-
-    static byte[] encode(Writer writer) {
-        try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
-            writer.write(out);
-            return out.toByteArray();
-        } catch (IOException fault) {
-            throw new StepException(Step.PARSE, "self", "cannot encode: " + fault.getMessage());
-        }
-    }
-
-    static <T> T decode(byte[] bytes, Reader<T> reader) {
-        try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
-            return reader.read(in);
-        } catch (IOException | RuntimeException fault) {
-            throw new StepException(Step.PARSE, "peer", "bad frame: " + fault.getMessage());
-        }
-    }
-
     static void request(MessagePacker out, ReplicaRequest request) throws IOException {
         switch (request) {
             case ReplicaRequest.Write write -> {
@@ -186,7 +156,7 @@
         }
     }
 
-    static <T> List<T> list(MessageUnpacker in, Reader<T> reader) throws IOException {
+    static <T> List<T> list(MessageUnpacker in, MessagePackFrames.Reader<T> reader) throws IOException {
         int size = in.unpackArrayHeader();
         List<T> values = new ArrayList<>();
         for (int i = 0; i < size; i++) {
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/Conversations.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/Conversations.java
@@ -44,7 +44,7 @@
         int generated = spent.atLeast(begin.program());
         if (begin.budget().isPresent()
                 && generated + begin.mostTokens() > begin.budget().getAsInt()) {
-            return CompletableFuture.completedFuture(new BeginResult.Spent(generated));
+            return CompletableFuture.completedFuture(new BeginResult.Spent(generated, generated));
         }
         CompletableFuture<Void> reserved = begin.budget().isEmpty()
                 ? CompletableFuture.completedFuture(null)
@@ -128,7 +128,7 @@
                 .sum();
         if (begin.budget().isPresent()
                 && counted + begin.mostTokens() > begin.budget().getAsInt()) {
-            return CompletableFuture.completedFuture(new BeginResult.Spent(counted));
+            return CompletableFuture.completedFuture(new BeginResult.Spent(counted, spent.atLeast(begin.program())));
         }
         String lastRunner = found.grants().values().stream()
                 .filter(each -> each.state() == GrantState.SETTLED)
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/HeldRecords.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/HeldRecords.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.parsleydrift.kernel.codec.MessagePackFrames;
 
 /** Turns and grants that a store VM holds, as in its log. Confined to one loop. */
 final class HeldRecords {
@@ -33,7 +34,7 @@
         if (until < nowMillis) {
             return;
         }
-        ConversationCodec.decode(entry.bytes(), in -> {
+        MessagePackFrames.decode(entry.bytes(), in -> {
             byte type = in.unpackByte();
             switch (type) {
                 case TURN -> keep(ConversationCodec.turn(in), until);
@@ -139,7 +140,7 @@
 
     private static DurableLog.Entry entry(Turn turn, long until) {
         return new DurableLog.Entry(
-                ConversationCodec.encode(out -> {
+                MessagePackFrames.encode(out -> {
                     out.packByte(TURN);
                     ConversationCodec.turn(out, turn);
                 }),
@@ -148,7 +149,7 @@
 
     private static DurableLog.Entry entry(Grant grant, long until) {
         return new DurableLog.Entry(
-                ConversationCodec.encode(out -> {
+                MessagePackFrames.encode(out -> {
                     out.packByte(GRANT);
                     ConversationCodec.grant(out, grant);
                 }),
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaCalls.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaCalls.java
@@ -15,6 +15,7 @@
 import org.parsleydrift.kernel.LoopTimer;
 import org.parsleydrift.kernel.Step;
 import org.parsleydrift.kernel.StepException;
+import org.parsleydrift.kernel.codec.MessagePackFrames;
 
 /**
  * Requests to store VMs and their replies, over frames. Confined to one loop. A request without a reply in its time
@@ -129,7 +130,7 @@
      * @throws StepException if it is none of ours
      */
     public void receive(byte[] frame) {
-        ConversationCodec.decode(frame, in -> {
+        MessagePackFrames.decode(frame, in -> {
             byte type = in.unpackByte();
             switch (type) {
                 case REQUEST -> takeRequest(in, Optional.empty());
@@ -203,7 +204,7 @@
     }
 
     private void takeHandedOn(String via, byte[] request) {
-        ConversationCodec.decode(request, in -> {
+        MessagePackFrames.decode(request, in -> {
             if (in.unpackByte() == REQUEST) {
                 takeRequest(in, Optional.of(via));
             }
@@ -219,7 +220,7 @@
     }
 
     private void takeHandedBack(byte[] reply) {
-        ConversationCodec.decode(reply, in -> {
+        MessagePackFrames.decode(reply, in -> {
             if (in.unpackByte() == REPLY) {
                 takeReply(in, false);
             }
@@ -252,8 +253,8 @@
         }
     }
 
-    private static byte[] encode(ConversationCodec.Writer writer) {
-        return ConversationCodec.encode(writer);
+    private static byte[] encode(MessagePackFrames.Writer writer) {
+        return MessagePackFrames.encode(writer);
     }
 
     private static void bytes(MessagePacker out, byte[] bytes) throws IOException {
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaState.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaState.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.parsleydrift.kernel.codec.MessagePackFrames;
 
 /**
  * What a store VM knows of itself across restarts.
@@ -16,14 +17,14 @@
     }
 
     byte[] encode() {
-        return ConversationCodec.encode(out -> {
+        return MessagePackFrames.encode(out -> {
             out.packString(disk).packLong(completeEpoch);
             ConversationCodec.list(out, adopted.stream().toList(), ConversationCodec::set);
         });
     }
 
     static ReplicaState decode(byte[] bytes) {
-        return ConversationCodec.decode(bytes, in -> {
+        return MessagePackFrames.decode(bytes, in -> {
             String disk = in.unpackString();
             long complete = in.unpackLong();
             List<StoreSet> sets = ConversationCodec.list(in, ConversationCodec::set);
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -345,6 +345,7 @@
                         Logger.Level.INFO,
                         () -> line("budget_spent")
                                 .with("counted", spent.counted())
+                                .with("generated", spent.generated())
                                 .with("most", facts.mostTokens())
                                 .with("budget", facts.budget().orElse(0))
                                 .toString());
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
@@ -12,14 +12,11 @@
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
-import org.msgpack.core.MessageBufferPacker;
-import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
 import org.parsleydrift.conversation.FrameSender;
 import org.parsleydrift.kernel.EventLoop;
 import org.parsleydrift.kernel.LogLine;
-import org.parsleydrift.kernel.Step;
-import org.parsleydrift.kernel.StepException;
+import org.parsleydrift.kernel.codec.MessagePackFrames;
 import org.parsleydrift.registry.ObjectChanges;
 import org.parsleydrift.registry.ObjectKind;
 import org.parsleydrift.registry.SharedObject;
@@ -166,7 +163,7 @@
 
     /** Takes in a frame; gives whether it was one of the mesh. */
     boolean receive(byte[] frame) {
-        try (MessageUnpacker in = MessagePack.newDefaultUnpacker(frame)) {
+        return MessagePackFrames.decode(frame, in -> {
             byte type = in.unpackByte();
             switch (type) {
                 case STATUS -> takeStatus(in);
@@ -177,9 +174,7 @@
                 }
             }
             return true;
-        } catch (IOException fault) {
-            throw new StepException(Step.PARSE, "peer", "bad frame: " + fault.getMessage());
-        }
+        });
     }
 
     private void tell() {
@@ -207,7 +202,7 @@
     }
 
     private byte[] status(Map<String, Integer> load, boolean nowReady) {
-        return encode(out -> {
+        return MessagePackFrames.encode(out -> {
             out.packByte(STATUS);
             out.packString(self.name());
             boolean full = told++ % FULL_EVERY == 0;
@@ -269,7 +264,8 @@
             peer.aheadSince.remove(kind);
             frames.send(
                     peer.identity.link(),
-                    encode(out -> out.packByte(FETCH).packString(self.link()).packString(kind.name())));
+                    MessagePackFrames.encode(
+                            out -> out.packByte(FETCH).packString(self.link()).packString(kind.name())));
         }
     }
 
@@ -279,7 +275,7 @@
             return;
         }
         List<SharedObject> present = own.present();
-        frames.send(asker, encode(out -> {
+        frames.send(asker, MessagePackFrames.encode(out -> {
             out.packByte(OBJECTS).packString(kind.name()).packLong(own.asOf()).packLong(own.newestChange());
             out.packArrayHeader(present.size());
             for (SharedObject each : present) {
@@ -319,17 +315,4 @@
     private static void logPeer(String event, String peer) {
         LOG.log(Logger.Level.INFO, () -> LogLine.of(event).with("peer", peer).toString());
     }
-
-    private interface Writer {
-        void write(MessageBufferPacker out) throws IOException;
-    }
-
-    private static byte[] encode(Writer writer) {
-        try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
-            writer.write(out);
-            return out.toByteArray();
-        } catch (IOException fault) {
-            throw new StepException(Step.PARSE, "self", "cannot encode: " + fault.getMessage());
-        }
-    }
 }
--- a/parsleydrift-wire/src/main/java/org/parsleydrift/wire/FrameLinks.java
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/FrameLinks.java
@@ -7,6 +7,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -14,16 +15,22 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.util.ReferenceCountUtil;
 import java.lang.System.Logger;
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.parsleydrift.kernel.LogLine;
 
 /**
  * One-way frames between nodes over TCP: four bytes of length, then the frame. Each node opens one connection to each
  * peer it sends to. Delivery is best effort; senders notice loss by timeouts of their own.
+ *
+ * <p>A connection may go silent for good while new ones work. The sender can't tell from what it hears, since answers come
+ * on another connection; so each receiver acknowledges, and a sender that hears no acknowledgement opens a new connection
+ * with its next frame.
  */
 public final class FrameLinks implements AutoCloseable {
     private static final Logger LOG = System.getLogger(FrameLinks.class.getName());
@@ -31,6 +38,10 @@
     private static final int MAX_FRAME_BYTES = 4 << 20;
     private static final int MAX_UNSENT_BYTES = 16 << 20;
     private static final int CONNECT_MILLIS = 1000;
+    /** Acknowledgements are gathered for this long, ms, so that a run of frames costs one. */
+    private static final long ACKNOWLEDGE_MILLIS = 50;
+    /** Without an acknowledgement for this long, ms, a connection counts as silent: some twenty times the usual. */
+    private static final long SILENT_MILLIS = 1000;
 
     private final Channel listener;
     private final Bootstrap outbound;
@@ -70,7 +81,9 @@
                 .handler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new LengthFieldPrepender(LENGTH_BYTES));
+                        channel.pipeline()
+                                .addLast(new LengthFieldPrepender(LENGTH_BYTES))
+                                .addLast(new Acknowledgements());
                     }
                 });
     }
@@ -137,12 +150,46 @@
             reset(address);
             return;
         }
+        Acknowledgements acknowledgements = channel.pipeline().get(Acknowledgements.class);
+        if (acknowledgements != null && acknowledgements.missing(channel)) {
+            LOG.log(
+                    Logger.Level.INFO,
+                    () -> LogLine.of("link_silent").with("to", address).toString());
+            reset(address);
+            send(address, frame);
+            return;
+        }
         channel.writeAndFlush(Unpooled.wrappedBuffer(frame));
     }
 
+    /** What the other end of an outgoing connection has acknowledged. */
+    private static final class Acknowledgements extends ChannelInboundHandlerAdapter {
+        private static final long NONE = Long.MIN_VALUE;
+
+        private volatile long unacknowledgedSince = NONE;
+
+        /** Notes a write; gives whether an earlier one has gone without an acknowledgement for too long. */
+        private boolean missing(Channel channel) {
+            long now = channel.eventLoop().ticker().nanoTime();
+            long since = unacknowledgedSince;
+            if (since == NONE) {
+                unacknowledgedSince = now;
+                return false;
+            }
+            return now - since > TimeUnit.MILLISECONDS.toNanos(SILENT_MILLIS);
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            ReferenceCountUtil.release(message);
+            unacknowledgedSince = NONE;
+        }
+    }
+
     /** Hands frames on; one connection's bad frame disturbs no other connection. */
     private static final class Receiver extends SimpleChannelInboundHandler<ByteBuf> {
         private final Consumer<byte[]> receiver;
+        private boolean acknowledging;
 
         private Receiver(Consumer<byte[]> receiver) {
             this.receiver = receiver;
@@ -152,9 +199,18 @@
         protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
             byte[] bytes = new byte[frame.readableBytes()];
             frame.readBytes(bytes);
+            if (!acknowledging) {
+                acknowledging = true;
+                context.executor().schedule(() -> acknowledge(context), ACKNOWLEDGE_MILLIS, TimeUnit.MILLISECONDS);
+            }
             receiver.accept(bytes);
         }
 
+        private void acknowledge(ChannelHandlerContext context) {
+            acknowledging = false;
+            context.writeAndFlush(Unpooled.wrappedBuffer(new byte[] {1}));
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             LOG.log(
--- /dev/null
+++ b/parsleydrift-wire/src/test/java/org/parsleydrift/wire/FrameLinksTest.java
@@ -0,0 +1,111 @@
+package org.parsleydrift.wire;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.testng.annotations.Test;
+
+/** Links between processes whose connections go silent. */
+public class FrameLinksTest {
+    private static final int PATIENCE_SECONDS = 20;
+    private static final int PAUSE_MILLIS = 100;
+
+    /** Passes bytes on in both ways; what it has connected so far can be silenced, later connections work. */
+    private static final class SilencingProxy implements AutoCloseable {
+        private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        private final int target;
+        private final AtomicInteger generation = new AtomicInteger();
+
+        private SilencingProxy(int target) throws IOException {
+            this.target = target;
+            start(this::accept);
+        }
+
+        private String address() {
+            return "127.0.0.1:" + listener.getLocalPort();
+        }
+
+        private void silence() {
+            generation.incrementAndGet();
+        }
+
+        private void accept() {
+            try {
+                while (true) {
+                    Socket in = listener.accept();
+                    Socket out = new Socket(InetAddress.getLoopbackAddress(), target);
+                    int mine = generation.get();
+                    start(() -> pass(in, out, mine));
+                    start(() -> pass(out, in, mine));
+                }
+            } catch (IOException closed) {
+                // The test has ended.
+                return;
+            }
+        }
+
+        private void pass(Socket from, Socket to, int mine) {
+            try {
+                InputStream in = from.getInputStream();
+                OutputStream out = to.getOutputStream();
+                byte[] bytes = new byte[4096];
+                for (int count = in.read(bytes); count >= 0; count = in.read(bytes)) {
+                    if (mine == generation.get()) {
+                        out.write(bytes, 0, count);
+                    }
+                }
+            } catch (IOException closed) {
+                // One end has closed; the other one must not notice if it was silenced.
+                return;
+            }
+        }
+
+        private static void start(Runnable task) {
+            Thread thread = new Thread(task, "proxy");
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        @Override
+        public void close() throws IOException {
+            listener.close();
+        }
+    }
+
+    /**
+     * Symptom: a peer is never heard again though both processes live. Events: the connection that carries one way goes
+     * silent without a reset; the other way works. Cause: the sender has no sign that its frames do not arrive.
+     */
+    @Test
+    public void aSilentConnectionIsReplaced() throws Exception {
+        BlockingQueue<String> received = new LinkedBlockingQueue<>();
+        NetworkThreads threads = new NetworkThreads("links", 1);
+        try (FrameLinks receiver =
+                        new FrameLinks(threads, "127.0.0.1", 0, frame -> received.add(new String(frame, UTF_8)));
+                FrameLinks sender = new FrameLinks(threads, "127.0.0.1", 0, frame -> {});
+                SilencingProxy proxy = new SilencingProxy(receiver.port())) {
+            sender.send(proxy.address(), "first".getBytes(UTF_8));
+            assertEquals(received.poll(PATIENCE_SECONDS, TimeUnit.SECONDS), "first");
+            proxy.silence();
+            String next = null;
+            for (int tries = 0; next == null && tries < PATIENCE_SECONDS * 10; tries++) {
+                sender.send(proxy.address(), "next".getBytes(UTF_8));
+                next = received.poll(PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+            }
+            assertNotNull(next, "no frame arrived after the connection went silent");
+        } finally {
+            threads.close();
+        }
+    }
+}
