--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationClient.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationClient.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Consumer;
 import org.parsleydrift.kernel.EventLoop;
 import org.parsleydrift.kernel.LogLine;
 import org.parsleydrift.kernel.Step;
@@ -243,8 +242,7 @@
 
         private void retry(StoreSet target, StoreMember member, String trouble) {
             lastTrouble = trouble;
-            Consumer<Duration> later = pause -> loop.schedule(pause, () -> ask(target, member));
-            later.accept(RETRY_PAUSE);
+            loop.schedule(RETRY_PAUSE, () -> ask(target, member));
         }
 
         private boolean over() {
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/StoreSetJson.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/StoreSetJson.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.stream.StreamSupport;
 import org.parsleydrift.kernel.Step;
@@ -26,7 +27,7 @@
         ObjectNode root = MAPPER.createObjectNode().put("epoch", set.epoch());
         members(root.putArray("members"), set.members());
         members(root.putArray("previous"), set.previous());
-        return root.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8);
+        return root.toString().getBytes(StandardCharsets.UTF_8);
     }
 
     /**
--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/ObjectFollower.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/ObjectFollower.java
@@ -2,6 +2,7 @@
 
 import java.lang.System.Logger;
 import java.time.Duration;
+import java.util.List;
 import java.util.random.RandomGenerator;
 import org.parsleydrift.kernel.EventLoop;
 import org.parsleydrift.kernel.LogLine;
@@ -67,7 +68,7 @@
          *
          * @param news the changes that were news
          */
-        void changed(java.util.List<SharedObject> news);
+        void changed(List<SharedObject> news);
 
         /**
          * The platform was lost or is reached again.
--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/Registry.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/Registry.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.parsleydrift.kernel.EventLoop;
 import org.parsleydrift.kernel.LogLine;
 import org.parsleydrift.kernel.StepException;
@@ -67,7 +68,7 @@
      * @return the runners
      */
     public List<Runner> runners(String service) {
-        return java.util.stream.Stream.concat(runners.values().stream(), lapsed.values().stream())
+        return Stream.concat(runners.values().stream(), lapsed.values().stream())
                 .filter(each -> each.service().equals(service) && !each.draining())
                 .toList();
     }
--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/VersionedTable.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/VersionedTable.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * The newest known state of all objects of one kind. Changes may come on several ways (the platform, or other nodes)
@@ -83,7 +84,7 @@
             newestChange = Math.max(newestChange, list.asOf());
         }
         List<SharedObject> news = apply(list);
-        return java.util.stream.Stream.concat(removed.stream(), news.stream()).toList();
+        return Stream.concat(removed.stream(), news.stream()).toList();
     }
 
     private boolean takeIn(SharedObject change) {
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -5,7 +5,7 @@
 import java.lang.System.Logger;
 import java.time.Duration;
 import java.util.HashSet;
-import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
@@ -412,7 +412,7 @@
         double seconds = comeBack.toMillis()
                 / 1000.0
                 * (1 + RelayLimits.COME_BACK_SPREAD * relay.random().nextDouble());
-        headers.set("Retry-After", String.format(java.util.Locale.ROOT, "%.2f", seconds));
+        headers.set("Retry-After", String.format(Locale.ROOT, "%.2f", seconds));
         caller.whole(503, headers, new byte[0]);
         releaseGrant();
         finish("refused", reason);
@@ -482,19 +482,4 @@
     private boolean repeatable() {
         return route.repeatable() || (streaming() && route.resumable());
     }
-
-    /** Joins earlier turns and the new input. */
-    private static final class ChainText {
-        private ChainText() {}
-
-        private static byte[] assemble(List<Turn> chain, byte[] input) {
-            var text = new java.io.ByteArrayOutputStream();
-            chain.forEach(turn -> {
-                text.writeBytes(turn.input());
-                text.writeBytes(turn.output());
-            });
-            text.writeBytes(input);
-            return text.toByteArray();
-        }
-    }
 }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Waiter.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Waiter.java
@@ -1,5 +1,6 @@
 package org.parsleydrift.relay;
 
+import java.util.Set;
 import org.parsleydrift.registry.Runner;
 
 /** A request that waits for a runner. */
@@ -11,7 +12,7 @@
     String warmRunner();
 
     /** Runners it must not go to again. */
-    java.util.Set<String> avoided();
+    Set<String> avoided();
 
     /** Its rank; 0 is the highest. */
     int priority();
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -72,7 +72,7 @@
                 settings.callers().orElseThrow().toString(),
                 settings.link().toString());
         registry = new Registry(parts.loop, parts.outside.decoder());
-        StoreRole.Frames frames = new StoreRole.Frames(parts, this::receive);
+        LinkFrames frames = new LinkFrames(parts, this::receive);
         calls = new ReplicaCalls(
                 parts.loop,
                 frames,
--- /dev/null
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/LinkFrames.java
@@ -0,0 +1,25 @@
+package org.parsleydrift.roles;
+
+import java.util.function.Consumer;
+import org.parsleydrift.conversation.FrameSender;
+import org.parsleydrift.wire.FrameLinks;
+
+/** Frames between the processes of the system, over TCP at the settings' link address. */
+final class LinkFrames implements FrameSender {
+    private final FrameLinks links;
+
+    LinkFrames(ProcessParts parts, Consumer<byte[]> receiver) {
+        Address link = parts.settings.link();
+        links = new FrameLinks(parts.threads, link.host(), link.port(), receiver);
+    }
+
+    @Override
+    public void send(String address, byte[] frame) {
+        links.send(address, frame);
+    }
+
+    @Override
+    public void reset(String address) {
+        links.reset(address);
+    }
+}
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/ProcessParts.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/ProcessParts.java
@@ -2,6 +2,8 @@
 
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
+import java.util.Map;
 import java.util.ServiceLoader;
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
@@ -47,9 +49,9 @@
         this.objects = new MeteredObjects(outside.objects(new HttpClient(threads), settings.platform()), meters);
         serve(settings.metrics(), METRICS_CONNECTIONS, exchange -> {
             if (exchange.path().equals("/metrics")) {
-                exchange.respond(200, "text/plain", meters.scrape(), java.util.Map.of());
+                exchange.respond(200, "text/plain", meters.scrape(), Map.of());
             } else {
-                exchange.respond(404, "text/plain", "", java.util.Map.of());
+                exchange.respond(404, "text/plain", "", Map.of());
             }
         });
     }
@@ -59,8 +61,7 @@
         return new HttpServer(threads, address.host(), address.port(), connections, handler);
     }
 
-    ObjectFollower follow(
-            ObjectKind kind, java.time.Duration wait, VersionedTable table, ObjectFollower.Listener listener) {
+    ObjectFollower follow(ObjectKind kind, Duration wait, VersionedTable table, ObjectFollower.Listener listener) {
         return new ObjectFollower(kind, objects, loop, random, wait, table, listener);
     }
 }
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/StoreRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/StoreRole.java
@@ -4,9 +4,9 @@
 import java.time.Duration;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.function.Consumer;
 import org.parsleydrift.conversation.ConversationReplica;
 import org.parsleydrift.conversation.FileDurableLog;
-import org.parsleydrift.conversation.FrameSender;
 import org.parsleydrift.conversation.ReplicaCalls;
 import org.parsleydrift.conversation.StoreSetKeeper;
 import org.parsleydrift.kernel.LogLine;
@@ -15,7 +15,6 @@
 import org.parsleydrift.registry.ObjectKind;
 import org.parsleydrift.registry.SharedObject;
 import org.parsleydrift.registry.VersionedTable;
-import org.parsleydrift.wire.FrameLinks;
 
 /** The store role: a replica on the disk and the upkeep of the set. */
 final class StoreRole implements Role {
@@ -39,7 +38,7 @@
         this.log = new FileDurableLog(settings.dataFolder().orElseThrow(), new SystemClock());
         this.replica = new ConversationReplica(
                 parts.loop, log, settings.vm(), HexFormat.of().formatHex(id));
-        Frames frames = new Frames(parts, this::receive);
+        LinkFrames frames = new LinkFrames(parts, this::receive);
         this.calls = new ReplicaCalls(parts.loop, frames, settings.link().toString(), replica);
         this.keeper = new StoreSetKeeper(
                 parts.loop,
@@ -78,7 +77,7 @@
         calls.receive(frame);
     }
 
-    private void follow(ObjectKind kind, java.util.function.Consumer<List<SharedObject>> news) {
+    private void follow(ObjectKind kind, Consumer<List<SharedObject>> news) {
         parts.follow(kind, WATCH_WAIT, new VersionedTable(), new ObjectFollower.Listener() {
                     @Override
                     public void changed(List<SharedObject> changed) {
@@ -92,24 +91,4 @@
                 })
                 .start();
     }
-
-    /** Frames over TCP. */
-    static final class Frames implements FrameSender {
-        private final FrameLinks links;
-
-        Frames(ProcessParts parts, java.util.function.Consumer<byte[]> receiver) {
-            Address link = parts.settings.link();
-            links = new FrameLinks(parts.threads, link.host(), link.port(), receiver);
-        }
-
-        @Override
-        public void send(String address, byte[] frame) {
-            links.send(address, frame);
-        }
-
-        @Override
-        public void reset(String address) {
-            links.reset(address);
-        }
-    }
 }
