--- /dev/null
+++ b/parsleydrift-tools/src/main/java/org/parsleydrift/tools/LogStory.java
@@ -0,0 +1,89 @@
+package org.parsleydrift.tools;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
+
+/**
+ * The story of a request or a program, told by the logs of several processes in order of time: its own lines, lines about
+ * the runners that it was placed at, and changes of what the processes believed just before and meanwhile.
+ */
+final class LogStory {
+    /** How long before the first line a change of belief may matter, ms: a request waits for about a second at most. */
+    private static final long BEFORE_MILLIS = 2000;
+
+    private static final Pattern TIME = Pattern.compile("\\bat_ms=(\\d+)");
+    private static final Pattern RUNNER = Pattern.compile("\\brunner=(\\S+)");
+    private static final Pattern BELIEF =
+            Pattern.compile("\\bevent=(role_|drain_|platform_|manifest_|history_|store_|retirement_|"
+                    + "peer_silent|link_silent|settings_|log_lines_|loop_task_failed|disk_)");
+
+    private static final Pattern STORES = Pattern.compile("\\bevent=(store_(opened|set_|complete)|retirement_)");
+
+    private final List<Line> lines;
+
+    /**
+     * A line of a log.
+     *
+     * @param source the log it stands in
+     * @param text the line
+     */
+    record Line(String source, String text) {
+        OptionalLong atMillis() {
+            Matcher matcher = TIME.matcher(text);
+            return matcher.find() ? OptionalLong.of(Long.parseLong(matcher.group(1))) : OptionalLong.empty();
+        }
+    }
+
+    LogStory(List<Line> lines) {
+        this.lines = List.copyOf(lines);
+    }
+
+    /** The lines that tell the story of an id; empty if no line names it. */
+    List<Line> of(String id) {
+        Pattern named = Pattern.compile("=" + Pattern.quote(id) + "(?=\\s|$)");
+        List<Line> own =
+                lines.stream().filter(line -> named.matcher(line.text()).find()).toList();
+        if (own.isEmpty()) {
+            return List.of();
+        }
+        Set<String> runners = own.stream()
+                .map(line -> RUNNER.matcher(line.text()))
+                .filter(Matcher::find)
+                .map(matcher -> matcher.group(1))
+                .collect(Collectors.toSet());
+        Set<String> servers = own.stream().map(Line::source).collect(Collectors.toSet());
+        long first = millis(own).min().orElse(Long.MIN_VALUE);
+        long last = millis(own).max().orElse(Long.MAX_VALUE);
+        Stream<Line> around = lines.stream()
+                .filter(line -> !own.contains(line))
+                .filter(line -> within(line, first - BEFORE_MILLIS, last))
+                .filter(line -> tellsOfRunner(line, runners)
+                        || STORES.matcher(line.text()).find()
+                        || (servers.contains(line.source())
+                                && BELIEF.matcher(line.text()).find()));
+        return Stream.concat(own.stream(), around)
+                .sorted(Comparator.comparingLong(line -> line.atMillis().orElse(Long.MAX_VALUE)))
+                .toList();
+    }
+
+    private static LongStream millis(List<Line> some) {
+        return some.stream().map(Line::atMillis).flatMapToLong(OptionalLong::stream);
+    }
+
+    private static boolean within(Line line, long from, long to) {
+        OptionalLong at = line.atMillis();
+        return at.isPresent() && at.getAsLong() >= from && at.getAsLong() <= to;
+    }
+
+    private static boolean tellsOfRunner(Line line, Set<String> runners) {
+        Matcher matcher = RUNNER.matcher(line.text());
+        return line.text().contains("event=runner_") && matcher.find() && runners.contains(matcher.group(1));
+    }
+}
--- a/parsleydrift-tools/src/main/java/org/parsleydrift/tools/Parsleydrift.java
+++ b/parsleydrift-tools/src/main/java/org/parsleydrift/tools/Parsleydrift.java
@@ -6,6 +6,7 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.UUID;
 import joptsimple.OptionException;
@@ -33,6 +34,7 @@
               cancel PROGRAM            cancel a program
               call SERVICE JSON         call a plain service
               explain PROGRAM           print where a program is and why
+              explain ID --log FILES    print the story of a request or program from logs of several processes
 
             exit codes: 0 done, 1 refused, 2 usage, 3 outcome unknown (safe to repeat with the same --key and
             --ticket), 4 no entry node answered
@@ -58,6 +60,8 @@
             .withRequiredArg()
             .ofType(Long.class)
             .defaultsTo(-1L);
+    private final OptionSpec<String> logOption =
+            parser.accepts("log", "log files, a list by commas").withRequiredArg();
     private final OptionSpec<Void> jsonOption = parser.accepts("json", "print JSON");
     private final OptionSpec<Void> helpOption =
             parser.accepts("help", "print this").forHelp();
@@ -127,6 +131,9 @@
             out.println("good");
             return ExitCode.OK;
         }
+        if ("explain".equals(command.getFirst()) && options.has(logOption)) {
+            return explain(options.valueOf(logOption), command.get(1));
+        }
         List<String> entries = List.of(options.valueOf(entryOption).split(",", -1));
         try (CallerClient caller = new CallerClient(entries)) {
             return switch (command.getFirst()) {
@@ -147,6 +154,23 @@
         }
     }
 
+    private int explain(String files, String id) throws IOException {
+        List<LogStory.Line> lines = new ArrayList<>();
+        for (String file : files.split(",", -1)) {
+            Path path = Path.of(file);
+            Files.readAllLines(path)
+                    .forEach(text ->
+                            lines.add(new LogStory.Line(path.getFileName().toString(), text)));
+        }
+        List<LogStory.Line> story = new LogStory(lines).of(id);
+        if (story.isEmpty()) {
+            err.println("parsleydrift: no line names " + id);
+            return ExitCode.REFUSED;
+        }
+        story.forEach(line -> out.println(line.source() + ": " + line.text()));
+        return ExitCode.OK;
+    }
+
     private int manifest(OptionSet options, CallerClient caller, List<String> command) throws IOException {
         return switch (command.get(1)) {
             case "submit" -> {
--- /dev/null
+++ b/parsleydrift-tools/src/test/java/org/parsleydrift/tools/LogStoryTest.java
@@ -0,0 +1,64 @@
+package org.parsleydrift.tools;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.testng.annotations.Test;
+
+public class LogStoryTest {
+    private static final List<LogStory.Line> LINES = List.of(
+            new LogStory.Line("e1", "event=request_ended request=q1 program=p1 outcome=stream_cut at_ms=5000"),
+            new LogStory.Line("e1", "event=request_placed request=q1 program=p1 runner=r7 at_ms=4900"),
+            new LogStory.Line("e2", "event=runner_gone runner=r7 at_ms=4950"),
+            new LogStory.Line("e2", "event=runner_gone runner=r8 at_ms=4951"),
+            new LogStory.Line("s1", "event=store_set_adopted epoch=4 at_ms=3500"),
+            new LogStory.Line("s1", "event=store_set_adopted epoch=3 at_ms=100"),
+            new LogStory.Line("e3", "event=platform_lost kind=RUNNERS at_ms=4800"),
+            new LogStory.Line("e1", "event=request_placed request=q11 program=p1 runner=r9 at_ms=4960"));
+
+    private static List<String> story(String id) {
+        return new LogStory(LINES).of(id).stream().map(LogStory.Line::text).toList();
+    }
+
+    @Test
+    public void tellsTheRequestItsRunnerAndWhatChangedAroundIt() {
+        assertEquals(
+                story("q1"),
+                List.of(
+                        LINES.get(4).text(),
+                        LINES.get(1).text(),
+                        LINES.get(2).text(),
+                        LINES.get(0).text()));
+    }
+
+    @Test
+    public void anIdIsNotTheStartOfAnother() {
+        assertTrue(story("q11").stream().noneMatch(line -> line.contains("request=q1 ")));
+        assertEquals(story("unknown"), List.of());
+    }
+
+    @Test
+    public void theCommandReadsSeveralLogs() throws IOException {
+        Path first = Files.createTempFile("e1", ".log");
+        Path second = Files.createTempFile("e2", ".log");
+        Files.writeString(first, LINES.get(0).text() + "\n" + LINES.get(1).text() + "\n");
+        Files.writeString(second, LINES.get(2).text() + "\n");
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        PrintStream print = new PrintStream(out, true, UTF_8);
+        int code = Parsleydrift.run(List.of("--log", first + "," + second, "explain", "q1"), print, print);
+        assertEquals(code, ExitCode.OK);
+        assertEquals(out.toString(UTF_8).lines().count(), 3);
+        assertEquals(
+                Parsleydrift.run(List.of("--log", first.toString(), "explain", "nobody"), print, print),
+                ExitCode.REFUSED);
+        Files.delete(first);
+        Files.delete(second);
+    }
+}
