--- a/parsleydrift-logging/src/test/java/org/parsleydrift/logging/LogRingTest.java
+++ b/parsleydrift-logging/src/test/java/org/parsleydrift/logging/LogRingTest.java
@@ -41,7 +41,8 @@
         long kept = lines(out, "event=storm");
         assertTrue(kept > 0 && kept < 100, "kept " + kept);
         assertEquals(lines(out, "event=rare"), 1);
-        assertTrue(out.toString(UTF_8).contains("event=log_lines_left_out kind=\"event=storm\" count=" + (1000 - kept)));
+        assertTrue(
+                out.toString(UTF_8).contains("event=log_lines_left_out kind=\"event=storm\" count=" + (1000 - kept)));
     }
 
     /**
