The stand-in caller of the users' dialect stands with the stand-ins

Cause: names of the users' wire stood in the tools module, which speaks the product's own interface. Ruled out: header names by the relay's table (the stand-ins speak the users' dialect on purpose). No process of the deployment changes. Conclusion: outside platform/ only stand-ins and tests speak the dialect.

--- a/parsleydrift-tools/src/main/java/org/parsleydrift/tools/ConversationQuickstart.java
+++ b/parsleydrift-standin/src/main/java/org/parsleydrift/standin/ConversationCaller.java
@@ -1,4 +1,4 @@
-package org.parsleydrift.tools;
+package org.parsleydrift.standin;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -13,15 +13,15 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import org.parsleydrift.kernel.LogLine;
-import org.parsleydrift.standin.RunnerServer;
 
 /**
- * A caller-driven conversation through entry and store processes: writes a manifest and runners as the operator and the
+ * A stand-in caller in the users' dialect, with a conversation through entry and store processes: writes a manifest and runners as the operator and the
  * runners would, holds a conversation of three turns with a tool call between them, and checks after each turn that the
  * runner was given all that was said before, byte for byte.
  */
-public final class ConversationQuickstart {
+public final class ConversationCaller {
     private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int FAILED = 1;
     private static final int TRIES = 100;
     private static final long PAUSE_MILLIS = 100;
     private static final List<String> SAID =
@@ -32,7 +32,7 @@
     private final String platform;
     private final String directory;
 
-    private ConversationQuickstart(String platform, String directory) {
+    private ConversationCaller(String platform, String directory) {
         this.platform = platform;
         this.directory = directory;
     }
@@ -44,9 +44,9 @@
      * @throws Exception if a process can't be reached
      */
     public static void main(String[] arguments) throws Exception {
-        ConversationQuickstart quickstart = new ConversationQuickstart(arguments[0], arguments[1]);
+        ConversationCaller quickstart = new ConversationCaller(arguments[0], arguments[1]);
         List<String> runners = Arrays.asList(arguments[2].split(",", -1));
-        System.exit(quickstart.run(runners) ? ExitCode.OK : ExitCode.REFUSED);
+        System.exit(quickstart.run(runners) ? 0 : FAILED);
     }
 
     private boolean run(List<String> runners) throws IOException, InterruptedException {
