A success needs the request's id and the runner's stamp; silent idempotent calls go to a second runner

Change: a success without id or stamp is a broken answer. 'Not executed' of a second runner no longer speaks for the first (was 503, now 502).

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
@@ -9,6 +9,7 @@
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.parsleydrift.placement.Candidate;
+import org.parsleydrift.placement.RetryBudget;
 import org.parsleydrift.placement.RunnerChoice;
 import org.parsleydrift.placement.RunnerHealth;
 import org.parsleydrift.registry.Registry;
@@ -33,6 +34,7 @@
     private final Map<String, Integer> ownLoad = new HashMap<>();
     private final Map<String, Map<Integer, Integer>> peerLoad = new HashMap<>();
     private final Map<String, RunnerHealth> health = new HashMap<>();
+    private final Map<String, RetryBudget> retries = new HashMap<>();
     private long arrivals;
 
     /**
@@ -114,6 +116,11 @@
         return health.computeIfAbsent(runnerId, any -> new RunnerHealth());
     }
 
+    /** What second tries a service gets from this node. */
+    RetryBudget retries(String service) {
+        return retries.computeIfAbsent(service, any -> new RetryBudget());
+    }
+
     /** Runners of a service that may get new requests. */
     List<Runner> runners(String service) {
         return registry.runners(service);
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -43,6 +43,7 @@
     private long endNanos;
     private LoopTimer timeout = () -> {};
     private LoopTimer queueTimer = () -> {};
+    private LoopTimer silenceTimer = () -> {};
     private boolean reserved;
     private String warmRunner = "";
     private boolean chained;
@@ -178,8 +179,17 @@
                         .with("manifest", manifestVersion)
                         .toString());
         relay.meters().phase("wait", elapsed());
+        if (offers == 1) {
+            relay.dispatcher().retries(service).firstTry();
+        }
         exchange = new RunnerExchange(this, relay, runner, streaming(), route.keepsConversation());
+        RunnerExchange offered = exchange;
         exchange.start();
+        if (!streaming() && mayRunAgain() && !route.targetLatency().isZero()) {
+            // Past the operator's target an answer that was lost and one that is late look alike; where the call may
+            // repeat, another runner answers in less time than the caller's whole patience.
+            silenceTimer = relay.loop().schedule(route.targetLatency(), () -> silent(runner, offered));
+        }
     }
 
     /** Time left, ms. */
@@ -216,27 +226,56 @@
         boolean others = relay.dispatcher().runners(service).stream().anyMatch(each -> !avoided.contains(each.id()));
         if (offers < RelayLimits.MOST_OFFERS && others) {
             queue();
+        } else if (runs > 0) {
+            // This runner's word does not speak for the one before, which may have run the request.
+            own(502, "unknown", "sent once; " + reason);
         } else {
             refuse(reason, RelayLimits.COME_BACK_FULL);
         }
     }
 
+    private void silent(Runner runner, RunnerExchange offered) {
+        if (stage == Stage.OFFERED
+                && exchange == offered
+                && relay.dispatcher().retries(service).take()) {
+            offered.cancel();
+            relay.dispatcher().health(runner.id()).broken(relay.loop().clock().nanos());
+            runs++;
+            sendAgain(runner, "silent for longer than the route's target");
+        }
+    }
+
     /** No whole answer came, and the runner may have begun the request. Nothing has gone to the caller yet. */
     void unknown(Runner runner, String reason) {
-        exchange = null;
+        boolean again = mayRunAgain() && relay.dispatcher().retries(service).take();
         runs++;
-        avoided.add(runner.id());
-        if (repeatable() && runs < route.maxAttempts() && leftMillis() > 0) {
-            LOG.log(
-                    Logger.Level.INFO,
-                    () -> line("sent_again")
-                            .with("runner", runner.id())
-                            .with("reason", reason)
-                            .toString());
-            queue();
-            return;
+        if (again) {
+            sendAgain(runner, reason);
+        } else {
+            own(502, "unknown", reason);
         }
-        own(502, "unknown", reason);
+    }
+
+    private boolean mayRunAgain() {
+        return repeatable() && runs + 1 < route.maxAttempts() && leftMillis() > 0 && hasOtherRunner();
+    }
+
+    private boolean hasOtherRunner() {
+        return relay.dispatcher().runners(service).stream()
+                .anyMatch(each ->
+                        !avoided.contains(each.id()) && !exchange.runnerId().equals(each.id()));
+    }
+
+    private void sendAgain(Runner runner, String reason) {
+        exchange = null;
+        avoided.add(runner.id());
+        LOG.log(
+                Logger.Level.INFO,
+                () -> line("sent_again")
+                        .with("runner", runner.id())
+                        .with("reason", reason)
+                        .toString());
+        queue();
     }
 
     /** A stream broke after its start; the caller must see that it is not complete. */
@@ -437,6 +476,7 @@
         stage = Stage.ENDED;
         timeout.cancel();
         queueTimer.cancel();
+        silenceTimer.cancel();
         relay.ended();
         relay.meters().ended(outcome, outcome.equals("refused") || outcome.equals("unknown") ? "-" : cause);
         relay.meters().phase("whole", elapsed());
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnection.java
@@ -164,6 +164,12 @@
             }
             return;
         }
+        if (status < 300 && !proven(response.headers())) {
+            reusable = false;
+            fail("a success without the request's id or the runner's stamp");
+            close();
+            return;
+        }
         headSeen = true;
         keepAlive = HttpUtil.isKeepAlive(response)
                 && (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response));
@@ -177,6 +183,14 @@
         return id == null ? served == 0 && reusable : id.equals(request.id());
     }
 
+    /**
+     * A runner that spoils its answers may send a head that parses but has lost its headers. Passed on, the caller would
+     * take bytes of unknown origin for a success; taken as broken, the request may be sent again where it may repeat.
+     */
+    private boolean proven(HttpHeaders headers) {
+        return headers.contains(dialect.requestId()) && headers.contains(dialect.stamp());
+    }
+
     private void takeContent(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
         if (skipping) {
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerExchange.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerExchange.java
@@ -42,6 +42,10 @@
         release();
     }
 
+    String runnerId() {
+        return runner.id();
+    }
+
     boolean streamBegun() {
         return streamBegun;
     }
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RelayTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RelayTest.java
@@ -18,6 +18,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import org.parsleydrift.conversation.ConversationClient;
 import org.parsleydrift.conversation.Conversations;
@@ -249,6 +250,51 @@
         assertEquals(first.requests.size() + second.requests.size() + third.requests.size(), 2);
     }
 
+    /**
+     * Symptom: a program fails though its call may be repeated. Events: a runner takes an idempotent call and its answer
+     * is lost; the call waits for its whole time. Cause: silence was never taken for a lost answer.
+     */
+    @Test
+    public void anIdempotentCallWhoseAnswerIsLostGoesToAnotherRunner() throws Exception {
+        knowManifest();
+        AtomicInteger calls = new AtomicInteger();
+        Function<String, String> losesTheFirst = request ->
+                calls.getAndIncrement() == 0 ? ScriptedRunner.SILENCE : ScriptedRunner.answer(OK, request, "", "done");
+        ScriptedRunner first = runner("r1", losesTheFirst);
+        ScriptedRunner second = runner("r2", losesTheFirst);
+        assertTrue(call("/twice/", "").startsWith("HTTP/1.1 200 "));
+        assertEquals(first.requests.size(), 1);
+        assertEquals(second.requests.size(), 1);
+    }
+
+    /** A silent runner may be at work on a call that must not repeat: it is waited for. */
+    @Test
+    public void aCallThatMustNotRepeatIsNotSentAgainForSilence() throws Exception {
+        knowManifest();
+        ScriptedRunner first = runner("r1", request -> ScriptedRunner.SILENCE);
+        ScriptedRunner second = runner("r2", request -> ScriptedRunner.SILENCE);
+        assertTrue(call("/short/", "").startsWith("HTTP/1.1 504 "));
+        assertEquals(first.requests.size() + second.requests.size(), 1);
+    }
+
+    /**
+     * Symptom: "not run" of a call that one runner has had. Events: the first runner resets after sending, the second
+     * says that it has not run it. Cause: the second runner's word was taken for both.
+     */
+    @Test
+    public void notExecutedByTheSecondRunnerDoesNotSpeakForTheFirst() throws IOException {
+        knowManifest();
+        AtomicInteger calls = new AtomicInteger();
+        Function<String, String> script = request -> calls.getAndIncrement() == 0
+                ? ScriptedRunner.RESET
+                : ScriptedRunner.answer("503 Full", request, "Parsleydrift-Not-Executed: 1\r\n", "");
+        runner("r1", script);
+        runner("r2", script);
+        String answer = call("/twice/", "");
+        assertTrue(answer.startsWith("HTTP/1.1 502 "), answer);
+        assertEquals(calls.get(), 2);
+    }
+
     @Test
     public void aRunnerThatCannotBeReachedCostsNoAttempt() throws IOException {
         knowManifest();
@@ -289,8 +335,9 @@
         knowManifest();
         runner(
                 "r1",
-                request -> "HTTP/1.1 200 OK\r\nParsleydrift-Request: q1\r\nContent-Length: 100\r\n"
-                        + "Connection: close\r\n\r\nid: 1\ndata: a\n\nid: 2\nda");
+                request ->
+                        "HTTP/1.1 200 OK\r\nParsleydrift-Request: q1\r\nParsleydrift-Stamp: s\r\nContent-Length: 100\r\n"
+                                + "Connection: close\r\n\r\nid: 1\ndata: a\n\nid: 2\nda");
         try (Socket socket = send("/events/", "Parsleydrift-Deadline-Ms: 700\r\n")) {
             StringBuilder text = new StringBuilder();
             try {
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RunnerConnectionTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RunnerConnectionTest.java
@@ -14,10 +14,13 @@
 import java.util.List;
 import org.parsleydrift.kernel.ManualScheduler;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Answers of runners that are late, doubled, cut or no answers at all. */
 public class RunnerConnectionTest {
+    private static final String STAMP = "Parsleydrift-Stamp: s\r\n";
+
     private final List<RunnerConnection> kept = new ArrayList<>();
     private final List<String> events = new ArrayList<>();
     private RunnerConnection connection;
@@ -70,8 +73,8 @@
     }
 
     private static String answerFor(String id, String body) {
-        return "HTTP/1.1 200 OK\r\nParsleydrift-Request: " + id + "\r\nContent-Length: " + body.length() + "\r\n\r\n"
-                + body;
+        return "HTTP/1.1 200 OK\r\nParsleydrift-Request: " + id + "\r\n" + STAMP + "Content-Length: " + body.length()
+                + "\r\n\r\n" + body;
     }
 
     private void receive(String text) {
@@ -116,7 +119,7 @@
     @Test
     public void anAnswerThatIsCutIsBrokenAndMayHaveRun() {
         ask("q1");
-        receive("HTTP/1.1 200 OK\r\nParsleydrift-Request: q1\r\nContent-Length: 10\r\n\r\nhalf");
+        receive("HTTP/1.1 200 OK\r\nParsleydrift-Request: q1\r\n" + STAMP + "Content-Length: 10\r\n\r\nhalf");
         channel.close();
         assertEquals(events, List.of("head 200", "part half", "broken true"));
     }
@@ -133,14 +136,34 @@
     @Test
     public void anAnswerWithoutLengthEndsWithItsConnection() {
         ask("q1");
-        receive("HTTP/1.1 200 OK\r\nParsleydrift-Request: q1\r\n\r\nbody");
+        receive("HTTP/1.1 200 OK\r\nParsleydrift-Request: q1\r\n" + STAMP + "\r\nbody");
         channel.close();
         assertEquals(events, List.of("head 200", "part body", "end"));
         connect();
         ask("q1");
-        receive("HTTP/1.1 200 OK\r\nParsleydrift-Request: q1\r\n\r\nbody");
+        receive("HTTP/1.1 200 OK\r\nParsleydrift-Request: q1\r\n" + STAMP + "\r\nbody");
         channel.pipeline().fireExceptionCaught(new java.io.IOException("connection reset"));
         assertTrue(events.contains("broken true"));
         assertFalse(events.contains("end"));
     }
+
+    /**
+     * Symptom: a caller is given a success that no runner vouches for. Events: a runner that spoils its answers sends
+     * "200" with a body on a fresh connection, but without the request's id or without its stamp. Cause: the first answer
+     * on a connection was taken for the request's own if it named no other.
+     */
+    @Test(dataProvider = "unprovenHeads")
+    public void aSuccessWithoutIdOrStampIsBroken(String head) {
+        ask("q1");
+        receive("HTTP/1.1 200 OK\r\n" + head + "Content-Length: 4\r\n\r\nbody");
+        assertEquals(events, List.of("broken true"));
+        assertFalse(channel.isOpen());
+        assertEquals(kept, List.of());
+    }
+
+    /** Heads that have lost what proves them. */
+    @DataProvider
+    public Object[][] unprovenHeads() {
+        return new Object[][] {{""}, {STAMP}, {"Parsleydrift-Request: q1\r\n"}};
+    }
 }
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/ScriptedRunner.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/ScriptedRunner.java
@@ -42,7 +42,8 @@
 
     static String answer(String status, String request, String more, String body) {
         return "HTTP/1.1 " + status + "\r\nParsleydrift-Request: " + header(request, "Parsleydrift-Request") + "\r\n"
-                + more + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+                + (more.contains("Parsleydrift-Stamp") ? "" : "Parsleydrift-Stamp: s\r\n") + more + "Content-Length: "
+                + body.length() + "\r\n\r\n" + body;
     }
 
     static String header(String request, String name) {
