--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -7,14 +7,9 @@
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import org.parsleydrift.conversation.BeginRequest;
 import org.parsleydrift.conversation.BeginResult;
-import org.parsleydrift.conversation.Grant;
-import org.parsleydrift.conversation.GrantState;
-import org.parsleydrift.conversation.Turn;
 import org.parsleydrift.kernel.LogLine;
 import org.parsleydrift.kernel.LoopTimer;
 import org.parsleydrift.registry.CallKind;
@@ -44,7 +39,7 @@
     private LoopTimer timeout = () -> {};
     private LoopTimer queueTimer = () -> {};
     private LoopTimer silenceTimer = () -> {};
-    private boolean reserved;
+    private Optional<TurnRecord> turn = Optional.empty();
     private String warmRunner = "";
     private boolean chained;
     private byte[] body;
@@ -288,7 +283,7 @@
     void answered(Runner runner, int status, HttpHeaders headers, byte[] bytes) {
         caller.whole(status, ForwardedHeaders.toCaller(headers), bytes);
         if (isTurn() && status >= 400 && status < 500) {
-            settle(Optional.of(grant(runner, 0)));
+            turn.ifPresent(each -> each.settle(runner.id(), 0));
         }
         finish("answered", String.valueOf(status));
     }
@@ -302,25 +297,28 @@
                 .flatMap(each -> each.service(service))
                 .map(each -> each.tokensPerEvent())
                 .orElse(0);
-        Optional<Grant> grant = reserved ? Optional.of(grant(runner, events.events() * perEvent)) : Optional.empty();
+        int tokens = events.events() * perEvent;
         if (!route.keepsConversation()) {
-            settle(grant).whenComplete((done, failure) -> endStream(begun));
+            turn.map(each -> each.settle(runner.id(), tokens))
+                    .orElseGet(() -> CompletableFuture.completedFuture(null))
+                    .whenComplete((done, failure) -> endStream(begun));
             return;
         }
-        Turn turn = new Turn(facts.id(), facts.previousTurn(), request.body(), events.data());
         Duration patience = Duration.ofMillis(Math.min(leftMillis(), RelayLimits.COMMIT_MOST.toMillis()));
-        relay.conversations()
-                .commit(grant, Optional.of(turn), route.retention(), patience)
-                .whenComplete((done, failure) -> relay.loop().execute(() -> {
-                    if (failure == null) {
-                        endStream(begun);
-                    } else if (stage != Stage.ENDED) {
-                        LOG.log(
-                                Logger.Level.WARNING,
-                                () -> line("commit_failed").failure(failure).toString());
-                        streamBroken("commit_failed");
-                    }
-                }));
+        turn.orElseThrow()
+                .keep(runner.id(), tokens, request.body(), events.data(), patience)
+                .whenComplete((done, failure) -> relay.loop().execute(() -> kept(begun, failure)));
+    }
+
+    private void kept(long commitBegunNanos, Throwable failure) {
+        if (failure == null) {
+            endStream(commitBegunNanos);
+        } else if (stage != Stage.ENDED) {
+            LOG.log(
+                    Logger.Level.WARNING,
+                    () -> line("commit_failed").failure(failure).toString());
+            streamBroken("commit_failed");
+        }
     }
 
     private void endStream(long commitBegunNanos) {
@@ -332,46 +330,19 @@
         finish("answered", "stream");
     }
 
-    /** Notes what was generated; waits for a while only, since nothing of the answer depends on it. */
-    private CompletableFuture<Void> settle(Optional<Grant> grant) {
-        if (grant.isEmpty() || !reserved) {
-            return CompletableFuture.completedFuture(null);
-        }
-        CompletableFuture<Void> waited = new CompletableFuture<>();
-        relay.conversations()
-                .commit(grant, Optional.empty(), route.retention(), RelayLimits.SETTLE_WAIT)
-                .whenComplete((done, failure) -> relay.loop().execute(() -> {
-                    if (failure != null) {
-                        relay.conversations().background(grant.get(), route.retention());
-                    }
-                    waited.complete(null);
-                }));
-        return waited;
-    }
-
     private void begin() {
         stage = Stage.BEGINNING;
-        OptionalInt budget = facts.program().isEmpty() ? OptionalInt.empty() : facts.budget();
-        Duration patience = share(RelayLimits.BEGIN_SHARE, RelayLimits.BEGIN_MOST);
-        String previous = route.keepsConversation() ? facts.previousTurn() : "";
-        BeginRequest begin = new BeginRequest(
-                facts.program(), facts.id(), budget, facts.mostTokens(), previous, route.retention(), patience);
-        relay.conversations()
-                .begin(begin)
-                .whenComplete((result, failure) -> relay.loop().execute(() -> begun(begin, result)));
-    }
-
-    private void begun(BeginRequest begin, BeginResult result) {
-        boolean granted =
-                result instanceof BeginResult.Granted && begin.budget().isPresent();
+        TurnRecord record = new TurnRecord(relay, facts, route);
+        turn = Optional.of(record);
+        record.begin(share(RelayLimits.BEGIN_SHARE, RelayLimits.BEGIN_MOST)).thenAccept(this::begun);
+    }
+
+    private void begun(BeginResult result) {
         if (stage != Stage.BEGINNING) {
-            if (granted) {
-                relay.conversations().release(facts.program(), facts.id(), route.retention());
-            }
+            releaseGrant();
             return;
         }
         relay.meters().phase("begin", elapsed());
-        reserved = granted;
         switch (result) {
             case BeginResult.Granted grantedTurn -> {
                 warmRunner = grantedTurn.lastRunner();
@@ -463,10 +434,7 @@
     }
 
     private void releaseGrant() {
-        if (reserved) {
-            reserved = false;
-            relay.conversations().release(facts.program(), facts.id(), route.retention());
-        }
+        turn.ifPresent(TurnRecord::release);
     }
 
     private void finish(String outcome, String cause) {
@@ -497,10 +465,6 @@
                 .with("route", route == null ? "-" : route.name());
     }
 
-    private Grant grant(Runner runner, int tokens) {
-        return new Grant(facts.program(), facts.id(), GrantState.SETTLED, tokens, runner.id());
-    }
-
     private Duration share(double share, Duration most) {
         return Duration.ofMillis(Math.min((long) (leftMillis() * share), most.toMillis()));
     }
--- /dev/null
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/TurnRecord.java
@@ -0,0 +1,79 @@
+package org.parsleydrift.relay;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.concurrent.CompletableFuture;
+import org.parsleydrift.conversation.BeginRequest;
+import org.parsleydrift.conversation.BeginResult;
+import org.parsleydrift.conversation.Grant;
+import org.parsleydrift.conversation.GrantState;
+import org.parsleydrift.conversation.Turn;
+import org.parsleydrift.registry.Route;
+
+/** What the store VMs know of one request: its reservation of tokens and, once it has ended, its turn. */
+final class TurnRecord {
+    private final Relay relay;
+    private final RequestFacts facts;
+    private final Route route;
+    private boolean reserved;
+
+    TurnRecord(Relay relay, RequestFacts facts, Route route) {
+        this.relay = relay;
+        this.facts = facts;
+        this.route = route;
+    }
+
+    /** Reserves tokens and reads the chain; completes on the relay's loop and never fails. */
+    CompletableFuture<BeginResult> begin(Duration patience) {
+        OptionalInt budget = facts.program().isEmpty() ? OptionalInt.empty() : facts.budget();
+        String previous = route.keepsConversation() ? facts.previousTurn() : "";
+        BeginRequest begin = new BeginRequest(
+                facts.program(), facts.id(), budget, facts.mostTokens(), previous, route.retention(), patience);
+        return relay.conversations()
+                .begin(begin)
+                .thenApplyAsync(
+                        result -> {
+                            reserved = result instanceof BeginResult.Granted && budget.isPresent();
+                            return result;
+                        },
+                        relay.loop());
+    }
+
+    /** Gives the reservation back; only where no runner has begun the request or will. */
+    void release() {
+        if (reserved) {
+            reserved = false;
+            relay.conversations().release(facts.program(), facts.id(), route.retention());
+        }
+    }
+
+    /** Notes what was generated; waits for a while only, since nothing of the answer depends on it. */
+    CompletableFuture<Void> settle(String runner, int tokens) {
+        if (!reserved) {
+            return CompletableFuture.completedFuture(null);
+        }
+        Grant grant = settled(runner, tokens);
+        CompletableFuture<Void> waited = new CompletableFuture<>();
+        relay.conversations()
+                .commit(Optional.of(grant), Optional.empty(), route.retention(), RelayLimits.SETTLE_WAIT)
+                .whenComplete((done, failure) -> relay.loop().execute(() -> {
+                    if (failure != null) {
+                        relay.conversations().background(grant, route.retention());
+                    }
+                    waited.complete(null);
+                }));
+        return waited;
+    }
+
+    /** Keeps what was said, and what was generated; fails if that can't be made sure of in time. */
+    CompletableFuture<Void> keep(String runner, int tokens, byte[] input, byte[] output, Duration patience) {
+        Optional<Grant> grant = reserved ? Optional.of(settled(runner, tokens)) : Optional.empty();
+        Turn turn = new Turn(facts.id(), facts.previousTurn(), input, output);
+        return relay.conversations().commit(grant, Optional.of(turn), route.retention(), patience);
+    }
+
+    private Grant settled(String runner, int tokens) {
+        return new Grant(facts.program(), facts.id(), GrantState.SETTLED, tokens, runner);
+    }
+}
