--- a/parsleydrift-wire/src/main/java/org/parsleydrift/wire/NetworkThreads.java
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/NetworkThreads.java
@@ -13,7 +13,7 @@
     private final EventLoopGroup group;
 
     static {
-        // Netty would look for three log libraries that are not there, a tenth of the time from start to ready.
+        // Netty would look for three log libraries that are not there, at each start of a process.
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
     }
 
