The silence limit is set before a request is offered; a peer's new life starts with no load

Cause: found by reading. (1) A kept connection is handed out at once and may turn out useless at once; the request is then offered anew from within the first offer, which went on to set a limit for an exchange that was over, or failed on none. (2) A peer that comes back at another address kept the load of its former life until it spoke. Change: the limit is set before the exchange starts and replaces the one before; a new identity clears the load. Status frames have a type of their own, so that processes of the version before pass over them instead of misreading them.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -178,11 +178,18 @@
             relay.dispatcher().retries(service).firstTry();
         }
         exchange = new RunnerExchange(this, relay, runner, streaming(), route.keepsConversation());
-        RunnerExchange offered = exchange;
+        limitSilence(runner, exchange);
+        // Last: a kept connection may turn out useless at once, and the request may then be offered anew from within.
         exchange.start();
-        if (!streaming() && mayRunAgain() && !route.targetLatency().isZero()) {
-            // Past the operator's target an answer that was lost and one that is late look alike; where the call may
-            // repeat, another runner answers in less time than the caller's whole patience.
+    }
+
+    /**
+     * Past the operator's target an answer that was lost and one that is late look alike; where the call may repeat,
+     * another runner answers in less time than the caller's whole patience.
+     */
+    private void limitSilence(Runner runner, RunnerExchange offered) {
+        silenceTimer.cancel();
+        if (!streaming() && !route.targetLatency().isZero() && mayRunAgain()) {
             silenceTimer = relay.loop().schedule(route.targetLatency(), () -> silent(runner, offered));
         }
     }
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
@@ -51,7 +51,7 @@
     private static final int MOST_ADDRESSES = 64;
 
     private static final long NANOS_PER_MILLI = 1_000_000;
-    private static final byte STATES = 11;
+    private static final byte STATES = 14;
     private static final byte FETCH = 12;
     private static final byte OBJECTS = 13;
 
@@ -132,6 +132,8 @@
         Peer peer = peers.get(identity.name());
         if (peer == null || !peer.identity.equals(identity)) {
             peers.put(identity.name(), new Peer(identity));
+            // What its former life had at the runners is gone with it.
+            dispatcher.peerLoads(Map.of(identity.name(), Map.of()));
             LOG.log(
                     Logger.Level.INFO,
                     () -> LogLine.of("peer_known")
