The mesh plan's decisions tested one by one

Cause: MeshPlan was proved by whole fleets on virtual time only. Change: six tests of whom a node tells what; no product code.

--- /dev/null
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/MeshPlanTest.java
@@ -0,0 +1,84 @@
+package org.parsleydrift.roles;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.function.Predicate;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.parsleydrift.roles.MeshPlan.Neighbour;
+import org.testng.annotations.Test;
+
+/** Whom a node tells what, by what it hears. Nodes are named a0 to a9 and b0 to b9 in zones a and b. */
+public class MeshPlanTest {
+    private static NodeIdentity node(String name) {
+        return new NodeIdentity(name, name.substring(0, 1), name + ":80", name);
+    }
+
+    private static List<Neighbour> others(String self, Predicate<String> alive, String... direct) {
+        return Stream.of("a", "b")
+                .flatMap(zone -> IntStream.range(0, 10).mapToObj(number -> zone + number))
+                .filter(name -> !name.equals(self))
+                .map(name -> new Neighbour(
+                        node(name), alive.test(name), Arrays.asList(direct).contains(name)))
+                .toList();
+    }
+
+    private static List<String> names(List<NodeIdentity> nodes) {
+        return nodes.stream().map(NodeIdentity::name).toList();
+    }
+
+    @Test
+    public void fewNodesTellEachOther() {
+        List<Neighbour> peers = others("a3", name -> true).subList(0, MeshPlan.DIRECT_PEERS);
+        MeshPlan plan = MeshPlan.of(node("a3"), peers, false, false);
+        assertEquals(plan.own().size(), MeshPlan.DIRECT_PEERS);
+        assertTrue(plan.zone().isEmpty() && plan.all().isEmpty());
+    }
+
+    @Test
+    public void aMemberTellsItsHubOnly() {
+        MeshPlan plan = MeshPlan.of(node("a3"), others("a3", name -> true, "a0"), false, false);
+        assertEquals(names(plan.own()), List.of("a0"));
+        assertTrue(plan.zone().isEmpty() && plan.all().isEmpty());
+    }
+
+    @Test
+    public void theFirstOfAZoneIsItsHub() {
+        MeshPlan plan = MeshPlan.of(node("a0"), others("a0", name -> true, "a1", "a2", "b0"), false, false);
+        assertTrue(plan.own().isEmpty());
+        assertEquals(names(plan.zone()), List.of("b0", "b1"));
+        assertEquals(plan.all().size(), 9);
+    }
+
+    /** Symptom: a node's state reaches nobody. Events: the hub has gone silent, others still pass on its last state. */
+    @Test
+    public void aSilentHubAndItsSuccessorAreBothTold() {
+        MeshPlan plan = MeshPlan.of(node("a3"), others("a3", name -> true, "a1", "a2"), false, false);
+        assertEquals(names(plan.own()), List.of("a0", "a1"));
+        MeshPlan later = MeshPlan.of(node("a3"), others("a3", name -> !name.equals("a0"), "a1", "a2"), false, false);
+        assertEquals(names(later.own()), List.of("a1"));
+    }
+
+    /** A node that hears nobody before itself, or that others take for their hub, passes states on. */
+    @Test
+    public void whoHearsNoHubActsAsOne() {
+        MeshPlan alone = MeshPlan.of(node("a3"), others("a3", name -> false), false, false);
+        assertTrue(alone.own().isEmpty() && alone.all().isEmpty());
+        assertEquals(names(alone.zone()), List.of("b0", "b1"));
+        MeshPlan asked = MeshPlan.of(node("a3"), others("a3", name -> true, "a0"), true, false);
+        assertEquals(names(asked.own()), List.of("a0"));
+        assertEquals(asked.all().size(), 9);
+    }
+
+    /** A node that came back and knows nobody is found, since silent ones are tried now and then. */
+    @Test
+    public void silentNodesAreTriedNowAndThen() {
+        MeshPlan plan = MeshPlan.of(node("a0"), others("a0", name -> !name.equals("a5"), "a1"), false, false);
+        assertEquals(plan.all().size(), 8);
+        MeshPlan probing = MeshPlan.of(node("a0"), others("a0", name -> !name.equals("a5"), "a1"), false, true);
+        assertEquals(probing.all().size(), 9);
+    }
+}
