A store VM to be emptied leaves only where two others remain

Change: a retiring member stays in a set of two until another VM has joined. Figures: SetChangeTest and the conversation module green.

--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/SetChange.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/SetChange.java
@@ -76,8 +76,9 @@
             return Optional.empty();
         }
         List<StoreMember> members = view.set().members();
+        // Its records must lie on two others before it may go: left to one, they would be lost with that one's disk.
         Optional<StoreMember> leaves = members.stream()
-                .filter(each -> view.retiring().contains(each.name()))
+                .filter(each -> members.size() >= WANTED && view.retiring().contains(each.name()))
                 .findFirst()
                 .or(() -> members.size() == WANTED
                         ? Optional.empty()
