A runner's restart under its id is another life; entries of other writers name no runner

Load, health, kept connections and warm prompts were kept by id, so a new life was credited with those of the former; an entry that turned unreadable left the former runner in use, a number passed for a text, one bad 'slots' for one slot; a strange node or store set entry threw inside the follower, which then followed no more. Ruled out: comparing revisions alone (an entry of a former life may be written after one of the present life). RegistryFollowingTest asks by runner instead of by id, with the same checks.

--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/StoreSetJson.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/StoreSetJson.java
@@ -40,6 +40,10 @@
     public static StoreSet read(byte[] json) {
         try {
             JsonNode root = MAPPER.readTree(json);
+            if (!root.required("epoch").isIntegralNumber()
+                    || root.path("members").isEmpty()) {
+                throw new IllegalArgumentException("epoch is no whole number, or there are no members");
+            }
             return new StoreSet(
                     root.required("epoch").asLong(),
                     members(root.required("members")),
--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/ObjectFollower.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/ObjectFollower.java
@@ -119,11 +119,27 @@
         pauseMillis = FIRST_PAUSE_MILLIS;
         tell(true, "answered");
         if (list || !news.isEmpty()) {
-            listener.changed(news);
+            tellNews(news);
         }
         next(mine);
     }
 
+    /** Entries of other writers may hold anything; one that trips the listener must not end the following of all. */
+    private void tellNews(List<SharedObject> news) {
+        try {
+            listener.changed(news);
+        } catch (RuntimeException fault) {
+            LOG.log(
+                    Logger.Level.ERROR,
+                    LogLine.of("news_not_taken_in")
+                            .with("kind", kind)
+                            .with("as_of", table.asOf())
+                            .with("changes", news.size())
+                            .failure(fault)
+                            .toString());
+        }
+    }
+
     private void failed(StoreFailure failure, long mine) {
         if (failure == StoreFailure.ABSENT) {
             LOG.log(
--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/Registry.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/Registry.java
@@ -26,6 +26,7 @@
     private final ObjectDecoder decoder;
     private final Map<String, Runner> runners = new HashMap<>();
     private final Map<String, Runner> lapsed = new HashMap<>();
+    private final NewestLives newestLives = new NewestLives();
     private Runnable onChange = () -> {};
     private RoutingManifest manifest;
     private boolean platformReached = true;
@@ -76,12 +77,12 @@
     /**
      * Whether a runner may still get new requests.
      *
-     * @param id its id
-     * @return whether it is known and not leaving
+     * @param runner one of its lives
+     * @return whether this life is known and not leaving
      */
-    public boolean usable(String id) {
-        Runner runner = runners.getOrDefault(id, lapsed.get(id));
-        return runner != null && !runner.draining();
+    public boolean usable(Runner runner) {
+        Runner known = runners.getOrDefault(runner.id(), lapsed.get(runner.id()));
+        return known != null && known.life().equals(runner.life()) && !known.draining();
     }
 
     /**
@@ -147,21 +148,38 @@
         }
         try {
             Runner now = decoder.runner(change.name(), change.content());
+            if (newestLives.isFormer(now)) {
+                log("runner_of_former_life", now, change);
+                return;
+            }
+            newestLives.seen(now);
             lapsed.remove(change.name());
             runners.put(change.name(), now);
             if (!now.equals(before)) {
                 log(before == null ? "runner_known" : "runner_changed", now, change);
             }
         } catch (StepException fault) {
-            LOG.log(
-                    Logger.Level.ERROR,
-                    LogLine.of("runner_unreadable")
-                            .with("runner", change.name())
-                            .failure(fault)
-                            .toString());
+            unreadable(change, fault);
         }
     }
 
+    /**
+     * An entry that can't be read names no runner, whatever stood there before: who wrote it is unknown, and requests
+     * sent to the runner of its former content might reach another process.
+     */
+    private void unreadable(SharedObject change, StepException fault) {
+        boolean known = runners.remove(change.name()) != null;
+        lapsed.remove(change.name());
+        LOG.log(
+                Logger.Level.WARNING,
+                LogLine.of("runner_unreadable")
+                        .with("runner", change.name())
+                        .with("revision", change.revision())
+                        .with("was_known", known)
+                        .failure(fault)
+                        .toString());
+    }
+
     private void removed(Runner runner, SharedObject change) {
         boolean outageNear =
                 hadOutage && (!platformReached || loop.clock().nanos() - platformBackNanos < AFTER_OUTAGE.toNanos());
@@ -183,7 +201,7 @@
         LOG.log(
                 Logger.Level.INFO,
                 () -> LogLine.of(event)
-                        .with("runner", runner.id())
+                        .with("runner", runner.life())
                         .with("service", runner.service())
                         .with("address", runner.address())
                         .with("zone", runner.zone())
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
@@ -56,7 +56,7 @@
     /**
      * Requests that this node has at each runner.
      *
-     * @return numbers by runner id
+     * @return numbers by the life of the runner
      */
     public Map<String, Integer> ownLoad() {
         return Map.copyOf(ownLoad);
@@ -65,7 +65,7 @@
     /**
      * Takes in what other nodes have at each runner.
      *
-     * @param loads by node: numbers by the hash of the runner's id; empty for a node that is gone
+     * @param loads by node: numbers by the hash of the runner's life; empty for a node that is gone
      */
     public void peerLoads(Map<String, Map<Integer, Integer>> loads) {
         loads.forEach((node, load) -> {
@@ -113,13 +113,13 @@
     }
 
     /** A place is free again. */
-    void finished(String runnerId) {
-        ownLoad.computeIfPresent(runnerId, (id, load) -> load <= 1 ? null : load - 1);
+    void finished(String life) {
+        ownLoad.computeIfPresent(life, (same, load) -> load <= 1 ? null : load - 1);
         dispatch();
     }
 
-    RunnerHealth health(String runnerId) {
-        return health.computeIfAbsent(runnerId, any -> new RunnerHealth());
+    RunnerHealth health(String life) {
+        return health.computeIfAbsent(life, any -> new RunnerHealth());
     }
 
     /** What second tries a service gets from this node. */
@@ -136,23 +136,23 @@
         Waiter waiter = entry.waiter();
         long now = nanos.getAsLong();
         List<Candidate> candidates = registry.runners(waiter.service()).stream()
-                .filter(each -> !waiter.avoided().contains(each.id()))
+                .filter(each -> !waiter.avoided().contains(each.life()))
                 .map(each -> candidate(each, now))
                 .toList();
         Optional<Candidate> chosen = RunnerChoice.choose(candidates, waiter.warmRunner(), random);
         if (chosen.isPresent() && waiting.remove(entry)) {
             Runner runner = chosen.get().runner();
-            ownLoad.merge(runner.id(), 1, Integer::sum);
+            ownLoad.merge(runner.life(), 1, Integer::sum);
             waiter.offered(runner, chosen.get().load());
         }
     }
 
     private Candidate candidate(Runner runner, long now) {
-        RunnerHealth known = health.get(runner.id());
+        RunnerHealth known = health.get(runner.life());
         return new Candidate(
                 runner,
-                ownLoad.getOrDefault(runner.id(), 0)
-                        + peerTotal.getOrDefault(runner.id().hashCode(), 0),
+                ownLoad.getOrDefault(runner.life(), 0)
+                        + peerTotal.getOrDefault(runner.life().hashCode(), 0),
                 known != null && known.suspended(now),
                 runner.zone().equals(zone));
     }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -166,10 +166,10 @@
         LOG.log(
                 Logger.Level.INFO,
                 () -> line("request_placed")
-                        .with("runner", runner.id())
+                        .with("runner", runner.life())
                         .with("load", load)
                         .with("slots", runner.slots())
-                        .with("warm", runner.id().equals(warmRunner))
+                        .with("warm", runner.life().equals(warmRunner))
                         .with("offer", offers)
                         .with("manifest", manifestVersion)
                         .toString());
@@ -218,14 +218,14 @@
     /** The runner said, or it is certain, that the request was not begun there. */
     void notRun(Runner runner, String reason) {
         exchange = null;
-        avoided.add(runner.id());
+        avoided.add(runner.life());
         LOG.log(
                 Logger.Level.INFO,
                 () -> line("not_run_at_runner")
-                        .with("runner", runner.id())
+                        .with("runner", runner.life())
                         .with("reason", reason)
                         .toString());
-        boolean others = relay.dispatcher().runners(service).stream().anyMatch(each -> !avoided.contains(each.id()));
+        boolean others = relay.dispatcher().runners(service).stream().anyMatch(each -> !avoided.contains(each.life()));
         if (offers < RelayLimits.MOST_OFFERS && others) {
             queue();
         } else if (runs > 0) {
@@ -241,7 +241,7 @@
                 && exchange == offered
                 && relay.dispatcher().retries(service).take()) {
             offered.cancel();
-            relay.dispatcher().health(runner.id()).broken(relay.loop().clock().nanos());
+            relay.dispatcher().health(runner.life()).broken(relay.loop().clock().nanos());
             runs++;
             sendAgain(runner, "silent for longer than the route's target");
         }
@@ -265,16 +265,16 @@
     private boolean hasOtherRunner() {
         return relay.dispatcher().runners(service).stream()
                 .anyMatch(each ->
-                        !avoided.contains(each.id()) && !exchange.runnerId().equals(each.id()));
+                        !avoided.contains(each.life()) && !exchange.runnerLife().equals(each.life()));
     }
 
     private void sendAgain(Runner runner, String reason) {
         exchange = null;
-        avoided.add(runner.id());
+        avoided.add(runner.life());
         LOG.log(
                 Logger.Level.INFO,
                 () -> line("sent_again")
-                        .with("runner", runner.id())
+                        .with("runner", runner.life())
                         .with("reason", reason)
                         .toString());
         queue();
@@ -290,7 +290,7 @@
     void answered(Runner runner, int status, HttpHeaders headers, byte[] bytes) {
         caller.whole(status, ForwardedHeaders.toCaller(headers), bytes);
         if (isTurn() && status >= 400 && status < 500) {
-            turn.ifPresent(each -> each.settle(runner.id(), 0));
+            turn.ifPresent(each -> each.settle(runner.life(), 0));
         }
         finish("answered", String.valueOf(status));
     }
@@ -306,14 +306,14 @@
                 .orElse(0);
         int tokens = events.events() * perEvent;
         if (!route.keepsConversation()) {
-            turn.map(each -> each.settle(runner.id(), tokens))
+            turn.map(each -> each.settle(runner.life(), tokens))
                     .orElseGet(() -> CompletableFuture.completedFuture(null))
                     .whenComplete((done, failure) -> endStream(begun));
             return;
         }
         Duration patience = Duration.ofMillis(Math.min(leftMillis(), RelayLimits.COMMIT_MOST.toMillis()));
         turn.orElseThrow()
-                .keep(runner.id(), tokens, request.body(), events.data(), patience)
+                .keep(runner.life(), tokens, request.body(), events.data(), patience)
                 .whenComplete((done, failure) -> relay.loop().execute(() -> kept(begun, failure)));
     }
 
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnection.java
@@ -34,7 +34,7 @@
     private final RelayDialect dialect;
     private final RuntimeClock clock;
     private final IdleConnections pool;
-    private final String runnerId;
+    private final String runnerLife;
     private Channel channel;
     private ChannelFuture written;
     private RunnerRequest request;
@@ -48,15 +48,15 @@
     private long idleSinceNanos;
     private Optional<Duration> idleLimit = Optional.empty();
 
-    RunnerConnection(IdleConnections pool, String runnerId, RelayDialect dialect, RuntimeClock clock) {
+    RunnerConnection(IdleConnections pool, String runnerLife, RelayDialect dialect, RuntimeClock clock) {
         this.pool = pool;
-        this.runnerId = runnerId;
+        this.runnerLife = runnerLife;
         this.dialect = dialect;
         this.clock = clock;
     }
 
-    String runnerId() {
-        return runnerId;
+    String runnerLife() {
+        return runnerLife;
     }
 
     Optional<Duration> idleLimit() {
@@ -158,7 +158,7 @@
                         () -> LogLine.of("answer_of_other_request_skipped")
                                 .with("request", request.id())
                                 .with("answer_for", response.headers().get(dialect.requestId()))
-                                .with("runner", runnerId)
+                                .with("runner", runnerLife)
                                 .with("status", status)
                                 .toString());
             }
@@ -230,7 +230,7 @@
         LOG.log(
                 Logger.Level.INFO,
                 () -> LogLine.of("unasked_answer")
-                        .with("runner", runnerId)
+                        .with("runner", runnerLife)
                         .with("served", served)
                         .toString());
         close();
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnections.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnections.java
@@ -53,28 +53,28 @@
 
     /** Gives a connection on which nothing was sent for the next request; fails with StepException. */
     CompletableFuture<RunnerConnection> acquire(Runner runner) {
-        RunnerConnection kept = takeIdle(runner.id());
+        RunnerConnection kept = takeIdle(runner.life());
         return kept != null ? CompletableFuture.completedFuture(kept) : connect(runner);
     }
 
     @Override
     public void idle(RunnerConnection connection) {
-        idle.computeIfAbsent(connection.runnerId(), any -> new ArrayDeque<>()).addLast(connection);
+        idle.computeIfAbsent(connection.runnerLife(), any -> new ArrayDeque<>()).addLast(connection);
     }
 
     @Override
     public void closed(RunnerConnection connection) {
-        Deque<RunnerConnection> kept = idle.get(connection.runnerId());
+        Deque<RunnerConnection> kept = idle.get(connection.runnerLife());
         if (kept != null) {
             kept.remove(connection);
             if (kept.isEmpty()) {
-                idle.remove(connection.runnerId());
+                idle.remove(connection.runnerLife());
             }
         }
     }
 
-    private RunnerConnection takeIdle(String runnerId) {
-        Deque<RunnerConnection> kept = idle.get(runnerId);
+    private RunnerConnection takeIdle(String life) {
+        Deque<RunnerConnection> kept = idle.get(life);
         while (kept != null && !kept.isEmpty()) {
             RunnerConnection newest = kept.pollLast();
             if (newest.open() && fresh(newest)) {
@@ -94,7 +94,7 @@
 
     private CompletableFuture<RunnerConnection> connect(Runner runner) {
         CompletableFuture<RunnerConnection> connected = new CompletableFuture<>();
-        RunnerConnection connection = new RunnerConnection(this, runner.id(), dialect, loop.clock());
+        RunnerConnection connection = new RunnerConnection(this, runner.life(), dialect, loop.clock());
         int colon = runner.address().lastIndexOf(':');
         var address = new InetSocketAddress(
                 runner.address().substring(0, colon),
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerExchange.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerExchange.java
@@ -42,8 +42,8 @@
         release();
     }
 
-    String runnerId() {
-        return runner.id();
+    String runnerLife() {
+        return runner.life();
     }
 
     boolean streamBegun() {
@@ -58,12 +58,12 @@
             return;
         }
         if (failure != null) {
-            relay.dispatcher().health(runner.id()).unreachable(now());
+            relay.dispatcher().health(runner.life()).unreachable(now());
             release();
             request.notRun(runner, "no connection");
             return;
         }
-        if (!relay.registry().usable(runner.id())) {
+        if (!relay.registry().usable(runner)) {
             relay.connections().idle(acquired);
             release();
             request.notRun(runner, "runner left meanwhile");
@@ -112,7 +112,7 @@
         }
         over = true;
         deliver();
-        relay.dispatcher().finished(runner.id());
+        relay.dispatcher().finished(runner.life());
     }
 
     @Override
@@ -121,7 +121,7 @@
             return;
         }
         over = true;
-        relay.dispatcher().health(runner.id()).broken(now());
+        relay.dispatcher().health(runner.life()).broken(now());
         if (streamBegun) {
             request.streamBroken(reason);
         } else if (mayHaveRun) {
@@ -129,13 +129,13 @@
         } else {
             request.notRun(runner, reason);
         }
-        relay.dispatcher().finished(runner.id());
+        relay.dispatcher().finished(runner.life());
     }
 
     private void release() {
         if (!over) {
             over = true;
-            relay.dispatcher().finished(runner.id());
+            relay.dispatcher().finished(runner.life());
         }
     }
 
@@ -145,7 +145,7 @@
             request.notRun(runner, "runner says not executed, status " + status);
             return;
         }
-        relay.dispatcher().health(runner.id()).answered();
+        relay.dispatcher().health(runner.life()).answered();
         if (streamBegun) {
             if (events.sound()) {
                 request.streamEnded(runner, events);
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -213,11 +213,28 @@
     }
 
     private void storeSetChanged(List<SharedObject> news) {
-        news.stream().filter(each -> !each.deleted()).forEach(each -> stores.adopt(StoreSetJson.read(each.content())));
+        forEachReadable(news, each -> stores.adopt(StoreSetJson.read(each.content())));
     }
 
     private void nodesChanged(List<SharedObject> news) {
-        news.stream().filter(each -> !each.deleted()).forEach(each -> mesh.known(NodeIdentity.read(each.content())));
+        forEachReadable(news, each -> mesh.known(NodeIdentity.read(each.content())));
+    }
+
+    /** One entry that another writer has spoilt keeps none of the others from being taken in. */
+    private static void forEachReadable(List<SharedObject> news, Consumer<SharedObject> taker) {
+        news.stream().filter(each -> !each.deleted()).forEach(each -> {
+            try {
+                taker.accept(each);
+            } catch (StepException fault) {
+                LOG.log(
+                        Logger.Level.WARNING,
+                        LogLine.of("entry_unreadable")
+                                .with("name", each.name())
+                                .with("revision", each.revision())
+                                .failure(fault)
+                                .toString());
+            }
+        });
     }
 
     /** Names this node to its peers; tried until it is done, since a node that no peer knows gets no callers. */
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeIdentity.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeIdentity.java
@@ -32,12 +32,20 @@
         try {
             JsonNode root = MAPPER.readTree(json);
             return new NodeIdentity(
-                    root.required("name").asText(),
-                    root.required("zone").asText(),
-                    root.required("callers").asText(),
-                    root.required("link").asText());
+                    text(root, "name"),
+                    text(root, "zone"),
+                    Address.parse(text(root, "callers")).toString(),
+                    Address.parse(text(root, "link")).toString());
         } catch (IOException | IllegalArgumentException fault) {
             throw new StepException(Step.PARSE, "platform", "bad node entry: " + fault.getMessage());
         }
     }
+
+    private static String text(JsonNode root, String field) {
+        JsonNode value = root.required(field);
+        if (!value.isTextual() || value.asText().isEmpty()) {
+            throw new IllegalArgumentException(field + " is no text");
+        }
+        return value.asText();
+    }
 }
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeState.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeState.java
@@ -18,7 +18,7 @@
  * @param ready whether it may be named to callers
  * @param reachesStores whether it reaches the store VMs directly
  * @param newest revision of the newest change that it knows, by kind
- * @param load its requests at each runner, by the hash of the runner's id: two that meet only make a runner look busier
+ * @param load its requests at each runner, by the hash of the runner's life: two that meet only make a runner look busier
  */
 record NodeState(
         String name,
--- a/parsleydrift-standin/src/test/java/org/parsleydrift/registry/RegistryFollowingTest.java
+++ b/parsleydrift-standin/src/test/java/org/parsleydrift/registry/RegistryFollowingTest.java
@@ -44,6 +44,10 @@
         time.advance(Duration.ofSeconds(1));
     }
 
+    private boolean usable(String id) {
+        return registry.usable(new Runner(id, "s", "10.0.0.1:1", "z", 6, false));
+    }
+
     private void start(ManualEventLoop loop, ObjectKind kind, java.util.function.Consumer<List<SharedObject>> news) {
         new ObjectFollower(
                         kind,
@@ -76,10 +80,10 @@
 
     @Test
     public void aDrainIsKnownWithinMilliseconds() {
-        assertTrue(registry.usable("r1"));
+        assertTrue(usable("r1"));
         runner("r1", "draining");
         time.advance(Duration.ofMillis(50));
-        assertFalse(registry.usable("r1"));
+        assertFalse(usable("r1"));
         assertEquals(registry.runners("s"), List.of());
     }
 
@@ -88,7 +92,7 @@
     public void aRemovedRunnerGetsNothing() {
         objects.delete(ObjectKind.RUNNERS, "r1");
         time.advance(Duration.ofMillis(50));
-        assertFalse(registry.usable("r1"));
+        assertFalse(usable("r1"));
     }
 
     /**
@@ -105,12 +109,12 @@
         objects.delete(ObjectKind.RUNNERS, "r2");
         objects.down(false);
         time.advance(Duration.ofMillis(1500));
-        assertTrue(registry.usable("r1"));
-        assertTrue(registry.usable("r2"));
+        assertTrue(usable("r1"));
+        assertTrue(usable("r2"));
         runner("r2", "ready");
         time.advance(Duration.ofSeconds(2));
-        assertFalse(registry.usable("r1"));
-        assertTrue(registry.usable("r2"));
+        assertFalse(usable("r1"));
+        assertTrue(usable("r2"));
     }
 
     /** Symptom: changes are missed for good. Events: the store forgets its history while a watch is away. */
@@ -126,6 +130,6 @@
         objects.down(false);
         time.advance(Duration.ofSeconds(2));
         assertEquals(registry.manifest().orElseThrow().version(), 2);
-        assertFalse(registry.usable("r1"));
+        assertFalse(usable("r1"));
     }
 }
