Prompts held by parts decide the runner; a line waits for its full engine

Cause: on a burst of twice the usual rate all engines are full for ten seconds, a third of their time goes into reading prompts, and 34% of turns reach the runner that served their program last. A difference of one request at a runner went before any amount of reading, and 'last runner' was any settled turn of the program, in no order. Ruled out: too little memory at the engines (no request was preempted; 86,000 tokens a runner are free for some fifty lines); a wrong view of the load (busiest against mean runner 1.11). Change: a settled grant names the last part of the turn's prompt and how much of it the runner holds, so that any entry node finds a line or a sub-agent's parent; PromptMemory joins this with what the node itself sent; RunnerChoice takes the runner with the least reading for all that wait for it, lets a quarter of its slots queue there, and waits for a better one that is full. Grants on disk of earlier versions are still read.

--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/BeginResult.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/BeginResult.java
@@ -8,9 +8,9 @@
      * It may run; its tokens are reserved.
      *
      * @param chain earlier turns, oldest first
-     * @param lastRunner the runner of the program's last turn; empty if none is known
+     * @param settled grants of the program's turns that ended whole, in no order
      */
-    record Granted(List<Turn> chain, String lastRunner) implements BeginResult {}
+    record Granted(List<Turn> chain, List<Grant> settled) implements BeginResult {}
 
     /**
      * The budget does not hold the turn at its most.
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationCodec.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationCodec.java
@@ -114,10 +114,25 @@
                 .packString(grant.request())
                 .packByte(grant.state().code())
                 .packInt(grant.tokens())
-                .packString(grant.runner());
+                .packString(grant.runner())
+                .packString(grant.part())
+                .packInt(grant.partTokens());
     }
 
     static Grant grant(MessageUnpacker in) throws IOException {
+        Grant plain = grantWithoutPart(in);
+        return new Grant(
+                plain.program(),
+                plain.request(),
+                plain.state(),
+                plain.tokens(),
+                plain.runner(),
+                in.unpackString(),
+                in.unpackInt());
+    }
+
+    /** Reads a grant as earlier versions wrote it to disk. */
+    static Grant grantWithoutPart(MessageUnpacker in) throws IOException {
         return new Grant(
                 in.unpackString(),
                 in.unpackString(),
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/Conversations.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/Conversations.java
@@ -130,40 +130,39 @@
                 && counted + begin.mostTokens() > begin.budget().getAsInt()) {
             return CompletableFuture.completedFuture(new BeginResult.Spent(counted, spent.atLeast(begin.program())));
         }
-        String lastRunner = found.grants().values().stream()
+        List<Grant> settled = found.grants().values().stream()
                 .filter(each -> each.state() == GrantState.SETTLED)
-                .map(Grant::runner)
-                .reduce("", (first, second) -> second);
+                .toList();
         if (!begin.previous().isEmpty() && !found.turns().containsKey(begin.previous())) {
             return CompletableFuture.completedFuture(new BeginResult.NoSuchTurn());
         }
-        return assemble(begin, found.turns(), lastRunner, true);
+        return assemble(begin, found.turns(), settled, true);
     }
 
     /** Each member gives the chain as far as it holds it; a hole in what they hold together is looked for once more. */
     private CompletableFuture<BeginResult> assemble(
-            BeginRequest begin, Map<String, Turn> turns, String lastRunner, boolean mayFetch) {
+            BeginRequest begin, Map<String, Turn> turns, List<Grant> settled, boolean mayFetch) {
         Deque<Turn> chain = new ArrayDeque<>();
         String id = begin.previous();
         while (!id.isEmpty()) {
             Turn turn = turns.get(id);
             if (turn == null) {
                 return mayFetch
-                        ? fetchHole(begin, turns, lastRunner, id)
+                        ? fetchHole(begin, turns, settled, id)
                         : CompletableFuture.completedFuture(
                                 new BeginResult.Unavailable("turn " + id + " of the chain was not found"));
             }
             chain.addFirst(turn);
             id = turn.previous();
         }
-        return CompletableFuture.completedFuture(new BeginResult.Granted(List.copyOf(chain), lastRunner));
+        return CompletableFuture.completedFuture(new BeginResult.Granted(List.copyOf(chain), settled));
     }
 
     private CompletableFuture<BeginResult> fetchHole(
-            BeginRequest begin, Map<String, Turn> turns, String lastRunner, String missing) {
+            BeginRequest begin, Map<String, Turn> turns, List<Grant> settled, String missing) {
         return client.read("", missing, begin.patience()).thenCompose(more -> {
             turns.putAll(more.turns());
-            return assemble(begin, turns, lastRunner, more.turns().containsKey(missing));
+            return assemble(begin, turns, settled, more.turns().containsKey(missing));
         });
     }
 
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/HeldRecords.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/HeldRecords.java
@@ -19,7 +19,10 @@
     private static final int KEEP_FACTOR = 3;
 
     private static final byte TURN = 1;
-    private static final byte GRANT = 2;
+    /** A grant as earlier versions wrote it; a VM that is upgraded still has such records on its disk. */
+    private static final byte GRANT_WITHOUT_PART = 2;
+
+    private static final byte GRANT = 3;
 
     private final Map<String, Turn> turns = new HashMap<>();
     private final Map<String, Map<String, Grant>> ledgers = new HashMap<>();
@@ -38,6 +41,7 @@
             byte type = in.unpackByte();
             switch (type) {
                 case TURN -> keep(ConversationCodec.turn(in), until);
+                case GRANT_WITHOUT_PART -> keep(ConversationCodec.grantWithoutPart(in), until);
                 case GRANT -> keep(ConversationCodec.grant(in), until);
                 default -> throw new IOException("unknown record " + type);
             }
--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/RunnerChoice.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/RunnerChoice.java
@@ -6,53 +6,58 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Chooses a runner. Load pattern: callers spread over all nodes at random, and each node sees the others' share with a
- * delay; ties are broken by lot, since nodes that all took the first would meet at one runner. Among equals those of the
- * node's own zone go first: they save two crossings between zones, 2.8 ms and the bytes of prompt and answer.
+ * Chooses a runner. Load pattern: bursts that fill all model engines. An engine reads prompts one chunk at a time, and all
+ * requests in its batch wait meanwhile; what a request costs is therefore the reading of its prompt, for itself and for
+ * each one that runs there, and its own share of the reading for those that come after it. The runner with the least of
+ * this is chosen, and a request waits for it if it is full: at full engines a prompt read anew costs all of them more than
+ * the wait. Runners that read nothing are compared by load alone.
+ *
+ * <p>Callers spread over all nodes at random, and each node sees the others' share with a delay; ties are broken by lot,
+ * since nodes that all took the first would meet at one runner. Among equals those of the node's own zone go first.
  */
 public final class RunnerChoice {
     /**
-     * Requests more than at the least loaded runner that a warm one may have. Each request in a batch lengthens its
-     * steps, while reading a usual prompt anew takes some 7 ms (1,166 tokens at 168 a ms), about the price of one.
+     * One part in so many of a runner's slots may be queued there beyond them. A freed place is seen by other nodes some
+     * 40 to 80 ms late, a sixth of a usual turn; the runner's own queue fills it at once.
      */
-    private static final int WARM_ALLOWANCE = 1;
+    static final int QUEUED_SHARE = 4;
 
     private RunnerChoice() {}
 
     /**
-     * Chooses a runner with room.
+     * Chooses a runner.
      *
      * @param candidates runners of the service that may get new requests
-     * @param warmRunner the id of the runner that served the program last; empty for none
+     * @param usualMissing tokens that a usual request of the service has to read; 0 where there are no prompts
      * @param random breaks ties
-     * @return the runner; empty if none has room
+     * @return the runner; empty if none has room, or if it is better to wait for one that has none
      */
-    public static Optional<Candidate> choose(List<Candidate> candidates, String warmRunner, RandomGenerator random) {
+    public static Optional<Candidate> choose(List<Candidate> candidates, double usualMissing, RandomGenerator random) {
         boolean anyHealthy = candidates.stream().anyMatch(each -> !each.suspended());
-        List<Candidate> open = candidates.stream()
+        boolean prompted = usualMissing > 0;
+        int largest = candidates.stream()
+                .mapToInt(each -> each.runner().slots())
+                .max()
+                .orElse(1);
+        return candidates.stream()
                 // When all have failed, one of them must be tried: leaving a whole service alone serves nobody.
                 .filter(each -> !anyHealthy || !each.suspended())
-                .filter(Candidate::hasRoom)
-                .toList();
-        int least = open.stream().mapToInt(Candidate::load).min().orElse(0);
-        return open.stream()
-                .filter(each -> each.runner().id().equals(warmRunner) && each.load() <= least + WARM_ALLOWANCE)
-                .findFirst()
-                .or(() -> leastLoaded(open, random));
-    }
-
-    private static Optional<Candidate> leastLoaded(List<Candidate> open, RandomGenerator random) {
-        return open.stream()
-                .map(each -> new Drawn(each, random.nextDouble()))
-                .min(Comparator.comparingDouble(Drawn::share)
+                .map(each -> new Drawn(each, cost(each, largest, usualMissing), random.nextDouble()))
+                .min(Comparator.comparingDouble(Drawn::cost)
                         .thenComparing(each -> !each.candidate().near())
                         .thenComparingDouble(Drawn::lot))
-                .map(Drawn::candidate);
+                .map(Drawn::candidate)
+                .filter(each -> each.load() < each.most(prompted));
     }
 
-    private record Drawn(Candidate candidate, double lot) {
-        double share() {
-            return (double) candidate.load() / Math.max(1, candidate.runner().slots());
-        }
+    /** In tokens that somebody waits for to be read; in requests where there are no prompts. */
+    private static double cost(Candidate candidate, int largest, double usualMissing) {
+        double beside = (double) candidate.load()
+                * largest
+                / Math.max(1, candidate.runner().slots());
+        double share = usualMissing > 0 ? usualMissing : 1;
+        return candidate.missingTokens() * (1 + beside) + beside * share;
     }
+
+    private record Drawn(Candidate candidate, double cost, double lot) {}
 }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
@@ -9,6 +9,7 @@
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.parsleydrift.placement.Candidate;
+import org.parsleydrift.placement.PromptMemory;
 import org.parsleydrift.placement.RetryBudget;
 import org.parsleydrift.placement.RunnerChoice;
 import org.parsleydrift.placement.RunnerHealth;
@@ -26,6 +27,11 @@
             .thenComparingInt(each -> each.waiter().priority())
             .thenComparingLong(Entry::arrival);
 
+    /** What a usual prompt has to be read of before any was placed, tokens: a few hundred of new input. */
+    private static final double FIRST_USUAL_MISSING = 500;
+    /** Weight of the newest placement in what is usual: the last twenty or so count, some tenths of a second of a burst. */
+    private static final double USUAL_WEIGHT = 0.05;
+
     private final Registry registry;
     private final RandomGenerator random;
     private final String zone;
@@ -36,6 +42,8 @@
     private final Map<Integer, Integer> peerTotal = new HashMap<>();
     private final Map<String, RunnerHealth> health = new HashMap<>();
     private final Map<String, RetryBudget> retries = new HashMap<>();
+    private final Map<String, Double> usualMissing = new HashMap<>();
+    private final PromptMemory prompts = new PromptMemory();
     private long arrivals;
 
     /**
@@ -137,24 +145,35 @@
         long now = nanos.getAsLong();
         List<Candidate> candidates = registry.runners(waiter.service()).stream()
                 .filter(each -> !waiter.avoided().contains(each.life()))
-                .map(each -> candidate(each, now))
+                .map(each -> candidate(each, waiter, now))
                 .toList();
-        Optional<Candidate> chosen = RunnerChoice.choose(candidates, waiter.warmRunner(), random);
+        double usual = waiter.prompt().isEmpty() ? 0 : usualMissing.getOrDefault(waiter.service(), FIRST_USUAL_MISSING);
+        Optional<Candidate> chosen = RunnerChoice.choose(candidates, usual, random);
         if (chosen.isPresent() && waiting.remove(entry)) {
-            Runner runner = chosen.get().runner();
-            ownLoad.merge(runner.life(), 1, Integer::sum);
-            waiter.offered(runner, chosen.get().load());
+            take(waiter, chosen.get(), usual, now);
+        }
+    }
+
+    private void take(Waiter waiter, Candidate chosen, double usual, long now) {
+        String life = chosen.runner().life();
+        ownLoad.merge(life, 1, Integer::sum);
+        if (!waiter.prompt().isEmpty()) {
+            prompts.sent(life, waiter.prompt(), now);
+            double learned = usual + USUAL_WEIGHT * (chosen.missingTokens() - usual);
+            usualMissing.put(waiter.service(), Math.max(1, learned));
         }
+        waiter.offered(chosen);
     }
 
-    private Candidate candidate(Runner runner, long now) {
+    private Candidate candidate(Runner runner, Waiter waiter, long now) {
         RunnerHealth known = health.get(runner.life());
         return new Candidate(
                 runner,
                 ownLoad.getOrDefault(runner.life(), 0)
                         + peerTotal.getOrDefault(runner.life().hashCode(), 0),
                 known != null && known.suspended(now),
-                runner.zone().equals(zone));
+                runner.zone().equals(zone),
+                prompts.missing(runner.life(), waiter.prompt(), waiter.heard(), now));
     }
 
     private record Entry(Waiter waiter, long arrival) {}
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayDialect.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayDialect.java
@@ -17,6 +17,7 @@
  * @param tokenBudget tokens that all turns of the program may generate
  * @param tokenCount prompt tokens and most output tokens, separated by a comma
  * @param previousTurn the turn that a turn goes on from
+ * @param promptParts parts of the prompt in order, each "ID:TOKENS", separated by commas
  * @param systemOnly headers in lower case that only the system may set; taken off what callers send
  */
 public record RelayDialect(
@@ -31,6 +32,7 @@
         String tokenBudget,
         String tokenCount,
         String previousTurn,
+        String promptParts,
         Set<String> systemOnly) {
     /** Copies the set. */
     public RelayDialect {
@@ -55,6 +57,7 @@
                 "Parsleydrift-Token-Budget",
                 "Parsleydrift-Tokens",
                 "Parsleydrift-Previous-Turn",
+                "Parsleydrift-Prompt-Parts",
                 Set.of("parsleydrift-expect-runner"));
     }
 }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -5,6 +5,7 @@
 import java.lang.System.Logger;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
@@ -12,6 +13,9 @@
 import org.parsleydrift.conversation.BeginResult;
 import org.parsleydrift.kernel.LogLine;
 import org.parsleydrift.kernel.LoopTimer;
+import org.parsleydrift.placement.Candidate;
+import org.parsleydrift.placement.HeldPart;
+import org.parsleydrift.placement.PromptPart;
 import org.parsleydrift.registry.CallKind;
 import org.parsleydrift.registry.Route;
 import org.parsleydrift.registry.RoutingManifest;
@@ -40,7 +44,7 @@
     private LoopTimer queueTimer = () -> {};
     private LoopTimer silenceTimer = () -> {};
     private Optional<TurnRecord> turn = Optional.empty();
-    private String warmRunner = "";
+    private List<HeldPart> heard = List.of();
     private boolean chained;
     private byte[] body;
     private RunnerExchange exchange;
@@ -137,8 +141,13 @@
     }
 
     @Override
-    public String warmRunner() {
-        return warmRunner;
+    public List<PromptPart> prompt() {
+        return facts.prompt();
+    }
+
+    @Override
+    public List<HeldPart> heard() {
+        return heard;
     }
 
     @Override
@@ -153,13 +162,12 @@
 
     @Override
     public boolean underWay() {
-        return !warmRunner.isEmpty()
-                || chained
-                || (!isTurn() && !facts.program().isEmpty());
+        return !heard.isEmpty() || chained || (!isTurn() && !facts.program().isEmpty());
     }
 
     @Override
-    public void offered(Runner runner, int load) {
+    public void offered(Candidate chosen) {
+        Runner runner = chosen.runner();
         queueTimer.cancel();
         stage = Stage.OFFERED;
         offers++;
@@ -167,9 +175,10 @@
                 Logger.Level.INFO,
                 () -> line("request_placed")
                         .with("runner", runner.life())
-                        .with("load", load)
+                        .with("load", chosen.load())
                         .with("slots", runner.slots())
-                        .with("warm", runner.life().equals(warmRunner))
+                        .with("prompt", promptTokens())
+                        .with("missing", chosen.missingTokens())
                         .with("offer", offers)
                         .with("manifest", manifestVersion)
                         .toString());
@@ -352,7 +361,9 @@
         relay.meters().phase("begin", elapsed());
         switch (result) {
             case BeginResult.Granted grantedTurn -> {
-                warmRunner = grantedTurn.lastRunner();
+                heard = grantedTurn.settled().stream()
+                        .map(each -> new HeldPart(each.runner(), each.part(), each.partTokens()))
+                        .toList();
                 chained = !grantedTurn.chain().isEmpty();
                 body = ChainText.assemble(grantedTurn.chain(), request.body());
                 queue();
@@ -480,6 +491,10 @@
         return Duration.ofNanos(relay.loop().clock().nanos() - startNanos);
     }
 
+    private int promptTokens() {
+        return facts.prompt().stream().mapToInt(PromptPart::tokens).sum();
+    }
+
     private boolean streaming() {
         return route.kind() == CallKind.STREAMING;
     }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestFacts.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestFacts.java
@@ -1,9 +1,13 @@
 package org.parsleydrift.relay;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Arrays;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.regex.Pattern;
+import org.parsleydrift.placement.PromptPart;
 
 /**
  * What the headers of a request say.
@@ -14,6 +18,7 @@
  * @param budget the program's token budget
  * @param mostTokens the most tokens that the turn generates; 0 if not said
  * @param previousTurn the turn it goes on from; empty for none
+ * @param prompt parts of its prompt, in order; empty where it has none
  */
 record RequestFacts(
         String id,
@@ -21,7 +26,13 @@
         String program,
         OptionalInt budget,
         int mostTokens,
-        String previousTurn) {
+        String previousTurn,
+        List<PromptPart> prompt) {
+    /** Tokens of a prompt whose length is not said: a usual one. */
+    private static final int USUAL_PROMPT_TOKENS = 1000;
+
+    private static final Pattern COMMA = Pattern.compile(",");
+
     /**
      * Reads the headers.
      *
@@ -41,12 +52,34 @@
                     headers.get(dialect.program(), ""),
                     budget == null ? OptionalInt.empty() : OptionalInt.of(Integer.parseInt(budget.trim())),
                     mostTokens(headers.get(dialect.tokenCount())),
-                    headers.get(dialect.previousTurn(), "")));
+                    headers.get(dialect.previousTurn(), ""),
+                    prompt(headers, dialect)));
         } catch (NumberFormatException fault) {
             return Optional.empty();
         }
     }
 
+    /** Without parts the whole prompt is one, shared by the turns of its program. */
+    private static List<PromptPart> prompt(HttpHeaders headers, RelayDialect dialect) {
+        String parts = headers.get(dialect.promptParts(), "");
+        if (!parts.isBlank()) {
+            return Arrays.stream(COMMA.split(parts)).map(RequestFacts::part).toList();
+        }
+        String program = headers.get(dialect.program(), "");
+        boolean turn = headers.contains(dialect.tokenBudget()) || headers.contains(dialect.tokenCount());
+        return turn && !program.isEmpty() ? List.of(new PromptPart(program, USUAL_PROMPT_TOKENS)) : List.of();
+    }
+
+    private static PromptPart part(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0) {
+            throw new NumberFormatException("a part of a prompt is not ID:TOKENS");
+        }
+        return new PromptPart(
+                text.substring(0, colon).trim(),
+                Integer.parseInt(text.substring(colon + 1).trim()));
+    }
+
     private static int mostTokens(String counts) {
         if (counts == null) {
             return 0;
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/TurnRecord.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/TurnRecord.java
@@ -9,6 +9,7 @@
 import org.parsleydrift.conversation.Grant;
 import org.parsleydrift.conversation.GrantState;
 import org.parsleydrift.conversation.Turn;
+import org.parsleydrift.placement.PromptPart;
 import org.parsleydrift.registry.Route;
 
 /** What the store VMs know of one request: its reservation of tokens and, once it has ended, its turn. */
@@ -74,6 +75,11 @@
     }
 
     private Grant settled(String runner, int tokens) {
-        return new Grant(facts.program(), facts.id(), GrantState.SETTLED, tokens, runner);
+        if (facts.prompt().isEmpty()) {
+            return new Grant(facts.program(), facts.id(), GrantState.SETTLED, tokens, runner);
+        }
+        PromptPart line = facts.prompt().getLast();
+        int held = line.tokens() + tokens;
+        return new Grant(facts.program(), facts.id(), GrantState.SETTLED, tokens, runner, line.id(), held);
     }
 }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Waiter.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Waiter.java
@@ -1,15 +1,21 @@
 package org.parsleydrift.relay;
 
+import java.util.List;
 import java.util.Set;
-import org.parsleydrift.registry.Runner;
+import org.parsleydrift.placement.Candidate;
+import org.parsleydrift.placement.HeldPart;
+import org.parsleydrift.placement.PromptPart;
 
 /** A request that waits for a runner. */
 interface Waiter {
     /** The service whose runners can serve it. */
     String service();
 
-    /** The runner that served its program last; empty if none is known. */
-    String warmRunner();
+    /** Parts of its prompt; empty where it has none. */
+    List<PromptPart> prompt();
+
+    /** Parts that runners hold by the word of the store VMs. */
+    List<HeldPart> heard();
 
     /** Runners it must not go to again. */
     Set<String> avoided();
@@ -21,5 +27,5 @@
     boolean underWay();
 
     /** A place at a runner is taken for it. */
-    void offered(Runner runner, int load);
+    void offered(Candidate chosen);
 }
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DispatcherTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DispatcherTest.java
@@ -11,6 +11,9 @@
 import java.util.Random;
 import java.util.Set;
 import org.parsleydrift.kernel.ManualScheduler;
+import org.parsleydrift.placement.Candidate;
+import org.parsleydrift.placement.HeldPart;
+import org.parsleydrift.placement.PromptPart;
 import org.parsleydrift.registry.ObjectDecoder;
 import org.parsleydrift.registry.Registry;
 import org.parsleydrift.registry.RoutingManifest;
@@ -47,8 +50,13 @@
         }
 
         @Override
-        public String warmRunner() {
-            return "";
+        public List<PromptPart> prompt() {
+            return List.of();
+        }
+
+        @Override
+        public List<HeldPart> heard() {
+            return List.of();
         }
 
         @Override
@@ -67,8 +75,8 @@
         }
 
         @Override
-        public void offered(Runner chosen, int load) {
-            runner = chosen;
+        public void offered(Candidate chosen) {
+            runner = chosen.runner();
             placed.add(name);
         }
     }
--- a/parsleydrift-standin/src/main/java/org/parsleydrift/standin/ConversationCaller.java
+++ b/parsleydrift-standin/src/main/java/org/parsleydrift/standin/ConversationCaller.java
@@ -58,6 +58,9 @@
                             .put("service", "desk")
                             .put("address", runner)
                             .put("zone", "a")
+                            .put("version", "v1")
+                            .put("seq", 1)
+                            .put("cold_left_ms", 0)
                             .put("slots", 4)
                             .put("state", "ready"));
         }
