--- /dev/null
+++ b/parsleydrift-tools/src/main/java/org/parsleydrift/tools/LogDigest.java
@@ -0,0 +1,191 @@
+package org.parsleydrift.tools;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/**
+ * What the entry processes decided in a period, from their logs: by second, how many requests ended how, how long they
+ * waited for a runner and what their prompts cost; and by cause, what was not served, with the ids to look further with.
+ * Lines that a log left out under load are not in it; their number is told.
+ */
+final class LogDigest {
+    private static final Pattern FIELD = Pattern.compile("\\b([a-z_]+)=(\"[^\"]*\"|\\S+)");
+    /** Ids told of each cause. */
+    private static final int EXAMPLES = 3;
+
+    private final Map<String, Request> requests = new HashMap<>();
+    private long leftOut;
+
+    private record Fields(Map<String, String> values) {
+        static Fields of(String line) {
+            Map<String, String> values = new HashMap<>();
+            Matcher matcher = FIELD.matcher(line);
+            while (matcher.find()) {
+                values.putIfAbsent(matcher.group(1), matcher.group(2));
+            }
+            return new Fields(values);
+        }
+
+        String text(String name) {
+            return values.getOrDefault(name, "-");
+        }
+
+        long number(String name) {
+            String value = values.getOrDefault(name, "0");
+            return value.chars().allMatch(Character::isDigit) ? Long.parseLong(value) : 0;
+        }
+    }
+
+    /** One request as its lines tell of it. */
+    private static final class Request {
+        private final List<Long> placedAt = new ArrayList<>();
+        private String id = "-";
+        private String program = "-";
+        private String outcome = "-";
+        private String cause = "-";
+        private OptionalLong endedAt = OptionalLong.empty();
+        private long took;
+        private long prompt;
+        private long missing;
+
+        private long arrival() {
+            return endedAt.orElse(0) - took;
+        }
+
+        private OptionalLong waited() {
+            return placedAt.isEmpty()
+                    ? OptionalLong.empty()
+                    : OptionalLong.of(Math.max(0, placedAt.getFirst() - arrival()));
+        }
+
+        private boolean served() {
+            return outcome.equals("answered");
+        }
+    }
+
+    LogDigest(Stream<String> lines) {
+        lines.filter(line -> line.contains("event=")).map(Fields::of).forEach(this::take);
+    }
+
+    private void take(Fields line) {
+        switch (line.text("event")) {
+            case "request_placed" -> {
+                Request request = request(line);
+                request.placedAt.add(line.number("at_ms"));
+                request.prompt = line.number("prompt");
+                request.missing += line.number("missing");
+            }
+            case "request_ended" -> {
+                Request request = request(line);
+                request.outcome = line.text("outcome");
+                request.cause = line.text("cause");
+                request.took = line.number("ms");
+                request.endedAt = OptionalLong.of(line.number("at_ms"));
+            }
+            case "log_lines_left_out" -> leftOut += line.number("count");
+            default -> {
+                // Other events tell of beliefs, not of requests.
+            }
+        }
+    }
+
+    private Request request(Fields line) {
+        Request request = requests.computeIfAbsent(line.text("request"), any -> new Request());
+        request.id = line.text("request");
+        request.program = line.text("program");
+        return request;
+    }
+
+    /** The digest as text. */
+    List<String> report() {
+        List<Request> ended = requests.values().stream()
+                .filter(each -> each.endedAt.isPresent())
+                .sorted(Comparator.comparingLong(Request::arrival))
+                .toList();
+        long start = ended.isEmpty() ? 0 : ended.getFirst().arrival();
+        List<String> out = new ArrayList<>();
+        out.add(String.format(
+                Locale.ROOT,
+                "%d requests; %d log lines were left out under load; %s",
+                ended.size(),
+                leftOut,
+                returns(ended)));
+        out.add(String.format(
+                "%6s %7s %7s %7s %6s %8s %8s %9s %9s",
+                "second", "ended", "served", "refused", "other", "wait p50", "wait p95", "prompt", "read"));
+        ended.stream()
+                .collect(Collectors.groupingBy(
+                        each -> (each.arrival() - start) / 1000, TreeMap::new, Collectors.toList()))
+                .forEach((second, some) -> out.add(second(second, some)));
+        out.add("");
+        out.add("not served, by cause");
+        ended.stream()
+                .filter(each -> !each.served())
+                .collect(Collectors.groupingBy(each -> each.outcome + " " + each.cause))
+                .entrySet()
+                .stream()
+                .sorted(Comparator.comparingInt(each -> -each.getValue().size()))
+                .forEach(each -> out.add(cause(each.getKey(), each.getValue(), start)));
+        return out;
+    }
+
+    private static String second(long second, List<Request> some) {
+        long[] waits = some.stream()
+                .map(Request::waited)
+                .flatMapToLong(OptionalLong::stream)
+                .sorted()
+                .toArray();
+        return String.format(
+                Locale.ROOT,
+                "%6d %7d %7d %7d %6d %8d %8d %9d %9d",
+                second,
+                some.size(),
+                some.stream().filter(Request::served).count(),
+                some.stream().filter(each -> each.outcome.equals("refused")).count(),
+                some.stream()
+                        .filter(each -> !each.served() && !each.outcome.equals("refused"))
+                        .count(),
+                quantile(waits, 0.5),
+                quantile(waits, 0.95),
+                some.stream().mapToLong(each -> each.prompt).sum(),
+                some.stream().mapToLong(each -> each.missing).sum());
+    }
+
+    private static String cause(String cause, List<Request> some, long start) {
+        long[] took = some.stream().mapToLong(each -> each.took).sorted().toArray();
+        String examples = some.stream()
+                .limit(EXAMPLES)
+                .map(each -> each.id + " at " + (each.arrival() - start) + " ms")
+                .collect(Collectors.joining(", "));
+        return String.format(
+                Locale.ROOT, "%6d %s; median after %d ms; %s", some.size(), cause, quantile(took, 0.5), examples);
+    }
+
+    /** Of the refused requests' programs, how many had a request served later. */
+    private static String returns(List<Request> ended) {
+        Map<String, Long> refusedAt = ended.stream()
+                .filter(each -> each.outcome.equals("refused") && !each.program.equals("-"))
+                .collect(Collectors.toMap(each -> each.program, Request::arrival, Math::min));
+        long back = refusedAt.entrySet().stream()
+                .filter(refused -> ended.stream()
+                        .anyMatch(each -> each.program.equals(refused.getKey())
+                                && each.served()
+                                && each.arrival() > refused.getValue()))
+                .count();
+        return refusedAt.size() + " programs met a refusal, " + back + " of them were served later";
+    }
+
+    private static long quantile(long[] sorted, double share) {
+        return sorted.length == 0 ? 0 : sorted[(int) Math.min(sorted.length - 1, sorted.length * share)];
+    }
+}
--- a/parsleydrift-tools/src/main/java/org/parsleydrift/tools/Parsleydrift.java
+++ b/parsleydrift-tools/src/main/java/org/parsleydrift/tools/Parsleydrift.java
@@ -35,6 +35,7 @@
               call SERVICE JSON         call a plain service
               explain PROGRAM           print where a program is and why
               explain ID --log FILES    print the story of a request or program from logs of several processes
+              digest --log FILES        print by second and by cause what the entry processes of these logs decided
 
             exit codes: 0 done, 1 refused, 2 usage, 3 outcome unknown (safe to repeat with the same --key and
             --ticket), 4 no entry node answered
@@ -131,6 +132,9 @@
             out.println("good");
             return ExitCode.OK;
         }
+        if ("digest".equals(command.getFirst())) {
+            return digest(options);
+        }
         if ("explain".equals(command.getFirst()) && options.has(logOption)) {
             return explain(options.valueOf(logOption), command.get(1));
         }
@@ -155,6 +159,26 @@
     }
 
     private int explain(String files, String id) throws IOException {
+        List<LogStory.Line> story = new LogStory(logLines(files)).of(id);
+        if (story.isEmpty()) {
+            err.println("parsleydrift: no line names " + id);
+            return ExitCode.REFUSED;
+        }
+        story.forEach(line -> out.println(line.source() + ": " + line.text()));
+        return ExitCode.OK;
+    }
+
+    private int digest(OptionSet options) throws IOException {
+        if (!options.has(logOption)) {
+            err.println("parsleydrift: digest needs --log FILES");
+            return ExitCode.USAGE;
+        }
+        List<LogStory.Line> lines = logLines(options.valueOf(logOption));
+        new LogDigest(lines.stream().map(LogStory.Line::text)).report().forEach(out::println);
+        return ExitCode.OK;
+    }
+
+    private static List<LogStory.Line> logLines(String files) throws IOException {
         List<LogStory.Line> lines = new ArrayList<>();
         for (String file : files.split(",", -1)) {
             Path path = Path.of(file);
@@ -162,13 +186,7 @@
                     .forEach(text ->
                             lines.add(new LogStory.Line(path.getFileName().toString(), text)));
         }
-        List<LogStory.Line> story = new LogStory(lines).of(id);
-        if (story.isEmpty()) {
-            err.println("parsleydrift: no line names " + id);
-            return ExitCode.REFUSED;
-        }
-        story.forEach(line -> out.println(line.source() + ": " + line.text()));
-        return ExitCode.OK;
+        return lines;
     }
 
     private int manifest(OptionSet options, CallerClient caller, List<String> command) throws IOException {
