Turns begin with reads at the nearest quorum; the texts of a chain come from one store VM

Change: reads go to the nearest read quorum by measured latency, reachable ones first; only the nearest sends texts, the others ids; after 15 ms or a failure all others are asked. A turn that any of the quorum knows exists; its text is then looked for at all members as before.

--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationCodec.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationCodec.java
@@ -23,7 +23,8 @@
                 out.packByte((byte) 2)
                         .packLong(read.epoch())
                         .packString(read.program())
-                        .packString(read.lastTurn());
+                        .packString(read.lastTurn())
+                        .packBoolean(read.texts());
             case ReplicaRequest.Fetch fetch -> {
                 out.packByte((byte) 3);
                 list(out, fetch.turns(), MessagePacker::packString);
@@ -48,7 +49,8 @@
                         in.unpackLong(),
                         list(in, ConversationCodec::grant),
                         first(list(in, ConversationCodec::turn)));
-            case 2 -> new ReplicaRequest.Read(in.unpackLong(), in.unpackString(), in.unpackString());
+            case 2 ->
+                new ReplicaRequest.Read(in.unpackLong(), in.unpackString(), in.unpackString(), in.unpackBoolean());
             case 3 -> new ReplicaRequest.Fetch(list(in, MessageUnpacker::unpackString));
             case 4 -> new ReplicaRequest.TakeOver(set(in));
             case 5 -> new ReplicaRequest.Tell(first(list(in, ConversationCodec::set)));
@@ -63,6 +65,7 @@
                 out.packByte((byte) 2);
                 list(out, found.grants(), ConversationCodec::grant);
                 list(out, found.turns(), ConversationCodec::turn);
+                list(out, found.turnIds(), MessagePacker::packString);
             }
             case ReplicaReply.Stale stale -> {
                 out.packByte((byte) 3);
@@ -88,7 +91,11 @@
         byte type = in.unpackByte();
         return switch (type) {
             case 1 -> new ReplicaReply.Written();
-            case 2 -> new ReplicaReply.Found(list(in, ConversationCodec::grant), list(in, ConversationCodec::turn));
+            case 2 ->
+                new ReplicaReply.Found(
+                        list(in, ConversationCodec::grant),
+                        list(in, ConversationCodec::turn),
+                        list(in, MessageUnpacker::unpackString));
             case 3 -> new ReplicaReply.Stale(set(in));
             case 4 -> new ReplicaReply.Behind();
             case 5 -> new ReplicaReply.Incomplete();
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationReplica.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationReplica.java
@@ -175,16 +175,22 @@
     }
 
     private ReplicaReply read(ReplicaRequest.Read read) {
-        return checkEpoch(read.epoch())
-                .orElseGet(() -> complete()
-                        ? new ReplicaReply.Found(held.ledger(read.program()), held.chain(read.lastTurn()))
-                        : new ReplicaReply.Incomplete());
+        return checkEpoch(read.epoch()).orElseGet(() -> complete() ? found(read) : new ReplicaReply.Incomplete());
+    }
+
+    private ReplicaReply found(ReplicaRequest.Read read) {
+        List<Grant> grants = held.ledger(read.program());
+        List<Turn> chain = held.chain(read.lastTurn());
+        return read.texts()
+                ? ReplicaReply.Found.of(grants, chain)
+                : new ReplicaReply.Found(
+                        grants, List.of(), chain.stream().map(Turn::id).toList());
     }
 
     private ReplicaReply fetch(ReplicaRequest.Fetch fetch) {
         List<Turn> found =
                 fetch.turns().stream().flatMap(id -> held.turn(id).stream()).toList();
-        return new ReplicaReply.Found(List.of(), found);
+        return ReplicaReply.Found.of(List.of(), found);
     }
 
     private Optional<ReplicaReply> checkEpoch(long epoch) {
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/Conversations.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/Conversations.java
@@ -133,7 +133,7 @@
         List<Grant> settled = found.grants().values().stream()
                 .filter(each -> each.state() == GrantState.SETTLED)
                 .toList();
-        if (!begin.previous().isEmpty() && !found.turns().containsKey(begin.previous())) {
+        if (!begin.previous().isEmpty() && !found.turnIds().contains(begin.previous())) {
             return CompletableFuture.completedFuture(new BeginResult.NoSuchTurn());
         }
         return assemble(begin, found.turns(), settled, true);
@@ -160,7 +160,7 @@
 
     private CompletableFuture<BeginResult> fetchHole(
             BeginRequest begin, Map<String, Turn> turns, List<Grant> settled, String missing) {
-        return client.read("", missing, begin.patience()).thenCompose(more -> {
+        return client.readAtAll("", missing, begin.patience()).thenCompose(more -> {
             turns.putAll(more.turns());
             return assemble(begin, turns, settled, more.turns().containsKey(missing));
         });
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaCalls.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaCalls.java
@@ -30,6 +30,9 @@
     /** How often a path that gave no reply is tried again beside the way over a peer. */
     private static final Duration PROBE_PERIOD = Duration.ofMillis(500);
 
+    /** Weight of the newest latency in the running mean: some ten reads settle it. */
+    private static final double LATENCY_WEIGHT = 0.1;
+
     private static final byte REQUEST = 1;
     private static final byte REPLY = 2;
     /** Asks a peer to hand a request on to a store VM. */
@@ -46,6 +49,7 @@
     private final String ownAddress;
     private final Map<Long, Waiting> waiting = new HashMap<>();
     private final Map<String, Long> brokenSinceProbe = new HashMap<>();
+    private final Map<String, Double> readNanos = new HashMap<>();
     private final Handler handler;
     private Supplier<Optional<String>> peer = Optional::empty;
     private long lastCorrelation;
@@ -95,6 +99,17 @@
         return !brokenSinceProbe.containsKey(address);
     }
 
+    /**
+     * How long a store VM has taken to answer reads of late. Reads don't wait for a disk, so those of the node's own
+     * availability zone take least.
+     *
+     * @param address the address
+     * @return a running mean, ns; 0 if it was not asked yet
+     */
+    double readLatencyNanos(String address) {
+        return readNanos.getOrDefault(address, 0.0);
+    }
+
     /**
      * Asks a store VM.
      *
@@ -107,7 +122,8 @@
         long correlation = ++lastCorrelation;
         CompletableFuture<ReplicaReply> reply = new CompletableFuture<>();
         LoopTimer timer = loop.schedule(patience, () -> gaveUp(address, correlation, patience));
-        waiting.put(correlation, new Waiting(reply, timer));
+        boolean read = request instanceof ReplicaRequest.Read;
+        waiting.put(correlation, new Waiting(reply, timer, read, loop.clock().nanos()));
         byte[] frame = encode(out -> {
             out.packByte(REQUEST).packLong(correlation).packString(ownAddress);
             ConversationCodec.request(out, request);
@@ -192,6 +208,9 @@
         Waiting known = waiting.remove(correlation);
         if (known != null) {
             known.timer().cancel();
+            if (known.read()) {
+                noteLatency(from, (double) (loop.clock().nanos() - known.askedNanos()));
+            }
             known.reply().complete(ConversationCodec.reply(in));
         }
     }
@@ -265,5 +284,9 @@
         return in.readPayload(in.unpackBinaryHeader());
     }
 
-    private record Waiting(CompletableFuture<ReplicaReply> reply, LoopTimer timer) {}
+    private void noteLatency(String address, double nanos) {
+        readNanos.merge(address, nanos, (known, newest) -> known + LATENCY_WEIGHT * (newest - known));
+    }
+
+    private record Waiting(CompletableFuture<ReplicaReply> reply, LoopTimer timer, boolean read, long askedNanos) {}
 }
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaReply.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaReply.java
@@ -11,9 +11,14 @@
      * What the member holds.
      *
      * @param grants the program's grants
-     * @param turns turns of the chain, as far as the member holds them
+     * @param turns turns of the chain, as far as the member holds them and their texts were asked for
+     * @param turnIds ids of all turns of the chain that it holds
      */
-    record Found(List<Grant> grants, List<Turn> turns) implements ReplicaReply {}
+    record Found(List<Grant> grants, List<Turn> turns, List<String> turnIds) implements ReplicaReply {
+        static Found of(List<Grant> grants, List<Turn> turns) {
+            return new Found(grants, turns, turns.stream().map(Turn::id).toList());
+        }
+    }
 
     /**
      * The sender's epoch is over.
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaRequest.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaRequest.java
@@ -21,8 +21,9 @@
      * @param epoch the sender's epoch
      * @param program the program; empty for none
      * @param lastTurn the last turn of the chain; empty for none
+     * @param texts whether what was said is wanted too, or only which turns there are
      */
-    record Read(long epoch, String program, String lastTurn) implements ReplicaRequest {}
+    record Read(long epoch, String program, String lastTurn, boolean texts) implements ReplicaRequest {}
 
     /**
      * Reads single turns, whatever the epoch: a turn that is there is right.
