A full engine is waited for 150 ms at most; what is believed of runners that are gone is forgotten

Cause: a line waits for the engine that holds its prompt; one that is stuck would keep it until it is refused, though others have places. Prompt memory and health of runners that had gone stayed for ever. Ruled out: not waiting at all (a line read anew on full engines costs all of them). Change: past 150 ms only runners with places are compared; a request that still waits then looks again by itself; registry changes drop what is known of lives that are gone. Tried and not kept: learned paces of runners from the time between events, a slow one's cost multiplied.

--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/RunnerChoice.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/RunnerChoice.java
@@ -1,5 +1,6 @@
 package org.parsleydrift.placement;
 
+import java.time.Duration;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -22,6 +23,11 @@
      */
     static final int QUEUED_SHARE = 4;
 
+    /**
+     * How long a full runner that holds the prompt is waited for; past it the wait costs more than reading the prompt anew
+     * does, and a runner that has got stuck must not keep the lines that it holds.
+     */
+    public static final Duration WORTH_WAITING = Duration.ofMillis(150);
     /**
      * Requests more that a plain runner of the node's own availability zone may have. They run side by side in its places, so
      * nobody waits for one more, while a call to another zone costs two crossings and the bytes of its answer.
@@ -37,10 +43,12 @@
      *
      * @param candidates runners of the service that may get new requests
      * @param usualMissing tokens that a usual request of the service has to read; 0 where there are no prompts
+     * @param waited how long the request has waited already
      * @param random breaks ties
      * @return the runner; empty if none has room, or if it is better to wait for one that has none
      */
-    public static Optional<Candidate> choose(List<Candidate> candidates, double usualMissing, RandomGenerator random) {
+    public static Optional<Candidate> choose(
+            List<Candidate> candidates, double usualMissing, Duration waited, RandomGenerator random) {
         boolean anyHealthy = candidates.stream().anyMatch(each -> !each.suspended());
         boolean prompted = usualMissing > 0;
         int largest = candidates.stream()
@@ -50,6 +58,7 @@
         return candidates.stream()
                 // When all have failed, one of them must be tried: leaving a whole service alone serves nobody.
                 .filter(each -> !anyHealthy || !each.suspended())
+                .filter(each -> waited.compareTo(WORTH_WAITING) < 0 || each.load() < each.most(prompted))
                 .map(each -> new Drawn(each, cost(each, largest, usualMissing), random.nextDouble()))
                 .min(Comparator.comparingDouble(Drawn::cost)
                         .thenComparing(each -> !each.candidate().near())
--- a/parsleydrift-placement/src/test/java/org/parsleydrift/placement/RunnerChoiceTest.java
+++ b/parsleydrift-placement/src/test/java/org/parsleydrift/placement/RunnerChoiceTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Random;
 import org.parsleydrift.registry.Runner;
@@ -28,7 +29,11 @@
     }
 
     private static String choose(double usualMissing, Candidate... candidates) {
-        return RunnerChoice.choose(List.of(candidates), usualMissing, new Random(1))
+        return choose(usualMissing, Duration.ZERO, candidates);
+    }
+
+    private static String choose(double usualMissing, Duration waited, Candidate... candidates) {
+        return RunnerChoice.choose(List.of(candidates), usualMissing, waited, new Random(1))
                 .map(each -> each.runner().id())
                 .orElse("none");
     }
@@ -62,6 +67,17 @@
         assertEquals(choose(700, engine("held", 20, 200), engine("other", 3, 2500)), "other");
     }
 
+    /**
+     * Symptom: a line is refused for want of room while engines have places. Events: its engine gets stuck with all places
+     * taken. Cause: the line waits for it alone.
+     */
+    @Test
+    public void aFullEngineIsNotWaitedForWithoutEnd() {
+        Duration longer = Duration.ofMillis(200);
+        assertEquals(choose(700, longer, engine("held", 20, 200), engine("other", 15, 2500)), "other");
+        assertEquals(choose(700, longer, engine("held", 20, 200), engine("other", 20, 2500)), "none");
+    }
+
     /** A near runner with places is taken before a far one with fewer requests; a fuller one is not. */
     @Test
     public void plainCallsStayInTheirZoneWhileItsRunnersHavePlaces() {
--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/Registry.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/Registry.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.parsleydrift.kernel.EventLoop;
 import org.parsleydrift.kernel.LogLine;
@@ -74,6 +76,17 @@
                 .toList();
     }
 
+    /**
+     * Lives of all runners that are known, those that are leaving or have lapsed included.
+     *
+     * @return the lives
+     */
+    public Set<String> lives() {
+        return Stream.concat(runners.values().stream(), lapsed.values().stream())
+                .map(Runner::life)
+                .collect(Collectors.toSet());
+    }
+
     /**
      * Whether a runner may still get new requests.
      *
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
@@ -1,11 +1,13 @@
 package org.parsleydrift.relay;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.parsleydrift.placement.Candidate;
@@ -95,8 +97,16 @@
         return waiting.size();
     }
 
-    /** Places what can be placed; to be called when runners changed. */
-    public void dispatch() {
+    /** Forgets what is believed of runners that are gone, and places what can be placed at those that came. */
+    void runnersChanged() {
+        Set<String> lives = registry.lives();
+        prompts.keepOnly(lives);
+        health.keySet().retainAll(lives);
+        dispatch();
+    }
+
+    /** Places what can be placed. */
+    void dispatch() {
         if (waiting.isEmpty()) {
             return;
         }
@@ -107,7 +117,7 @@
     }
 
     void submit(Waiter waiter) {
-        Entry entry = new Entry(waiter, arrivals++);
+        Entry entry = new Entry(waiter, arrivals++, nanos.getAsLong());
         waiting.add(entry);
         if (waiting.size() == 1) {
             place(entry);
@@ -148,7 +158,8 @@
                 .map(each -> candidate(each, waiter, now))
                 .toList();
         double usual = waiter.prompt().isEmpty() ? 0 : usualMissing.getOrDefault(waiter.service(), FIRST_USUAL_MISSING);
-        Optional<Candidate> chosen = RunnerChoice.choose(candidates, usual, random);
+        Optional<Candidate> chosen =
+                RunnerChoice.choose(candidates, usual, Duration.ofNanos(now - entry.sinceNanos()), random);
         if (chosen.isPresent() && waiting.remove(entry)) {
             take(waiter, chosen.get(), usual, now);
         }
@@ -176,5 +187,5 @@
                 prompts.missing(runner.life(), waiter.prompt(), waiter.heard(), now));
     }
 
-    private record Entry(Waiter waiter, long arrival) {}
+    private record Entry(Waiter waiter, long arrival, long sinceNanos) {}
 }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Relay.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Relay.java
@@ -83,7 +83,7 @@
             awaitingManifest.clear();
             waiting.stream().filter(RelayedRequest::starting).forEach(RelayedRequest::start);
         }
-        dispatcher.dispatch();
+        dispatcher.runnersChanged();
     }
 
     void ended() {
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -16,6 +16,7 @@
 import org.parsleydrift.placement.Candidate;
 import org.parsleydrift.placement.HeldPart;
 import org.parsleydrift.placement.PromptPart;
+import org.parsleydrift.placement.RunnerChoice;
 import org.parsleydrift.registry.CallKind;
 import org.parsleydrift.registry.Route;
 import org.parsleydrift.registry.RoutingManifest;
@@ -397,6 +398,16 @@
         queueTimer.cancel();
         queueTimer = relay.loop().schedule(share(RelayLimits.QUEUE_SHARE, RelayLimits.QUEUE_MOST), this::waitedTooLong);
         relay.dispatcher().submit(this);
+        if (stage == Stage.WAITING) {
+            // Where nothing else happens meanwhile, nobody would look again before the wait is given up.
+            relay.loop().schedule(RunnerChoice.WORTH_WAITING, this::lookAgain);
+        }
+    }
+
+    private void lookAgain() {
+        if (stage == Stage.WAITING) {
+            relay.dispatcher().dispatch();
+        }
     }
 
     private void waitedTooLong() {
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DispatcherTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DispatcherTest.java
@@ -97,7 +97,7 @@
             }
         });
         dispatcher = new Dispatcher(registry, new Random(1), "z", time::nanos);
-        registry.onChange(dispatcher::dispatch);
+        registry.onChange(dispatcher::runnersChanged);
     }
 
     private void runner(String id, boolean draining) {
