--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/decisions/DecisionRun.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/decisions/DecisionRun.java
@@ -65,7 +65,7 @@
         }
 
         private void place(Turn turn) {
-            List<HeldPart> known = heard.getOrDefault(turn.program, List.of());
+            List<HeldPart> known = policy.hears() ? heard.getOrDefault(turn.program, List.of()) : List.of();
             List<Candidate> candidates = IntStream.range(0, ENGINES)
                     .mapToObj(engine -> {
                         String life = runners.get(engine).life();
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/decisions/DecisionsMain.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/decisions/DecisionsMain.java
@@ -16,7 +16,9 @@
             new Policy.LeastLoaded(),
             new Policy.Sticky(),
             new Policy.OneMore(),
-            new Policy.HeldParts());
+            new Policy.HeldParts(),
+            new Policy.HeldParts(false, true),
+            new Policy.HeldParts(true, false));
 
     private static final double USUAL_RATE = 18;
 
@@ -71,7 +73,7 @@
                     "{\"pattern\":\"%s\",\"policy\":\"%s\",\"seeds\":%d,\"worth_mean\":%.3f,\"worth_least\":%.3f,"
                             + "\"read_share\":%.3f,\"turn_p50_ms\":%.0f,\"turn_p99_ms\":%.0f}%n",
                     pattern.name(),
-                    policy.getClass().getSimpleName(),
+                    policy,
                     seeds,
                     mean(worth),
                     worth[0],
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/decisions/Policy.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/decisions/Policy.java
@@ -22,8 +22,27 @@
     /** The engine of the program's last turn while it has at most one request more than the least loaded. */
     record OneMore() implements Policy {}
 
-    /** The product's own: {@link RunnerChoice}. */
-    record HeldParts() implements Policy {}
+    /**
+     * The product's own, {@link RunnerChoice}, with its mechanisms one by one.
+     *
+     * @param heard whether it knows from the grants what engines hold by other nodes' turns
+     * @param waits whether a turn waits for a full engine that holds its prompt
+     */
+    record HeldParts(boolean heard, boolean waits) implements Policy {
+        /** All mechanisms at work. */
+        public HeldParts() {
+            this(true, true);
+        }
+    }
+
+    /**
+     * Whether turns are placed with what the grants say.
+     *
+     * @return false where that mechanism is off
+     */
+    default boolean hears() {
+        return !(this instanceof HeldParts parts) || parts.heard();
+    }
 
     /**
      * What is known when a turn is placed.
@@ -34,12 +53,7 @@
      * @param anywhere whether the turn has waited nearly as long as it may
      * @param turn counts placements
      */
-    record Situation(List<Candidate> candidates, String lastEngine, double usualMissing, boolean anywhere, int turn) {
-        /** Copies the list. */
-        public Situation {
-            candidates = List.copyOf(candidates);
-        }
-    }
+    record Situation(List<Candidate> candidates, String lastEngine, double usualMissing, boolean anywhere, int turn) {}
 
     /**
      * Chooses an engine.
@@ -58,8 +72,12 @@
             case LeastLoaded ignored -> least(situation, random);
             case Sticky ignored -> last(situation, Integer.MAX_VALUE).or(() -> least(situation, random));
             case OneMore ignored -> last(situation, 1).or(() -> least(situation, random));
-            case HeldParts ignored ->
-                RunnerChoice.choose(situation.candidates(), situation.usualMissing(), situation.anywhere(), random);
+            case HeldParts parts ->
+                RunnerChoice.choose(
+                        situation.candidates(),
+                        situation.usualMissing(),
+                        situation.anywhere() || !parts.waits(),
+                        random);
         };
     }
 
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/ForwardedHeaders.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/ForwardedHeaders.java
@@ -2,11 +2,13 @@
 
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
+import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 
 /** Headers that pass through; those that concern one connection only don't. */
@@ -37,6 +39,14 @@
         return copy(headers, Set.of());
     }
 
+    /** When to come back after a refusal, spread so that callers refused together don't return together. */
+    static HttpHeaders comeBack(Duration after, RandomGenerator random) {
+        double seconds = after.toMillis() / 1000.0 * (1 + RelayLimits.COME_BACK_SPREAD * random.nextDouble());
+        return DefaultHttpHeadersFactory.headersFactory()
+                .newHeaders()
+                .set("Retry-After", String.format(Locale.ROOT, "%.2f", seconds));
+    }
+
     private static HttpHeaders copy(HttpHeaders headers, Set<String> left) {
         Set<String> named = named(headers.getAll("Connection"));
         HttpHeaders copy = DefaultHttpHeadersFactory.headersFactory().newHeaders();
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -6,7 +6,6 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -34,6 +33,7 @@
     private final CallerAnswer caller;
     private final RequestFacts facts;
     private final long startNanos;
+    private final QueueWait queueWait;
     private final Set<String> avoided = new HashSet<>();
     private Stage stage = Stage.MATCHED;
     private long manifestVersion;
@@ -41,10 +41,8 @@
     private String service = "";
     private long endNanos;
     private LoopTimer timeout = () -> {};
-    private LoopTimer queueTimer = () -> {};
-    private LoopTimer heldTimer = () -> {};
+    private LoopTimer startTimer = () -> {};
     private LoopTimer silenceTimer = () -> {};
-    private boolean anywhere;
     private Optional<TurnRecord> turn = Optional.empty();
     private List<HeldPart> heard = List.of();
     private boolean chained;
@@ -71,6 +69,7 @@
         this.facts = facts.orElse(null);
         this.startNanos = relay.loop().clock().nanos();
         this.body = request.body();
+        this.queueWait = new QueueWait(relay.loop(), relay.dispatcher()::dispatch);
     }
 
     void start() {
@@ -113,7 +112,7 @@
         stage = Stage.STARTING;
         long left = facts == null ? 0 : facts.deadlineMillis().orElse(RelayLimits.START_WAIT.toMillis());
         long most = Math.min((long) (left * RelayLimits.START_SHARE), RelayLimits.START_WAIT.toMillis());
-        queueTimer = relay.loop().schedule(Duration.ofMillis(most), () -> {
+        startTimer = relay.loop().schedule(Duration.ofMillis(most), () -> {
             if (starting()) {
                 refuse("no manifest known yet", RelayLimits.COME_BACK_START);
             }
@@ -159,7 +158,7 @@
 
     @Override
     public boolean anywhere() {
-        return anywhere;
+        return queueWait.nearlyOver();
     }
 
     @Override
@@ -175,8 +174,7 @@
     @Override
     public void offered(Candidate chosen) {
         Runner runner = chosen.runner();
-        queueTimer.cancel();
-        heldTimer.cancel();
+        queueWait.end();
         stage = Stage.OFFERED;
         offers++;
         LOG.log(
@@ -221,15 +219,7 @@
     }
 
     RunnerRequest runnerRequest(Runner runner) {
-        HttpHeaders headers = ForwardedHeaders.toRunner(request.headers(), relay.dialect());
-        headers.set(relay.dialect().requestId(), facts.id());
-        headers.set(relay.dialect().deadlineMillis(), leftMillis());
-        headers.set(relay.dialect().expectInstance(), runner.id());
-        headers.set("Host", request.host());
-        if (body.length > 0 || !"GET".equals(request.method())) {
-            headers.setInt("Content-Length", body.length);
-        }
-        return new RunnerRequest(facts.id(), request.method(), request.target(), headers, body, repeatable());
+        return RunnerRequest.of(request, facts, relay.dialect(), runner, leftMillis(), body, repeatable());
     }
 
     /** The runner said, or it is certain, that the request was not begun there. */
@@ -316,25 +306,12 @@
     void streamEnded(Runner runner, EventStreamReader events) {
         stage = Stage.COMMITTING;
         long begun = relay.loop().clock().nanos();
-        int perEvent = relay.registry()
-                .manifest()
-                .flatMap(each -> each.service(service))
-                .map(each -> each.tokensPerEvent())
-                .orElse(0);
-        int tokens = events.events() * perEvent;
-        if (!route.keepsConversation()) {
-            turn.map(each -> each.settle(runner.life(), tokens))
-                    .orElseGet(() -> CompletableFuture.completedFuture(null))
-                    .whenComplete((done, failure) -> endStream(begun));
-            return;
-        }
-        Duration patience = Duration.ofMillis(Math.min(leftMillis(), RelayLimits.COMMIT_MOST.toMillis()));
-        turn.orElseThrow()
-                .keep(runner.life(), tokens, request.body(), events.data(), patience)
-                .whenComplete((done, failure) -> relay.loop().execute(() -> kept(begun, failure)));
+        turn.map(each -> each.end(runner.life(), service, request.body(), events, leftMillis()))
+                .orElseGet(() -> CompletableFuture.completedFuture(null))
+                .whenComplete((done, failure) -> relay.loop().execute(() -> committed(begun, failure)));
     }
 
-    private void kept(long commitBegunNanos, Throwable failure) {
+    private void committed(long commitBegunNanos, Throwable failure) {
         if (failure == null) {
             endStream(commitBegunNanos);
         } else if (stage != Stage.ENDED) {
@@ -402,24 +379,8 @@
 
     private void queue() {
         stage = Stage.WAITING;
-        anywhere = false;
-        queueTimer.cancel();
-        Duration patience = share(RelayLimits.QUEUE_SHARE, RelayLimits.QUEUE_MOST);
-        queueTimer = relay.loop().schedule(patience, this::waitedTooLong);
+        queueWait.begin(share(RelayLimits.QUEUE_SHARE, RelayLimits.QUEUE_MOST), this::waitedTooLong);
         relay.dispatcher().submit(this);
-        if (stage == Stage.WAITING) {
-            long held = (long) (patience.toMillis() * RelayLimits.HELD_SHARE);
-            heldTimer.cancel();
-            heldTimer = relay.loop().schedule(Duration.ofMillis(held), this::goAnywhere);
-        }
-    }
-
-    /** A runner that is stuck must not keep the lines whose prompts it holds until they are refused. */
-    private void goAnywhere() {
-        if (stage == Stage.WAITING) {
-            anywhere = true;
-            relay.dispatcher().dispatch();
-        }
     }
 
     private void waitedTooLong() {
@@ -459,11 +420,7 @@
 
     /** Says "not run": only where no runner can have begun the request or will. */
     private void refuse(String reason, Duration comeBack) {
-        HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
-        double seconds = comeBack.toMillis()
-                / 1000.0
-                * (1 + RelayLimits.COME_BACK_SPREAD * relay.random().nextDouble());
-        headers.set("Retry-After", String.format(Locale.ROOT, "%.2f", seconds));
+        HttpHeaders headers = ForwardedHeaders.comeBack(comeBack, relay.random());
         caller.whole(503, headers, new byte[0]);
         releaseGrant();
         finish("refused", reason);
@@ -484,8 +441,8 @@
         }
         stage = Stage.ENDED;
         timeout.cancel();
-        queueTimer.cancel();
-        heldTimer.cancel();
+        startTimer.cancel();
+        queueWait.end();
         silenceTimer.cancel();
         relay.ended();
         relay.meters().ended(outcome, outcome.equals("refused") || outcome.equals("unknown") ? "-" : cause);
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerRequest.java
@@ -1,6 +1,7 @@
 package org.parsleydrift.relay;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import org.parsleydrift.registry.Runner;
 
 /**
  * A request as it goes to a runner.
@@ -12,4 +13,24 @@
  * @param body its body
  * @param repeatable whether it may be sent again if nothing comes back
  */
-record RunnerRequest(String id, String method, String target, HttpHeaders headers, byte[] body, boolean repeatable) {}
+record RunnerRequest(String id, String method, String target, HttpHeaders headers, byte[] body, boolean repeatable) {
+    /** Makes the request that goes to one runner: the caller's, with the headers that are the system's to set. */
+    static RunnerRequest of(
+            CallerRequest request,
+            RequestFacts facts,
+            RelayDialect dialect,
+            Runner runner,
+            long leftMillis,
+            byte[] body,
+            boolean repeatable) {
+        HttpHeaders headers = ForwardedHeaders.toRunner(request.headers(), dialect);
+        headers.set(dialect.requestId(), facts.id());
+        headers.set(dialect.deadlineMillis(), leftMillis);
+        headers.set(dialect.expectInstance(), runner.id());
+        headers.set("Host", request.host());
+        if (body.length > 0 || !"GET".equals(request.method())) {
+            headers.setInt("Content-Length", body.length);
+        }
+        return new RunnerRequest(facts.id(), request.method(), request.target(), headers, body, repeatable);
+    }
+}
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/TurnRecord.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/TurnRecord.java
@@ -49,6 +49,22 @@
         }
     }
 
+    /** Notes the end of a stream that came whole; fails if the turn is to be kept and can't be made sure of in time. */
+    CompletableFuture<Void> end(
+            String runner, String service, byte[] input, EventStreamReader events, long leftMillis) {
+        int perEvent = relay.registry()
+                .manifest()
+                .flatMap(each -> each.service(service))
+                .map(each -> each.tokensPerEvent())
+                .orElse(0);
+        int tokens = events.events() * perEvent;
+        if (!route.keepsConversation()) {
+            return settle(runner, tokens);
+        }
+        Duration patience = Duration.ofMillis(Math.min(leftMillis, RelayLimits.COMMIT_MOST.toMillis()));
+        return keep(runner, tokens, input, events.data(), patience);
+    }
+
     /** Notes what was generated; waits for a while only, since nothing of the answer depends on it. */
     CompletableFuture<Void> settle(String runner, int tokens) {
         if (!reserved) {
@@ -67,8 +83,7 @@
         return waited;
     }
 
-    /** Keeps what was said, and what was generated; fails if that can't be made sure of in time. */
-    CompletableFuture<Void> keep(String runner, int tokens, byte[] input, byte[] output, Duration patience) {
+    private CompletableFuture<Void> keep(String runner, int tokens, byte[] input, byte[] output, Duration patience) {
         Optional<Grant> grant = reserved ? Optional.of(settled(runner, tokens)) : Optional.empty();
         Turn turn = new Turn(facts.id(), facts.previousTurn(), input, output);
         return relay.conversations().commit(grant, Optional.of(turn), route.retention(), patience);
