Parts of a prompt that can't be read count as none

Cause: a header that only helps to choose a runner led to a 400 when it was malformed; the caller lost an answer that any runner could have given. Found by reading. Ruled out: one pattern for the whole header (a long one could exhaust the stack of the small thread). Change: each part is matched by itself; anything else counts as no parts.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestFacts.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestFacts.java
@@ -32,6 +32,8 @@
     private static final int USUAL_PROMPT_TOKENS = 1000;
 
     private static final Pattern COMMA = Pattern.compile(",");
+    /** A part with up to eight digits of tokens: more than any engine holds, and no overflow. */
+    private static final Pattern PART = Pattern.compile("\\s*[^,:\\s]+:\\d{1,8}\\s*");
 
     /**
      * Reads the headers.
@@ -59,11 +61,14 @@
         }
     }
 
-    /** Without parts the whole prompt is one, shared by the turns of its program. */
+    /**
+     * Without parts the whole prompt is one, shared by the turns of its program. Parts only help to choose a runner, so a
+     * header that can't be read counts as none: a refusal would cost the caller an answer that any runner can give.
+     */
     private static List<PromptPart> prompt(HttpHeaders headers, RelayDialect dialect) {
-        String parts = headers.get(dialect.promptParts(), "");
-        if (!parts.isBlank()) {
-            return Arrays.stream(COMMA.split(parts)).map(RequestFacts::part).toList();
+        String[] parts = COMMA.split(headers.get(dialect.promptParts(), ""), -1);
+        if (Arrays.stream(parts).allMatch(PART.asMatchPredicate())) {
+            return Arrays.stream(parts).map(RequestFacts::part).toList();
         }
         String program = headers.get(dialect.program(), "");
         boolean turn = headers.contains(dialect.tokenBudget()) || headers.contains(dialect.tokenCount());
@@ -72,9 +77,6 @@
 
     private static PromptPart part(String text) {
         int colon = text.lastIndexOf(':');
-        if (colon <= 0) {
-            throw new NumberFormatException("a part of a prompt is not ID:TOKENS");
-        }
         return new PromptPart(
                 text.substring(0, colon).trim(),
                 Integer.parseInt(text.substring(colon + 1).trim()));
