--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
@@ -19,8 +19,8 @@
 
 /**
  * Requests that wait, and places taken at runners. Load pattern: bursts of twice the usual rate. Runners start requests
- * in order of arrival and slow down as they fill, so they get just as many as they have slots; the rest waits here,
- * where it can be put in order or withdrawn. Confined to one loop.
+ * in order of arrival and slow down as they fill, so they get no more than {@link RunnerChoice} lets queue there; the
+ * rest waits here, where it can be put in order or withdrawn. Confined to one loop.
  */
 public final class Dispatcher {
     private static final Comparator<Entry> ORDER = Comparator.<Entry, Boolean>comparing(
