How new each node's knowledge is can be read from metrics and log lines

Cause: whether one entry node or all were behind the platform could not be told from logs: what is kept of them is mostly lines of requests, a lost watch said neither when it was asked nor how old the knowledge was, and a refusal for want of a route did not say which manifest it was judged by. Change: gauges parsleydrift.known.revision and parsleydrift.known.age.seconds by kind; platform_lost and platform_regained say when the call was asked and how old the knowledge is; no_route names the manifest. The wiring of a followed kind leaves EntryRole for FollowedObjects, without a change of logic.

--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/ObjectFollower.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/ObjectFollower.java
@@ -31,6 +31,8 @@
     private boolean listed;
     private boolean reached = true;
     private long run;
+    private long askedNanos;
+    private long completeNanos;
 
     /**
      * Makes a follower; {@link #start} starts it.
@@ -59,6 +61,7 @@
         this.longestWait = longestWait;
         this.table = table;
         this.listener = listener;
+        this.completeNanos = loop.clock().nanos();
     }
 
     /** Receives what a follower learns, on its loop. */
@@ -90,10 +93,20 @@
         next(++run);
     }
 
+    /**
+     * How old this node's knowledge may be: the time since it asked the newest call that the platform has answered.
+     *
+     * @return the age; before the first answer the time since the follower was made
+     */
+    public Duration age() {
+        return Duration.ofNanos(loop.clock().nanos() - completeNanos);
+    }
+
     private void next(long mine) {
         if (mine != run) {
             return;
         }
+        askedNanos = loop.clock().nanos();
         var asked = listed ? objects.watch(kind, table.asOf(), nextWait()) : objects.list(kind);
         boolean list = !listed;
         asked.whenComplete((changes, failure) -> loop.execute(() -> {
@@ -101,7 +114,8 @@
                 return;
             }
             if (failure == null) {
-                took(list, changes, mine);
+                took(list, changes);
+                next(mine);
             } else {
                 failed(StoreException.of(failure), mine);
             }
@@ -113,15 +127,15 @@
         return Duration.ofMillis(most / 2 + random.nextLong(most / 2 + 1));
     }
 
-    private void took(boolean list, ObjectChanges changes, long mine) {
+    private void took(boolean list, ObjectChanges changes) {
         var news = list ? table.replace(changes) : table.apply(changes);
         listed = true;
         pauseMillis = FIRST_PAUSE_MILLIS;
         tell(true, "answered");
+        completeNanos = askedNanos;
         if (list || !news.isEmpty()) {
             tellNews(news);
         }
-        next(mine);
     }
 
     /** Entries of other writers may hold anything; one that trips the listener must not end the following of all. */
@@ -165,8 +179,14 @@
                             .with("kind", kind)
                             .with("as_of", table.asOf())
                             .with("reason", reason)
+                            .with("asked_ms_ago", millisSince(askedNanos))
+                            .with("known_ms_ago", age().toMillis())
                             .toString());
             listener.reached(now);
         }
     }
+
+    private long millisSince(long nanos) {
+        return Duration.ofNanos(loop.clock().nanos() - nanos).toMillis();
+    }
 }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -82,6 +82,12 @@
         manifestVersion = manifest.get().version();
         Optional<Route> match = manifest.get().match(request.host(), request.target());
         if (match.isEmpty()) {
+            LOG.log(
+                    Logger.Level.INFO,
+                    () -> line("no_route")
+                            .with("host", request.host())
+                            .with("manifest", manifestVersion)
+                            .toString());
             own(404, "denied", "no_route");
             return;
         }
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -17,7 +17,6 @@
 import org.parsleydrift.kernel.Step;
 import org.parsleydrift.kernel.StepException;
 import org.parsleydrift.registry.CallerLimits;
-import org.parsleydrift.registry.ObjectChanges;
 import org.parsleydrift.registry.ObjectFollower;
 import org.parsleydrift.registry.ObjectKind;
 import org.parsleydrift.registry.Registry;
@@ -33,7 +32,7 @@
 final class EntryRole implements Role {
     private static final Logger LOG = System.getLogger(EntryRole.class.getName());
     /** Longest wait of a watch for what changes often; a watch that went silent is noticed sooner, as peers know more. */
-    private static final Duration WATCH_WAIT = Duration.ofSeconds(8);
+    static final Duration WATCH_WAIT = Duration.ofSeconds(8);
     /** Longest wait of a watch for what changes rarely. */
     private static final Duration RARE_WATCH_WAIT = Duration.ofSeconds(25);
     /** How long callers keep the list of addresses, s; short, so that they leave a stopping node soon. */
@@ -56,10 +55,8 @@
     private final Dispatcher dispatcher;
     private final Relay relay;
     private final NodeMesh mesh;
-    private final VersionedTable runners = new VersionedTable();
-    private final VersionedTable manifests = new VersionedTable();
-    private final ObjectFollower runnerFollower;
-    private final ObjectFollower manifestFollower;
+    private final FollowedObjects runners;
+    private final FollowedObjects manifests;
     private final CallerServer callers;
     private volatile boolean draining;
 
@@ -90,10 +87,8 @@
                 parts.outside.dialect(),
                 parts.random,
                 parts.meters);
-        runnerFollower = parts.follow(
-                ObjectKind.RUNNERS, WATCH_WAIT, runners, listener(registry::runnersChanged, registry::platformReached));
-        manifestFollower = parts.follow(
-                ObjectKind.MANIFEST, WATCH_WAIT, manifests, listener(registry::manifestChanged, reached -> {}));
+        runners = followed(ObjectKind.RUNNERS, listener(registry::runnersChanged, registry::platformReached));
+        manifests = followed(ObjectKind.MANIFEST, listener(registry::manifestChanged, reached -> {}));
         mesh = new NodeMesh(
                 parts.loop,
                 frames,
@@ -102,11 +97,7 @@
                 this::ready,
                 stores::reachesStores,
                 parts.random,
-                Map.of(
-                        ObjectKind.RUNNERS,
-                        followed(runners, registry::runnersChanged, runnerFollower),
-                        ObjectKind.MANIFEST,
-                        followed(manifests, registry::manifestChanged, manifestFollower)));
+                Map.of(ObjectKind.RUNNERS, runners, ObjectKind.MANIFEST, manifests));
         calls.overPeers(mesh::peerThatReachesStores);
         callers = new CallerServer(
                 parts.threads,
@@ -123,8 +114,8 @@
     @Override
     public void start() {
         parts.loop.execute(() -> {
-            runnerFollower.start();
-            manifestFollower.start();
+            runners.start();
+            manifests.start();
             parts.follow(
                             ObjectKind.STORE_SET,
                             RARE_WATCH_WAIT,
@@ -281,31 +272,10 @@
         };
     }
 
-    private static NodeMesh.FollowedKind followed(
-            VersionedTable table, Consumer<List<SharedObject>> news, ObjectFollower follower) {
-        return new NodeMesh.FollowedKind() {
-            @Override
-            public long asOf() {
-                return table.asOf();
-            }
-
-            @Override
-            public long newestChange() {
-                return table.newestChange();
-            }
-
-            @Override
-            public List<SharedObject> present() {
-                return table.present();
-            }
-
-            @Override
-            public void learn(ObjectChanges list, long newestChange) {
-                news.accept(table.replace(list));
-                table.knows(newestChange);
-                // This node's own watch lags behind its peers': it may have gone silent.
-                follower.restart();
-            }
-        };
+    private FollowedObjects followed(ObjectKind kind, ObjectFollower.Listener listener) {
+        FollowedObjects objects =
+                new FollowedObjects(kind, parts.objects, parts.loop, parts.random, WATCH_WAIT, listener);
+        objects.measure(parts.meters);
+        return objects;
     }
 }
--- /dev/null
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/FollowedObjects.java
@@ -0,0 +1,68 @@
+package org.parsleydrift.roles;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Tags;
+import java.time.Duration;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.parsleydrift.kernel.EventLoop;
+import org.parsleydrift.registry.ObjectChanges;
+import org.parsleydrift.registry.ObjectFollower;
+import org.parsleydrift.registry.ObjectKind;
+import org.parsleydrift.registry.SharedObject;
+import org.parsleydrift.registry.SharedObjects;
+import org.parsleydrift.registry.VersionedTable;
+
+/** One kind of shared objects as an entry node knows it: from the platform, and from peers that know more. */
+final class FollowedObjects implements NodeMesh.FollowedKind {
+    private final ObjectKind kind;
+    private final VersionedTable table = new VersionedTable();
+    private final ObjectFollower follower;
+    private final ObjectFollower.Listener listener;
+
+    FollowedObjects(
+            ObjectKind kind,
+            SharedObjects objects,
+            EventLoop loop,
+            RandomGenerator random,
+            Duration longestWait,
+            ObjectFollower.Listener listener) {
+        this.kind = kind;
+        this.listener = listener;
+        follower = new ObjectFollower(kind, objects, loop, random, longestWait, table, listener);
+    }
+
+    void start() {
+        follower.start();
+    }
+
+    /** Shows how new the knowledge is: whether one node or all were behind can be told from this alone. */
+    void measure(MeterRegistry meters) {
+        Tags tags = Tags.of("kind", kind.name());
+        meters.gauge("parsleydrift.known.revision", tags, table, VersionedTable::newestChange);
+        meters.gauge("parsleydrift.known.age.seconds", tags, follower, each -> each.age().toMillis() / 1000.0);
+    }
+
+    @Override
+    public long asOf() {
+        return table.asOf();
+    }
+
+    @Override
+    public long newestChange() {
+        return table.newestChange();
+    }
+
+    @Override
+    public List<SharedObject> present() {
+        return table.present();
+    }
+
+    @Override
+    public void learn(ObjectChanges list, long newestChange) {
+        listener.changed(table.replace(list));
+        table.knows(newestChange);
+        // This node's own watch lags behind its peers': it may have gone silent.
+        follower.restart();
+    }
+}
