Knowledge of the platform is checked by age; lapses end with the platform's return; no route is said of the newest manifest only

Cause: a watch that waits looks the same whether the platform has nothing new or is silent, and nothing bounded for how long. A node judged requests by what it knew without knowing how old that was. Class: knowledge without an age. The same in two more places: a removed runner was taken for lapsed, counted from when the node heard of it and not from the platform's return; and 'no such route' was said by a manifest of unknown age. Change: each follower keeps the moment up to which its knowledge is complete: when the newest answered call was asked. Nodes tell each other that age with what they know, and one of them asks for changes, without waiting and over a connection of its own, when it reaches 0.9 s; the next in order 0.5 s later. Above two seconds the platform counts as silent; when that ends, watches of before are asked anew. Watches may wait for 24 s instead of 8 s. A node that is behind asks after 250 ms instead of at the next status frame after them.

--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/ObjectFollower.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/ObjectFollower.java
@@ -3,6 +3,7 @@
 import java.lang.System.Logger;
 import java.time.Duration;
 import java.util.List;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.parsleydrift.kernel.EventLoop;
 import org.parsleydrift.kernel.LogLine;
@@ -12,6 +13,9 @@
 /**
  * Follows one kind of shared objects: a list, then watches, each resumed where the previous one ended. After a failure
  * it waits a random, growing time, so that many nodes don't come back together; when the history is gone it lists anew.
+ *
+ * <p>Where nodes that follow the same kind tell each other how old their knowledge is, they also check: when it grows old
+ * one of them asks for changes without waiting. A watch may be silent for as long as it waits, at all nodes at once.
  */
 public final class ObjectFollower {
     private static final Logger LOG = System.getLogger(ObjectFollower.class.getName());
@@ -19,6 +23,13 @@
     private static final long FIRST_PAUSE_MILLIS = 60;
     /** Longest pause between tries, ms: a quarter of the time in which a drain must be known. */
     private static final long LAST_PAUSE_MILLIS = 500;
+    /** Period in which the age of the knowledge is looked at; a tenth of the age that calls for a check. */
+    private static final Duration AGE_PERIOD = Duration.ofMillis(100);
+    /**
+     * After a silence each node asks its watch anew within this time, ms: of 360 nodes two or three a millisecond, while
+     * news reach the others over the one that checked.
+     */
+    private static final long REWATCH_SPREAD_MILLIS = 300;
 
     private final ObjectKind kind;
     private final SharedObjects objects;
@@ -27,12 +38,14 @@
     private final Duration longestWait;
     private final Listener listener;
     private final VersionedTable table;
+    private final KnowledgeAge age;
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private boolean listed;
-    private boolean reached = true;
+    private boolean answered = true;
     private long run;
     private long askedNanos;
-    private long completeNanos;
+    private boolean checking;
+    private long checkAskedNanos;
 
     /**
      * Makes a follower; {@link #start} starts it.
@@ -41,8 +54,8 @@
      * @param objects where from
      * @param loop runs it
      * @param random spreads tries
-     * @param longestWait the longest wait of a watch; each waits a random time from half of it, so that of many nodes
-     *     whose watches went silent at once, some ask anew soon and tell the others
+     * @param longestWait the longest wait of a watch; each waits a random time from half of it, so that nodes don't ask
+     *     anew together
      * @param table takes in what is learned
      * @param listener is told of news
      */
@@ -61,7 +74,7 @@
         this.longestWait = longestWait;
         this.table = table;
         this.listener = listener;
-        this.completeNanos = loop.clock().nanos();
+        this.age = new KnowledgeAge(loop.clock());
     }
 
     /** Receives what a follower learns, on its loop. */
@@ -74,9 +87,9 @@
         void changed(List<SharedObject> news);
 
         /**
-         * The platform was lost or is reached again.
+         * The platform has been silent for longer than {@link KnowledgeAge#SILENCE}, or a silence has ended.
          *
-         * @param reached whether it answers
+         * @param reached whether it answers this node or one that this node hears of
          */
         void reached(boolean reached);
     }
@@ -86,6 +99,15 @@
         next(++run);
     }
 
+    /**
+     * Starts checks.
+     *
+     * @param after the age of the knowledge at which this node is to ask; differs among nodes, so that few ask at a time
+     */
+    public void startChecks(Supplier<Duration> after) {
+        loop.every(AGE_PERIOD, () -> lookAtAge(after.get()));
+    }
+
     /**
      * Drops the present watch and asks anew: another node knows more, so this watch has gone silent or is turned away.
      */
@@ -94,12 +116,23 @@
     }
 
     /**
-     * How old this node's knowledge may be: the time since it asked the newest call that the platform has answered.
+     * How old this node's knowledge may be.
      *
-     * @return the age; before the first answer the time since the follower was made
+     * @return the time since the newest call was asked, by this node or by one that knows no more, that was answered
      */
     public Duration age() {
-        return Duration.ofNanos(loop.clock().nanos() - completeNanos);
+        return age.age();
+    }
+
+    /**
+     * Notes that this node's knowledge is complete up to a moment: a peer that knows no more has been answered.
+     *
+     * @param nanos when the peer asked, on this loop's clock
+     */
+    public void completeAt(long nanos) {
+        if (age.completeAt(nanos)) {
+            silenceEnded(nanos);
+        }
     }
 
     private void next(long mine) {
@@ -132,7 +165,7 @@
         listed = true;
         pauseMillis = FIRST_PAUSE_MILLIS;
         tell(true, "answered");
-        completeNanos = askedNanos;
+        completeAt(askedNanos);
         if (list || !news.isEmpty()) {
             tellNews(news);
         }
@@ -156,23 +189,121 @@
 
     private void failed(StoreFailure failure, long mine) {
         if (failure == StoreFailure.ABSENT) {
+            historyGone();
+        }
+        tell(false, failure.toString());
+        noticeSilence();
+        long pause = pauseMillis / 2 + random.nextLong(pauseMillis);
+        pauseMillis = Math.min(LAST_PAUSE_MILLIS, pauseMillis * 2);
+        loop.schedule(Duration.ofMillis(pause), () -> next(mine));
+    }
+
+    private void historyGone() {
+        listed = false;
+        LOG.log(
+                Logger.Level.INFO,
+                () -> LogLine.of("history_gone")
+                        .with("kind", kind)
+                        .with("as_of", table.asOf())
+                        .toString());
+    }
+
+    private void lookAtAge(Duration checkAfter) {
+        noticeSilence();
+        long sinceCheck = loop.clock().nanos() - checkAskedNanos;
+        if (listed && !checking && age().compareTo(checkAfter) >= 0 && sinceCheck >= checkAfter.toNanos()) {
+            check();
+        }
+    }
+
+    private void check() {
+        long asked = loop.clock().nanos();
+        checkAskedNanos = asked;
+        checking = true;
+        objects.changes(kind, table.asOf())
+                .whenComplete((changes, failure) -> loop.execute(() -> {
+                    checking = false;
+                    if (failure == null) {
+                        checked(changes, asked);
+                    } else {
+                        checkFailed(StoreException.of(failure));
+                    }
+                }));
+    }
+
+    private void checked(ObjectChanges changes, long asked) {
+        List<SharedObject> news = table.apply(changes);
+        completeAt(asked);
+        if (!news.isEmpty()) {
+            // The watch would have brought these: it has gone silent.
+            LOG.log(
+                    Logger.Level.INFO,
+                    () -> LogLine.of("news_missed_by_watch")
+                            .with("kind", kind)
+                            .with("as_of", table.asOf())
+                            .with("changes", news.size())
+                            .with("watch_asked_ms_ago", millisSince(askedNanos))
+                            .toString());
+            tellNews(news);
+            restart();
+        }
+    }
+
+    private void checkFailed(StoreFailure failure) {
+        LOG.log(
+                Logger.Level.INFO,
+                () -> LogLine.of("check_failed")
+                        .with("kind", kind)
+                        .with("reason", failure)
+                        .with("known_ms_ago", age().toMillis())
+                        .toString());
+        if (failure == StoreFailure.ABSENT) {
+            historyGone();
+            restart();
+        }
+    }
+
+    private void noticeSilence() {
+        if (age.noticeSilence()) {
             LOG.log(
                     Logger.Level.INFO,
-                    () -> LogLine.of("history_gone")
+                    () -> LogLine.of("platform_silent")
                             .with("kind", kind)
                             .with("as_of", table.asOf())
+                            .with("known_ms_ago", age().toMillis())
                             .toString());
-            listed = false;
+            listener.reached(false);
         }
-        tell(false, failure.toString());
-        long pause = pauseMillis / 2 + random.nextLong(pauseMillis);
-        pauseMillis = Math.min(LAST_PAUSE_MILLIS, pauseMillis * 2);
-        loop.schedule(Duration.ofMillis(pause), () -> next(mine));
     }
 
+    private void silenceEnded(long provedNanos) {
+        LOG.log(
+                Logger.Level.INFO,
+                () -> LogLine.of("silence_ended")
+                        .with("kind", kind)
+                        .with("as_of", table.asOf())
+                        .with("known_ms_ago", age().toMillis())
+                        .with("watch_asked_ms_ago", millisSince(askedNanos))
+                        .toString());
+        listener.reached(true);
+        if (askedNanos - provedNanos < 0) {
+            replaceWatch(run);
+        }
+    }
+
+    /** A watch that was asked in a silence may never be answered. */
+    private void replaceWatch(long askedRun) {
+        loop.schedule(Duration.ofMillis(random.nextLong(REWATCH_SPREAD_MILLIS)), () -> {
+            if (run == askedRun) {
+                restart();
+            }
+        });
+    }
+
+    /** Logs that this node itself is answered again, or not any more. */
     private void tell(boolean now, String reason) {
-        if (now != reached) {
-            reached = now;
+        if (now != answered) {
+            answered = now;
             LOG.log(
                     Logger.Level.INFO,
                     () -> LogLine.of(now ? "platform_regained" : "platform_lost")
@@ -182,7 +313,6 @@
                             .with("asked_ms_ago", millisSince(askedNanos))
                             .with("known_ms_ago", age().toMillis())
                             .toString());
-            listener.reached(now);
         }
     }
 
--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/Registry.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/Registry.java
@@ -17,12 +17,12 @@
 public final class Registry {
     private static final Logger LOG = System.getLogger(Registry.class.getName());
     /**
-     * Entries of runners lapse while the platform is away and are back about two seconds after its return, if the runner
-     * lives. A node that dropped them at once would refuse requests that the runners could serve.
+     * Entries of runners lapse while the platform is silent and are back about two seconds after its return, if the
+     * runner lives. A node that dropped them at once would refuse requests that the runners could serve. Counted from
+     * the return, whenever the removal is learned: counted from there, a runner that leaves some time after the return
+     * would get requests for more than the two seconds in which it must be left alone.
      */
     private static final Duration LAPSE_GRACE = Duration.ofMillis(1900);
-    /** A removal this soon after an outage may be a lapse; later it is a runner that left. */
-    private static final Duration AFTER_OUTAGE = Duration.ofSeconds(3);
 
     private final EventLoop loop;
     private final ObjectDecoder decoder;
@@ -32,8 +32,8 @@
     private Runnable onChange = () -> {};
     private RoutingManifest manifest;
     private boolean platformReached = true;
-    private long platformBackNanos;
-    private boolean hadOutage;
+    private boolean returning;
+    private long silences;
     private boolean manifestCurrent = true;
 
     /**
@@ -102,14 +102,20 @@
     /**
      * Notes whether the platform answers.
      *
-     * @param reached whether it does
+     * @param reached whether it answers any node that this node hears of
      */
     public void platformReached(boolean reached) {
-        if (reached && !platformReached) {
-            platformBackNanos = loop.clock().nanos();
+        if (reached == platformReached) {
+            return;
         }
-        hadOutage |= !reached;
         platformReached = reached;
+        if (reached) {
+            long ended = silences;
+            returning = true;
+            loop.schedule(LAPSE_GRACE, () -> dropLapsed(ended));
+        } else {
+            silences++;
+        }
     }
 
     /**
@@ -213,32 +219,44 @@
     }
 
     private void removed(Runner runner, SharedObject change) {
-        boolean outageNear =
-                hadOutage && (!platformReached || loop.clock().nanos() - platformBackNanos < AFTER_OUTAGE.toNanos());
-        if (!outageNear || runner.draining()) {
+        boolean mayLapse = !platformReached || returning;
+        if (!mayLapse || runner.draining()) {
             log("runner_gone", runner, change);
             return;
         }
         lapsed.put(runner.id(), runner);
         log("runner_lapsed", runner, change);
-        loop.schedule(LAPSE_GRACE, () -> {
-            if (lapsed.remove(runner.id()) != null) {
-                log("runner_gone", runner, change);
-                onChange.run();
-            }
-        });
+    }
+
+    private void dropLapsed(long afterSilence) {
+        if (afterSilence != silences) {
+            // Another silence began meanwhile; its end has a timer of its own.
+            return;
+        }
+        returning = false;
+        if (lapsed.isEmpty()) {
+            return;
+        }
+        lapsed.values()
+                .forEach(each -> LOG.log(
+                        Logger.Level.INFO,
+                        line("runner_gone", each).with("lapsed", true).toString()));
+        lapsed.clear();
+        onChange.run();
     }
 
     private static void log(String event, Runner runner, SharedObject change) {
         LOG.log(
                 Logger.Level.INFO,
-                () -> LogLine.of(event)
-                        .with("runner", runner.life())
-                        .with("service", runner.service())
-                        .with("address", runner.address())
-                        .with("zone", runner.zone())
-                        .with("draining", runner.draining())
-                        .with("revision", change.revision())
-                        .toString());
+                () -> line(event, runner).with("revision", change.revision()).toString());
+    }
+
+    private static LogLine line(String event, Runner runner) {
+        return LogLine.of(event)
+                .with("runner", runner.life())
+                .with("service", runner.service())
+                .with("address", runner.address())
+                .with("zone", runner.zone())
+                .with("draining", runner.draining());
     }
 }
--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/SharedObjects.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/SharedObjects.java
@@ -27,6 +27,15 @@
      */
     CompletableFuture<ObjectChanges> watch(ObjectKind kind, long after, Duration wait);
 
+    /**
+     * Reads changes without waiting for any, over a connection of its own: one that was kept may have gone silent.
+     *
+     * @param kind the kind
+     * @param after the revision after which changes are wanted
+     * @return changes in order, perhaps none; complete as of the moment at which this is asked
+     */
+    CompletableFuture<ObjectChanges> changes(ObjectKind kind, long after);
+
     /**
      * Creates or replaces an object.
      *
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayLimits.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayLimits.java
@@ -37,6 +37,9 @@
     /** When to come back to a node that still knows no manifest. */
     static final Duration COME_BACK_START = Duration.ofMillis(200);
 
+    /** When to come back to a node whose manifest may be old: the platform's return is noticed within about a second. */
+    static final Duration COME_BACK_MANIFEST = Duration.ofSeconds(1);
+
     /** When to come back after the store VMs could not answer: an epoch change takes some tens of ms. */
     static final Duration COME_BACK_STORES = Duration.ofMillis(250);
 
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -82,13 +82,7 @@
         manifestVersion = manifest.get().version();
         Optional<Route> match = manifest.get().match(request.host(), request.target());
         if (match.isEmpty()) {
-            LOG.log(
-                    Logger.Level.INFO,
-                    () -> line("no_route")
-                            .with("host", request.host())
-                            .with("manifest", manifestVersion)
-                            .toString());
-            own(404, "denied", "no_route");
+            noRoute();
             return;
         }
         if (facts == null) {
@@ -109,6 +103,26 @@
         }
     }
 
+    /**
+     * Callers don't try again once they were told that there is no such route. A manifest that may be old can't tell: a
+     * route that was added in a silence of the platform would be denied to them.
+     */
+    private void noRoute() {
+        boolean current = relay.registry().manifestCurrent();
+        LOG.log(
+                Logger.Level.INFO,
+                () -> line("no_route")
+                        .with("host", request.host())
+                        .with("manifest", manifestVersion)
+                        .with("current", current)
+                        .toString());
+        if (current) {
+            own(404, "denied", "no_route");
+        } else {
+            refuse("no route in a manifest that may be old", RelayLimits.COME_BACK_MANIFEST);
+        }
+    }
+
     /** Whether it waits for the first manifest. */
     boolean starting() {
         return stage == Stage.STARTING;
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -31,8 +31,8 @@
 /** The entry role: serves callers, tells them which addresses to use, follows the platform and its peers. */
 final class EntryRole implements Role {
     private static final Logger LOG = System.getLogger(EntryRole.class.getName());
-    /** Longest wait of a watch for what changes often; a watch that went silent is noticed sooner, as peers know more. */
-    static final Duration WATCH_WAIT = Duration.ofSeconds(8);
+    /** Longest wait of a watch of runners and manifest; one that went silent is noticed sooner, by a check. */
+    static final Duration WATCH_WAIT = Duration.ofSeconds(24);
     /** Longest wait of a watch for what changes rarely. */
     private static final Duration RARE_WATCH_WAIT = Duration.ofSeconds(25);
     /** How long callers keep the list of addresses, s; short, so that they leave a stopping node soon. */
@@ -88,7 +88,7 @@
                 parts.random,
                 parts.meters);
         runners = followed(ObjectKind.RUNNERS, listener(registry::runnersChanged, registry::platformReached));
-        manifests = followed(ObjectKind.MANIFEST, listener(registry::manifestChanged, reached -> {}));
+        manifests = followed(ObjectKind.MANIFEST, listener(registry::manifestChanged, registry::manifestCurrent));
         mesh = new NodeMesh(
                 parts.loop,
                 frames,
@@ -114,8 +114,8 @@
     @Override
     public void start() {
         parts.loop.execute(() -> {
-            runners.start();
-            manifests.start();
+            runners.start(mesh::checkAfter);
+            manifests.start(mesh::checkAfter);
             parts.follow(
                             ObjectKind.STORE_SET,
                             RARE_WATCH_WAIT,
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/FollowedObjects.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/FollowedObjects.java
@@ -4,6 +4,7 @@
 import io.micrometer.core.instrument.Tags;
 import java.time.Duration;
 import java.util.List;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.parsleydrift.kernel.EventLoop;
 import org.parsleydrift.registry.ObjectChanges;
@@ -32,8 +33,10 @@
         follower = new ObjectFollower(kind, objects, loop, random, longestWait, table, listener);
     }
 
-    void start() {
+    /** Starts following, and checking once the knowledge is as old as the supplier says. */
+    void start(Supplier<Duration> checkAfter) {
         follower.start();
+        follower.startChecks(checkAfter);
     }
 
     /** Shows how new the knowledge is: whether one node or all were behind can be told from this alone. */
@@ -63,7 +66,19 @@
     }
 
     @Override
-    public void learn(ObjectChanges list, long newestChange) {
+    public Duration age() {
+        return follower.age();
+    }
+
+    @Override
+    public void completeAt(long nanos) {
+        follower.completeAt(nanos);
+    }
+
+    @Override
+    public void learn(ObjectChanges list, long newestChange, long completeNanos) {
+        // First: what was removed in a silence that ends with this is no runner that left.
+        follower.completeAt(completeNanos);
         listener.changed(table.replace(list));
         table.knows(newestChange);
         // This node's own watch lags behind its peers': it may have gone silent.
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/MeteredObjects.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/MeteredObjects.java
@@ -31,6 +31,11 @@
         return counted("watch", kind, objects.watch(kind, after, wait));
     }
 
+    @Override
+    public CompletableFuture<ObjectChanges> changes(ObjectKind kind, long after) {
+        return counted("changes", kind, objects.changes(kind, after));
+    }
+
     @Override
     public CompletableFuture<SharedObject> put(ObjectKind kind, String name, OptionalLong revision, byte[] content) {
         return counted("put", kind, objects.put(kind, name, revision, content));
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
@@ -47,6 +47,17 @@
     private static final Duration HUB_SILENT = Duration.ofMillis(600);
     /** How long a peer's newer knowledge is waited for from the platform before the peer is asked. */
     private static final Duration LAG_BORNE = Duration.ofMillis(250);
+    /**
+     * Knowledge of this age is checked at the platform by the first node. With the passing on among nodes (a check's
+     * answer, a status frame, the lag borne, the peer's list: some 300 ms) all know a change after 1.3 s, of the two
+     * seconds that they have, though every watch be silent.
+     */
+    private static final Duration CHECK_AGE = Duration.ofMillis(900);
+    /**
+     * By so much longer the next one waits: status frames with the age of the knowledge come every 320 ms, or twice that
+     * by way of hubs, so that usually one node checks for all.
+     */
+    private static final Duration CHECK_STEP = Duration.ofMillis(500);
     /** Addresses that callers are given at most; they read no more. */
     private static final int MOST_ADDRESSES = 64;
 
@@ -102,8 +113,14 @@
 
         List<SharedObject> present();
 
-        /** Takes in a peer's full list. */
-        void learn(ObjectChanges list, long newestChange);
+        /** Time since the moment up to which this node's knowledge is complete. */
+        Duration age();
+
+        /** A peer that knows no more was complete up to a moment, and so is this node. */
+        void completeAt(long nanos);
+
+        /** Takes in a peer's full list, complete up to a moment. */
+        void learn(ObjectChanges list, long newestChange, long completeNanos);
     }
 
     private static final class Peer {
@@ -178,6 +195,14 @@
         return !peers.isEmpty();
     }
 
+    /** The age of its knowledge at which this node is to check it: peers with lesser names check before it. */
+    Duration checkAfter() {
+        long before = peers.values().stream()
+                .filter(each -> alive(each) && each.identity.name().compareTo(self.name()) < 0)
+                .count();
+        return CHECK_AGE.plus(CHECK_STEP.multipliedBy(before));
+    }
+
     /** Tells peers at once, outside the period. */
     void tellNow() {
         quiet = QUIET_PERIODS;
@@ -238,11 +263,14 @@
     private NodeState ownState(Map<String, Integer> load, boolean nowReady, boolean full) {
         Map<Integer, Integer> hashed = load.entrySet().stream()
                 .collect(Collectors.toMap(each -> each.getKey().hashCode(), Map.Entry::getValue, Integer::sum));
-        Map<ObjectKind, Long> newest = followed.entrySet().stream()
-                .collect(Collectors.toMap(
-                        Map.Entry::getKey, each -> each.getValue().newestChange()));
+        Map<ObjectKind, NodeState.Known> known = followed.entrySet().stream()
+                .collect(Collectors.toMap(Map.Entry::getKey, each -> known(each.getValue())));
         Optional<NodeIdentity> identity = full ? Optional.of(self) : Optional.empty();
-        return new NodeState(self.name(), identity, 0, nowReady, reachesStores.getAsBoolean(), newest, hashed);
+        return new NodeState(self.name(), identity, 0, nowReady, reachesStores.getAsBoolean(), known, hashed);
+    }
+
+    private static NodeState.Known known(FollowedKind kind) {
+        return new NodeState.Known(kind.newestChange(), kind.age().toMillis());
     }
 
     private Stream<NodeState> states(Predicate<Peer> told, boolean full) {
@@ -322,25 +350,36 @@
         boolean changed = peer.state.isEmpty() || !peer.state.get().saysTheSame(state);
         peer.state = Optional.of(state);
         peer.saidNanos = said;
-        state.newest().forEach((kind, newest) -> compare(peer, kind, newest));
+        state.known().forEach((kind, known) -> compare(peer, kind, known, said));
         return changed;
     }
 
-    private void compare(Peer peer, ObjectKind kind, long newest) {
+    private void compare(Peer peer, ObjectKind kind, NodeState.Known told, long saidNanos) {
         FollowedKind own = followed.get(kind);
-        if (own == null || newest <= own.newestChange()) {
+        if (own == null) {
+            return;
+        }
+        if (told.newestChange() <= own.newestChange()) {
+            own.completeAt(saidNanos - told.ageMillis() * NANOS_PER_MILLI);
             return;
         }
-        long now = loop.clock().nanos();
         Behind known = behind.get(kind);
         if (known == null || known.revision() <= own.newestChange()) {
-            behind.put(kind, new Behind(now, newest, OptionalLong.empty()));
+            behind.put(kind, new Behind(loop.clock().nanos(), told.newestChange(), OptionalLong.empty()));
+            loop.schedule(patience(peer), () -> askIfBehind(peer, kind));
+        } else {
+            askIfBehind(peer, kind);
+        }
+    }
+
+    private void askIfBehind(Peer peer, ObjectKind kind) {
+        long now = loop.clock().nanos();
+        Behind known = behind.get(kind);
+        if (known.revision() <= followed.get(kind).newestChange()) {
             return;
         }
-        // A peer that is known through others only may be out of reach; those heard directly are asked first.
-        long patience = LAG_BORNE.toNanos() * (direct(peer, SILENT) ? 1 : 2);
         long waited = now - known.askedNanos().orElse(known.sinceNanos());
-        if (waited > patience) {
+        if (waited >= patience(peer).toNanos()) {
             behind.put(kind, new Behind(known.sinceNanos(), known.revision(), OptionalLong.of(now)));
             frames.send(
                     peer.identity.link(),
@@ -349,6 +388,11 @@
         }
     }
 
+    /** A peer that is known through others only may be out of reach; those heard directly are asked first. */
+    private Duration patience(Peer peer) {
+        return direct(peer, SILENT) ? LAG_BORNE : LAG_BORNE.multipliedBy(2);
+    }
+
     private void answerFetch(String asker, ObjectKind kind) {
         FollowedKind own = followed.get(kind);
         if (own == null || own.asOf() == 0) {
@@ -357,6 +401,7 @@
         List<SharedObject> present = own.present();
         frames.send(asker, MessagePackFrames.encode(out -> {
             out.packByte(OBJECTS).packString(kind.name()).packLong(own.asOf()).packLong(own.newestChange());
+            out.packLong(own.age().toMillis());
             out.packArrayHeader(present.size());
             for (SharedObject each : present) {
                 out.packString(each.name()).packLong(each.revision());
@@ -369,6 +414,7 @@
         ObjectKind kind = ObjectKind.valueOf(in.unpackString());
         long asOf = in.unpackLong();
         long newestChange = in.unpackLong();
+        long ageMillis = in.unpackLong();
         int size = in.unpackArrayHeader();
         List<SharedObject> objects = new ArrayList<>();
         for (int i = 0; i < size; i++) {
@@ -383,8 +429,10 @@
                             .with("kind", kind)
                             .with("own_as_of", own.asOf())
                             .with("as_of", asOf)
+                            .with("known_ms_ago", ageMillis)
                             .toString());
-            own.learn(new ObjectChanges(objects, asOf), newestChange);
+            long completeNanos = loop.clock().nanos() - ageMillis * NANOS_PER_MILLI;
+            own.learn(new ObjectChanges(objects, asOf), newestChange, completeNanos);
         }
     }
 
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeState.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeState.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 import org.parsleydrift.registry.ObjectKind;
@@ -17,7 +18,7 @@
  * @param ageMillis time since the node said it, ms
  * @param ready whether it may be named to callers
  * @param reachesStores whether it reaches the store VMs directly
- * @param newest revision of the newest change that it knows, by kind
+ * @param known what it knows, by kind
  * @param load its requests at each runner, by the hash of the runner's life: two that meet only make a runner look busier
  */
 record NodeState(
@@ -26,21 +27,39 @@
         long ageMillis,
         boolean ready,
         boolean reachesStores,
-        Map<ObjectKind, Long> newest,
+        Map<ObjectKind, Known> known,
         Map<Integer, Integer> load) {
     /** Copies the maps. */
     NodeState {
-        newest = Map.copyOf(newest);
+        known = Map.copyOf(known);
         load = Map.copyOf(load);
     }
 
+    /**
+     * What a node knows of a kind of shared objects.
+     *
+     * @param newestChange the revision of the newest change that it knows
+     * @param ageMillis time from the moment up to which this is complete until the node said so, ms
+     */
+    record Known(long newestChange, long ageMillis) {}
+
     /** The same state with another age, and with or without the addresses. */
     NodeState told(Optional<NodeIdentity> addresses, long age) {
-        return new NodeState(name, addresses, age, ready, reachesStores, newest, load);
+        return new NodeState(name, addresses, age, ready, reachesStores, known, load);
     }
 
+    /** Whether another state says the same, but for how long ago. */
     boolean saysTheSame(NodeState other) {
-        return told(Optional.empty(), 0).equals(other.told(Optional.empty(), 0));
+        return ready == other.ready
+                && reachesStores == other.reachesStores
+                && load.equals(other.load)
+                && newestChanges().equals(other.newestChanges());
+    }
+
+    private Map<ObjectKind, Long> newestChanges() {
+        return known.entrySet().stream()
+                .collect(Collectors.toMap(
+                        Map.Entry::getKey, each -> each.getValue().newestChange()));
     }
 
     void write(MessagePacker out) throws IOException {
@@ -50,9 +69,11 @@
             out.packString(known.zone()).packString(known.callers()).packString(known.link());
         }
         out.packLong(ageMillis).packBoolean(ready).packBoolean(reachesStores);
-        out.packMapHeader(newest.size());
-        for (Map.Entry<ObjectKind, Long> each : newest.entrySet()) {
-            out.packString(each.getKey().name()).packLong(each.getValue());
+        out.packMapHeader(known.size());
+        for (Map.Entry<ObjectKind, Known> each : known.entrySet()) {
+            out.packString(each.getKey().name())
+                    .packLong(each.getValue().newestChange())
+                    .packLong(each.getValue().ageMillis());
         }
         out.packMapHeader(load.size());
         for (Map.Entry<Integer, Integer> each : load.entrySet()) {
@@ -68,16 +89,16 @@
         long age = in.unpackLong();
         boolean ready = in.unpackBoolean();
         boolean reachesStores = in.unpackBoolean();
-        Map<ObjectKind, Long> newest = new EnumMap<>(ObjectKind.class);
+        Map<ObjectKind, Known> known = new EnumMap<>(ObjectKind.class);
         int kinds = in.unpackMapHeader();
         for (int i = 0; i < kinds; i++) {
-            newest.put(ObjectKind.valueOf(in.unpackString()), in.unpackLong());
+            known.put(ObjectKind.valueOf(in.unpackString()), new Known(in.unpackLong(), in.unpackLong()));
         }
         Map<Integer, Integer> load = new HashMap<>();
         int runners = in.unpackMapHeader();
         for (int i = 0; i < runners; i++) {
             load.merge(in.unpackInt(), in.unpackInt(), Integer::sum);
         }
-        return new NodeState(name, identity, age, ready, reachesStores, newest, load);
+        return new NodeState(name, identity, age, ready, reachesStores, known, load);
     }
 }
--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/MeshMember.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/MeshMember.java
@@ -106,10 +106,14 @@
                     @Override
                     public void reached(boolean reached) {}
                 });
-        loop.execute(objects::start);
+        loop.execute(() -> objects.start(this::checkAfter));
         return objects;
     }
 
+    private Duration checkAfter() {
+        return mesh.checkAfter();
+    }
+
     private FrameSender sender() {
         return new FrameSender() {
             @Override
@@ -144,7 +148,15 @@
             }
 
             @Override
-            public void learn(ObjectChanges list, long newestChange) {
+            public Duration age() {
+                return Duration.ZERO;
+            }
+
+            @Override
+            public void completeAt(long nanos) {}
+
+            @Override
+            public void learn(ObjectChanges list, long newestChange, long completeNanos) {
                 learned.addAll(runners.replace(list));
                 runners.knows(newestChange);
             }
--- a/parsleydrift-standin/src/main/java/org/parsleydrift/standin/InMemorySharedObjects.java
+++ b/parsleydrift-standin/src/main/java/org/parsleydrift/standin/InMemorySharedObjects.java
@@ -130,26 +130,30 @@
         if (silent) {
             return answer;
         }
-        later(() -> {
-                    if (after < historyFrom) {
-                        throw new StoreException(StoreFailure.ABSENT, kind.name());
-                    }
-                    return changesAfter(kind, after);
-                })
-                .whenComplete((found, failure) -> {
-                    if (failure != null) {
-                        answer.completeExceptionally(StoreException.unwrap(failure));
-                    } else if (!found.objects().isEmpty()) {
-                        answer.complete(found);
-                    } else {
-                        Watch watch = new Watch(kind, after, answer);
-                        watches.add(watch);
-                        loop.schedule(wait, () -> waitIsOver(watch));
-                    }
-                });
+        later(() -> keptChangesAfter(kind, after)).whenComplete((found, failure) -> {
+            if (failure != null) {
+                answer.completeExceptionally(StoreException.unwrap(failure));
+            } else if (!found.objects().isEmpty()) {
+                answer.complete(found);
+            } else {
+                Watch watch = new Watch(kind, after, answer);
+                watches.add(watch);
+                loop.schedule(wait, () -> waitIsOver(watch));
+            }
+        });
         return answer;
     }
 
+    @Override
+    public CompletableFuture<ObjectChanges> changes(ObjectKind kind, long after) {
+        if (silent) {
+            CompletableFuture<ObjectChanges> answer = new CompletableFuture<>();
+            giveUpAfter(WATCH_SLACK, answer);
+            return answer;
+        }
+        return later(() -> keptChangesAfter(kind, after));
+    }
+
     @Override
     public CompletableFuture<SharedObject> put(ObjectKind kind, String name, OptionalLong expected, byte[] content) {
         return later(() -> {
@@ -216,6 +220,13 @@
         return answer;
     }
 
+    private ObjectChanges keptChangesAfter(ObjectKind kind, long after) {
+        if (after < historyFrom) {
+            throw new StoreException(StoreFailure.ABSENT, kind.name());
+        }
+        return changesAfter(kind, after);
+    }
+
     private ObjectChanges changesAfter(ObjectKind kind, long after) {
         List<SharedObject> changes = history.getOrDefault(kind, List.of()).stream()
                 .filter(each -> each.revision() > after)
--- a/parsleydrift-standin/src/test/java/org/parsleydrift/registry/RegistryFollowingTest.java
+++ b/parsleydrift-standin/src/test/java/org/parsleydrift/registry/RegistryFollowingTest.java
@@ -16,6 +16,9 @@
 
 /** Registry and follower against a store that goes down, forgets its history and drops entries. */
 public class RegistryFollowingTest {
+    /** A node that hears of no other checks its knowledge at this age. */
+    private static final Duration CHECK_AGE = Duration.ofMillis(900);
+
     private ManualScheduler time;
     private InMemorySharedObjects objects;
     private Registry registry;
@@ -49,25 +52,26 @@
     }
 
     private void start(ManualEventLoop loop, ObjectKind kind, java.util.function.Consumer<List<SharedObject>> news) {
-        new ObjectFollower(
-                        kind,
-                        objects,
-                        loop,
-                        new Random(1),
-                        Duration.ofSeconds(8),
-                        new VersionedTable(),
-                        new ObjectFollower.Listener() {
-                            @Override
-                            public void changed(List<SharedObject> changed) {
-                                news.accept(changed);
-                            }
-
-                            @Override
-                            public void reached(boolean reached) {
-                                registry.platformReached(reached);
-                            }
-                        })
-                .start();
+        ObjectFollower follower = new ObjectFollower(
+                kind,
+                objects,
+                loop,
+                new Random(1),
+                Duration.ofSeconds(8),
+                new VersionedTable(),
+                new ObjectFollower.Listener() {
+                    @Override
+                    public void changed(List<SharedObject> changed) {
+                        news.accept(changed);
+                    }
+
+                    @Override
+                    public void reached(boolean reached) {
+                        registry.platformReached(reached);
+                    }
+                });
+        follower.start();
+        follower.startChecks(() -> CHECK_AGE);
     }
 
     private void runner(String id, String state) {
--- a/parsleydrift-wire/src/main/java/org/parsleydrift/wire/HttpClient.java
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/HttpClient.java
@@ -252,7 +252,7 @@
 
         private void finish(ChannelHandlerContext context) {
             context.pipeline().remove(this);
-            if (keepAlive) {
+            if (keepAlive && attempt.request.reuse()) {
                 keep(attempt.request.address(), context.channel());
             } else {
                 context.close();
