Nodes tell the age of their own answered calls only; a node that was answered nothing tells none

Cause: what a node had from others went into what it told, so an age came back younger by the time of each telling, and a silence ended for nodes that only heard each other. Change: KnowledgeAge keeps own answers apart; a silence ends only when the age is within the bound again.

--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/KnowledgeAge.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/KnowledgeAge.java
@@ -1,6 +1,8 @@
 package org.parsleydrift.registry;
 
 import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalLong;
 import org.parsleydrift.kernel.RuntimeClock;
 
 /**
@@ -17,35 +19,38 @@
     public static final Duration SILENCE = Duration.ofSeconds(2);
 
     private final RuntimeClock clock;
-    private long completeNanos;
+    private final long madeNanos;
+    private OptionalLong completeNanos = OptionalLong.empty();
+    private OptionalLong answeredNanos = OptionalLong.empty();
     private boolean silent;
 
     /**
-     * Starts with an age of 0.
+     * Starts with nothing known.
      *
      * @param clock measures the age
      */
     public KnowledgeAge(RuntimeClock clock) {
         this.clock = clock;
-        completeNanos = clock.nanos();
+        madeNanos = clock.nanos();
     }
 
     /**
      * The age.
      *
-     * @return time since the moment up to which the knowledge is complete
+     * @return time since the moment up to which the knowledge is complete; before the first answer since this was made
      */
     public Duration age() {
-        return Duration.ofNanos(clock.nanos() - completeNanos);
+        return since(completeNanos.orElse(madeNanos));
     }
 
     /**
-     * Whether a silence that was noticed has not ended yet.
+     * The age by this node's own answered calls alone. Only this may be told to others: an age that goes from node to node
+     * loses the time that each telling takes, and would come back younger than it went.
      *
-     * @return whether the platform is silent
+     * @return time since the newest own call was asked that was answered; empty before the first
      */
-    public boolean silent() {
-        return silent;
+    public Optional<Duration> answeredAge() {
+        return answeredNanos.isPresent() ? Optional.of(since(answeredNanos.getAsLong())) : Optional.empty();
     }
 
     /**
@@ -54,11 +59,22 @@
      * @return whether a silence began with this call
      */
     boolean noticeSilence() {
-        boolean begins = !silent && age().compareTo(SILENCE) > 0;
+        boolean begins = !silent && completeNanos.isPresent() && age().compareTo(SILENCE) > 0;
         silent |= begins;
         return begins;
     }
 
+    /**
+     * Notes that a call of this node was answered.
+     *
+     * @param askedNanos when it was asked, on the clock
+     * @return whether a silence ended with this call
+     */
+    boolean answered(long askedNanos) {
+        answeredNanos = later(answeredNanos, askedNanos);
+        return completeAt(askedNanos);
+    }
+
     /**
      * Notes that the knowledge is complete up to a moment.
      *
@@ -66,12 +82,17 @@
      * @return whether a silence ended with this call
      */
     boolean completeAt(long nanos) {
-        if (nanos - completeNanos <= 0) {
-            return false;
-        }
-        completeNanos = nanos;
-        boolean ends = silent;
-        silent = false;
+        completeNanos = later(completeNanos, nanos);
+        boolean ends = silent && age().compareTo(SILENCE) <= 0;
+        silent &= !ends;
         return ends;
     }
+
+    private Duration since(long nanos) {
+        return Duration.ofNanos(clock.nanos() - nanos);
+    }
+
+    private static OptionalLong later(OptionalLong known, long nanos) {
+        return known.isPresent() && nanos - known.getAsLong() <= 0 ? known : OptionalLong.of(nanos);
+    }
 }
--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/ObjectFollower.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/ObjectFollower.java
@@ -3,6 +3,7 @@
 import java.lang.System.Logger;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.parsleydrift.kernel.EventLoop;
@@ -124,6 +125,15 @@
         return age.age();
     }
 
+    /**
+     * How old this node's knowledge may be by its own calls.
+     *
+     * @return the time since its newest call was asked that was answered; empty before the first
+     */
+    public Optional<Duration> answeredAge() {
+        return age.answeredAge();
+    }
+
     /**
      * Notes that this node's knowledge is complete up to a moment: a peer that knows no more has been answered.
      *
@@ -135,6 +145,12 @@
         }
     }
 
+    private void answeredWhatWasAsked(long nanos) {
+        if (age.answered(nanos)) {
+            silenceEnded(nanos);
+        }
+    }
+
     private void next(long mine) {
         if (mine != run) {
             return;
@@ -165,7 +181,7 @@
         listed = true;
         pauseMillis = FIRST_PAUSE_MILLIS;
         tell(true, "answered");
-        completeAt(askedNanos);
+        answeredWhatWasAsked(askedNanos);
         if (list || !news.isEmpty()) {
             tellNews(news);
         }
@@ -233,7 +249,7 @@
 
     private void checked(ObjectChanges changes, long asked) {
         List<SharedObject> news = table.apply(changes);
-        completeAt(asked);
+        answeredWhatWasAsked(asked);
         if (!news.isEmpty()) {
             // The watch would have brought these: it has gone silent.
             LOG.log(
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/FollowedObjects.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/FollowedObjects.java
@@ -4,6 +4,7 @@
 import io.micrometer.core.instrument.Tags;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.parsleydrift.kernel.EventLoop;
@@ -70,6 +71,11 @@
         return follower.age();
     }
 
+    @Override
+    public Optional<Duration> answeredAge() {
+        return follower.answeredAge();
+    }
+
     @Override
     public void completeAt(long nanos) {
         follower.completeAt(nanos);
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
@@ -116,6 +116,9 @@
         /** Time since the moment up to which this node's knowledge is complete. */
         Duration age();
 
+        /** Time since this node's newest call was asked that the platform has answered; empty before the first. */
+        Optional<Duration> answeredAge();
+
         /** A peer that knows no more was complete up to a moment, and so is this node. */
         void completeAt(long nanos);
 
@@ -270,7 +273,9 @@
     }
 
     private static NodeState.Known known(FollowedKind kind) {
-        return new NodeState.Known(kind.newestChange(), kind.age().toMillis());
+        return new NodeState.Known(
+                kind.newestChange(),
+                kind.answeredAge().stream().mapToLong(Duration::toMillis).findAny());
     }
 
     private Stream<NodeState> states(Predicate<Peer> told, boolean full) {
@@ -360,7 +365,7 @@
             return;
         }
         if (told.newestChange() <= own.newestChange()) {
-            own.completeAt(saidNanos - told.ageMillis() * NANOS_PER_MILLI);
+            told.answeredMillis().ifPresent(age -> own.completeAt(saidNanos - age * NANOS_PER_MILLI));
             return;
         }
         Behind known = behind.get(kind);
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeState.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeState.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.stream.Collectors;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
@@ -39,9 +40,24 @@
      * What a node knows of a kind of shared objects.
      *
      * @param newestChange the revision of the newest change that it knows
-     * @param ageMillis time from the moment up to which this is complete until the node said so, ms
+     * @param answeredMillis when the node said this, the time since its newest call was asked that the platform has
+     *     answered, ms; empty before the first
      */
-    record Known(long newestChange, long ageMillis) {}
+    record Known(long newestChange, OptionalLong answeredMillis) {
+        private static Known read(MessageUnpacker in) throws IOException {
+            long newestChange = in.unpackLong();
+            return new Known(newestChange, in.tryUnpackNil() ? OptionalLong.empty() : OptionalLong.of(in.unpackLong()));
+        }
+
+        private void write(MessagePacker out) throws IOException {
+            out.packLong(newestChange);
+            if (answeredMillis.isPresent()) {
+                out.packLong(answeredMillis.getAsLong());
+            } else {
+                out.packNil();
+            }
+        }
+    }
 
     /** The same state with another age, and with or without the addresses. */
     NodeState told(Optional<NodeIdentity> addresses, long age) {
@@ -71,9 +87,8 @@
         out.packLong(ageMillis).packBoolean(ready).packBoolean(reachesStores);
         out.packMapHeader(known.size());
         for (Map.Entry<ObjectKind, Known> each : known.entrySet()) {
-            out.packString(each.getKey().name())
-                    .packLong(each.getValue().newestChange())
-                    .packLong(each.getValue().ageMillis());
+            out.packString(each.getKey().name());
+            each.getValue().write(out);
         }
         out.packMapHeader(load.size());
         for (Map.Entry<Integer, Integer> each : load.entrySet()) {
@@ -92,7 +107,7 @@
         Map<ObjectKind, Known> known = new EnumMap<>(ObjectKind.class);
         int kinds = in.unpackMapHeader();
         for (int i = 0; i < kinds; i++) {
-            known.put(ObjectKind.valueOf(in.unpackString()), new Known(in.unpackLong(), in.unpackLong()));
+            known.put(ObjectKind.valueOf(in.unpackString()), Known.read(in));
         }
         Map<Integer, Integer> load = new HashMap<>();
         int runners = in.unpackMapHeader();
--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/MeshMember.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/MeshMember.java
@@ -157,6 +157,11 @@
                 return Duration.ZERO;
             }
 
+            @Override
+            public Optional<Duration> answeredAge() {
+                return Optional.empty();
+            }
+
             @Override
             public void completeAt(long nanos) {}
 
