Nodes that the platform answers check first

Cause: the order of checks went by name alone; where the first three were turned away the fourth waited for 2.4 s, and the silence that all then noticed ended and began anew. Change: nodes tell whether the platform answers them; those that it turns away come after the others.

--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/ObjectFollower.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/ObjectFollower.java
@@ -125,6 +125,15 @@
         return age.age();
     }
 
+    /**
+     * Whether the platform answers this node.
+     *
+     * @return whether the newest call that has ended was answered; true before the first
+     */
+    public boolean answered() {
+        return answered;
+    }
+
     /**
      * How old this node's knowledge may be by its own calls.
      *
@@ -248,6 +257,7 @@
     }
 
     private void checked(ObjectChanges changes, long asked) {
+        tell(true, "check answered");
         List<SharedObject> news = table.apply(changes);
         answeredWhatWasAsked(asked);
         if (!news.isEmpty()) {
@@ -266,6 +276,7 @@
     }
 
     private void checkFailed(StoreFailure failure) {
+        tell(false, "check " + failure);
         LOG.log(
                 Logger.Level.INFO,
                 () -> LogLine.of("check_failed")
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/FollowedObjects.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/FollowedObjects.java
@@ -71,6 +71,11 @@
         return follower.age();
     }
 
+    @Override
+    public boolean answered() {
+        return follower.answered();
+    }
+
     @Override
     public Optional<Duration> answeredAge() {
         return follower.answeredAge();
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
@@ -116,6 +116,9 @@
         /** Time since the moment up to which this node's knowledge is complete. */
         Duration age();
 
+        /** Whether the platform answers this node. */
+        boolean answered();
+
         /** Time since this node's newest call was asked that the platform has answered; empty before the first. */
         Optional<Duration> answeredAge();
 
@@ -198,14 +201,26 @@
         return !peers.isEmpty();
     }
 
-    /** The age of its knowledge at which this node is to check it: peers with lesser names check before it. */
+    /**
+     * The age of its knowledge at which this node is to check it. Peers that the platform answers check first, since those
+     * that it turns away would leave the knowledge to grow old; among equals the one with the least name.
+     */
     Duration checkAfter() {
         long before = peers.values().stream()
-                .filter(each -> alive(each) && each.identity.name().compareTo(self.name()) < 0)
+                .filter(each -> alive(each) && checksBefore(each))
                 .count();
         return CHECK_AGE.plus(CHECK_STEP.multipliedBy(before));
     }
 
+    private boolean checksBefore(Peer peer) {
+        boolean answered = peer.state.orElseThrow().reachesPlatform();
+        return answered == reachesPlatform() ? peer.identity.name().compareTo(self.name()) < 0 : answered;
+    }
+
+    private boolean reachesPlatform() {
+        return followed.values().stream().allMatch(FollowedKind::answered);
+    }
+
     /** Tells peers at once, outside the period. */
     void tellNow() {
         quiet = QUIET_PERIODS;
@@ -269,7 +284,8 @@
         Map<ObjectKind, NodeState.Known> known = followed.entrySet().stream()
                 .collect(Collectors.toMap(Map.Entry::getKey, each -> known(each.getValue())));
         Optional<NodeIdentity> identity = full ? Optional.of(self) : Optional.empty();
-        return new NodeState(self.name(), identity, 0, nowReady, reachesStores.getAsBoolean(), known, hashed);
+        return new NodeState(
+                self.name(), identity, 0, nowReady, reachesStores.getAsBoolean(), reachesPlatform(), known, hashed);
     }
 
     private static NodeState.Known known(FollowedKind kind) {
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeState.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeState.java
@@ -19,6 +19,7 @@
  * @param ageMillis time since the node said it, ms
  * @param ready whether it may be named to callers
  * @param reachesStores whether it reaches the store VMs directly
+ * @param reachesPlatform whether the platform answers it
  * @param known what it knows, by kind
  * @param load its requests at each runner, by the hash of the runner's life: two that meet only make a runner look busier
  */
@@ -28,6 +29,7 @@
         long ageMillis,
         boolean ready,
         boolean reachesStores,
+        boolean reachesPlatform,
         Map<ObjectKind, Known> known,
         Map<Integer, Integer> load) {
     /** Copies the maps. */
@@ -61,13 +63,14 @@
 
     /** The same state with another age, and with or without the addresses. */
     NodeState told(Optional<NodeIdentity> addresses, long age) {
-        return new NodeState(name, addresses, age, ready, reachesStores, known, load);
+        return new NodeState(name, addresses, age, ready, reachesStores, reachesPlatform, known, load);
     }
 
     /** Whether another state says the same, but for how long ago. */
     boolean saysTheSame(NodeState other) {
         return ready == other.ready
                 && reachesStores == other.reachesStores
+                && reachesPlatform == other.reachesPlatform
                 && load.equals(other.load)
                 && newestChanges().equals(other.newestChanges());
     }
@@ -84,7 +87,7 @@
             NodeIdentity known = identity.get();
             out.packString(known.zone()).packString(known.callers()).packString(known.link());
         }
-        out.packLong(ageMillis).packBoolean(ready).packBoolean(reachesStores);
+        out.packLong(ageMillis).packBoolean(ready).packBoolean(reachesStores).packBoolean(reachesPlatform);
         out.packMapHeader(known.size());
         for (Map.Entry<ObjectKind, Known> each : known.entrySet()) {
             out.packString(each.getKey().name());
@@ -104,6 +107,7 @@
         long age = in.unpackLong();
         boolean ready = in.unpackBoolean();
         boolean reachesStores = in.unpackBoolean();
+        boolean reachesPlatform = in.unpackBoolean();
         Map<ObjectKind, Known> known = new EnumMap<>(ObjectKind.class);
         int kinds = in.unpackMapHeader();
         for (int i = 0; i < kinds; i++) {
@@ -114,6 +118,6 @@
         for (int i = 0; i < runners; i++) {
             load.merge(in.unpackInt(), in.unpackInt(), Integer::sum);
         }
-        return new NodeState(name, identity, age, ready, reachesStores, known, load);
+        return new NodeState(name, identity, age, ready, reachesStores, reachesPlatform, known, load);
     }
 }
--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/MeshMember.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/MeshMember.java
@@ -157,6 +157,11 @@
                 return Duration.ZERO;
             }
 
+            @Override
+            public boolean answered() {
+                return true;
+            }
+
             @Override
             public Optional<Duration> answeredAge() {
                 return Optional.empty();
