--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/ObjectFollower.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/ObjectFollower.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.parsleydrift.kernel.EventLoop;
 import org.parsleydrift.kernel.LogLine;
@@ -24,8 +23,6 @@
     private static final long FIRST_PAUSE_MILLIS = 60;
     /** Longest pause between tries, ms: a quarter of the time in which a drain must be known. */
     private static final long LAST_PAUSE_MILLIS = 500;
-    /** Period in which the age of the knowledge is looked at; a tenth of the age that calls for a check. */
-    private static final Duration AGE_PERIOD = Duration.ofMillis(100);
     /**
      * After a silence each node asks its watch anew within this time, ms: of 360 nodes two or three a millisecond, while
      * news reach the others over the one that checked.
@@ -101,12 +98,17 @@
     }
 
     /**
-     * Starts checks.
+     * Notices a silence of the platform, and asks for changes where the knowledge has grown old. To be called several
+     * times within that age.
      *
-     * @param after the age of the knowledge at which this node is to ask; differs among nodes, so that few ask at a time
+     * @param checkAfter the age at which this node is to ask; differs among nodes, so that few ask at a time
      */
-    public void startChecks(Supplier<Duration> after) {
-        loop.every(AGE_PERIOD, () -> lookAtAge(after.get()));
+    public void lookAtAge(Duration checkAfter) {
+        noticeSilence();
+        long sinceCheck = loop.clock().nanos() - checkAskedNanos;
+        if (listed && !checking && age().compareTo(checkAfter) >= 0 && sinceCheck >= checkAfter.toNanos()) {
+            check();
+        }
     }
 
     /**
@@ -233,14 +235,6 @@
                         .toString());
     }
 
-    private void lookAtAge(Duration checkAfter) {
-        noticeSilence();
-        long sinceCheck = loop.clock().nanos() - checkAskedNanos;
-        if (listed && !checking && age().compareTo(checkAfter) >= 0 && sinceCheck >= checkAfter.toNanos()) {
-            check();
-        }
-    }
-
     private void check() {
         long asked = loop.clock().nanos();
         checkAskedNanos = asked;
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -114,8 +114,8 @@
     @Override
     public void start() {
         parts.loop.execute(() -> {
-            runners.start(mesh::checkAfter);
-            manifests.start(mesh::checkAfter);
+            runners.start();
+            manifests.start();
             parts.follow(
                             ObjectKind.STORE_SET,
                             RARE_WATCH_WAIT,
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/FollowedObjects.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/FollowedObjects.java
@@ -5,7 +5,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.parsleydrift.kernel.EventLoop;
 import org.parsleydrift.registry.ObjectChanges;
@@ -34,10 +33,8 @@
         follower = new ObjectFollower(kind, objects, loop, random, longestWait, table, listener);
     }
 
-    /** Starts following, and checking once the knowledge is as old as the supplier says. */
-    void start(Supplier<Duration> checkAfter) {
+    void start() {
         follower.start();
-        follower.startChecks(checkAfter);
     }
 
     /** Shows how new the knowledge is: whether one node or all were behind can be told from this alone. */
@@ -66,6 +63,11 @@
         return table.present();
     }
 
+    @Override
+    public void lookAtAge(Duration checkAfter) {
+        follower.lookAtAge(checkAfter);
+    }
+
     @Override
     public Duration age() {
         return follower.age();
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
@@ -113,6 +113,9 @@
 
         List<SharedObject> present();
 
+        /** Notices a silence of the platform, and asks it for changes if the knowledge is as old as this. */
+        void lookAtAge(Duration checkAfter);
+
         /** Time since the moment up to which this node's knowledge is complete. */
         Duration age();
 
@@ -201,26 +204,6 @@
         return !peers.isEmpty();
     }
 
-    /**
-     * The age of its knowledge at which this node is to check it. Peers that the platform answers check first, since those
-     * that it turns away would leave the knowledge to grow old; among equals the one with the least name.
-     */
-    Duration checkAfter() {
-        long before = peers.values().stream()
-                .filter(each -> alive(each) && checksBefore(each))
-                .count();
-        return CHECK_AGE.plus(CHECK_STEP.multipliedBy(before));
-    }
-
-    private boolean checksBefore(Peer peer) {
-        boolean answered = peer.state.orElseThrow().reachesPlatform();
-        return answered == reachesPlatform() ? peer.identity.name().compareTo(self.name()) < 0 : answered;
-    }
-
-    private boolean reachesPlatform() {
-        return followed.values().stream().allMatch(FollowedKind::answered);
-    }
-
     /** Tells peers at once, outside the period. */
     void tellNow() {
         quiet = QUIET_PERIODS;
@@ -245,6 +228,7 @@
 
     private void tell() {
         forgetSilent();
+        followed.values().forEach(each -> each.lookAtAge(checkAfter()));
         Map<String, Integer> load = dispatcher.ownLoad();
         boolean nowReady = ready.getAsBoolean();
         boolean full = round % FULL_EVERY == 0;
@@ -268,6 +252,26 @@
         }
     }
 
+    /**
+     * The age of its knowledge at which this node is to check it. Peers that the platform answers check first, since those
+     * that it turns away would leave the knowledge to grow old; among equals the one with the least name.
+     */
+    private Duration checkAfter() {
+        long before = peers.values().stream()
+                .filter(each -> alive(each) && checksBefore(each))
+                .count();
+        return CHECK_AGE.plus(CHECK_STEP.multipliedBy(before));
+    }
+
+    private boolean checksBefore(Peer peer) {
+        boolean answered = peer.state.orElseThrow().reachesPlatform();
+        return answered == reachesPlatform() ? peer.identity.name().compareTo(self.name()) < 0 : answered;
+    }
+
+    private boolean reachesPlatform() {
+        return followed.values().stream().allMatch(FollowedKind::answered);
+    }
+
     private List<MeshPlan.Neighbour> neighbours() {
         return peers.values().stream()
                 .map(each -> new MeshPlan.Neighbour(each.identity, alive(each), direct(each, HUB_SILENT)))
--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/MeshMember.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/MeshMember.java
@@ -111,14 +111,10 @@
                     }
                 });
         following.put(kind, objects);
-        loop.execute(() -> objects.start(this::checkAfter));
+        loop.execute(objects::start);
         return objects;
     }
 
-    private Duration checkAfter() {
-        return mesh.checkAfter();
-    }
-
     private FrameSender sender() {
         return new FrameSender() {
             @Override
@@ -152,6 +148,9 @@
                 return runners.present();
             }
 
+            @Override
+            public void lookAtAge(Duration checkAfter) {}
+
             @Override
             public Duration age() {
                 return Duration.ZERO;
--- a/parsleydrift-standin/src/test/java/org/parsleydrift/registry/RegistryFollowingTest.java
+++ b/parsleydrift-standin/src/test/java/org/parsleydrift/registry/RegistryFollowingTest.java
@@ -19,6 +19,8 @@
     /** A node that hears of no other checks its knowledge at this age. */
     private static final Duration CHECK_AGE = Duration.ofMillis(900);
 
+    private static final Duration AGE_PERIOD = Duration.ofMillis(80);
+
     private ManualScheduler time;
     private InMemorySharedObjects objects;
     private Registry registry;
@@ -71,7 +73,7 @@
                     }
                 });
         follower.start();
-        follower.startChecks(() -> CHECK_AGE);
+        loop.every(AGE_PERIOD, () -> follower.lookAtAge(CHECK_AGE));
     }
 
     private void runner(String id, String state) {
