--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/KnowledgeAge.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/KnowledgeAge.java
@@ -53,6 +53,16 @@
         return answeredNanos.isPresent() ? Optional.of(since(answeredNanos.getAsLong())) : Optional.empty();
     }
 
+    /**
+     * Whether no call was answered that was asked after a moment.
+     *
+     * @param nanos the moment, on the clock
+     * @return whether all answered calls were asked before it
+     */
+    boolean answeredBefore(long nanos) {
+        return answeredNanos.isEmpty() || answeredNanos.getAsLong() - nanos < 0;
+    }
+
     /**
      * Notes a silence once the age is above {@link #SILENCE}.
      *
--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/ObjectFollower.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/ObjectFollower.java
@@ -218,8 +218,7 @@
         if (failure == StoreFailure.ABSENT) {
             historyGone();
         }
-        tell(false, failure.toString());
-        noticeSilence();
+        notAnswered(askedNanos, failure.toString());
         long pause = pauseMillis / 2 + random.nextLong(pauseMillis);
         pauseMillis = Math.min(LAST_PAUSE_MILLIS, pauseMillis * 2);
         loop.schedule(Duration.ofMillis(pause), () -> next(mine));
@@ -245,7 +244,7 @@
                     if (failure == null) {
                         checked(changes, asked);
                     } else {
-                        checkFailed(StoreException.of(failure));
+                        checkFailed(StoreException.of(failure), asked);
                     }
                 }));
     }
@@ -269,8 +268,8 @@
         }
     }
 
-    private void checkFailed(StoreFailure failure) {
-        tell(false, "check " + failure);
+    private void checkFailed(StoreFailure failure, long asked) {
+        notAnswered(asked, "check " + failure);
         LOG.log(
                 Logger.Level.INFO,
                 () -> LogLine.of("check_failed")
@@ -321,6 +320,13 @@
         });
     }
 
+    /** A call that was asked before one that was answered says nothing of the present. */
+    private void notAnswered(long asked, String reason) {
+        if (age.answeredBefore(asked)) {
+            tell(false, reason);
+        }
+    }
+
     /** Logs that this node itself is answered again, or not any more. */
     private void tell(boolean now, String reason) {
         if (now != answered) {
