--- a/parsleydrift-standin/src/main/java/org/parsleydrift/standin/ConversationCaller.java
+++ b/parsleydrift-standin/src/main/java/org/parsleydrift/standin/ConversationCaller.java
@@ -1,7 +1,5 @@
 package org.parsleydrift.standin;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -10,20 +8,16 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.LockSupport;
 import org.parsleydrift.kernel.LogLine;
 
 /**
- * A stand-in caller in the users' dialect, with a conversation through entry and store processes: writes a manifest and runners as the operator and the
- * runners would, holds a conversation of three turns with a tool call between them, and checks after each turn that the
+ * A stand-in caller in the users' dialect, with a conversation through entry and store processes: has a manifest and
+ * runners written, holds a conversation of three turns with a tool call between them, and checks after each turn that the
  * runner was given all that was said before, byte for byte.
  */
 public final class ConversationCaller {
-    private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final int FAILED = 1;
-    private static final int TRIES = 100;
-    private static final long PAUSE_MILLIS = 100;
+    private static final int SLOTS = 4;
     private static final List<String> SAID =
             List.of("A main has burst in Harbour Lane.", "It is at number 12.", "The water is up to the door.");
 
@@ -50,21 +44,9 @@
     }
 
     private boolean run(List<String> runners) throws IOException, InterruptedException {
-        put("config/main", manifest());
-        for (String runner : runners) {
-            put(
-                    "servers/" + runner,
-                    MAPPER.createObjectNode()
-                            .put("service", "desk")
-                            .put("address", runner)
-                            .put("zone", "a")
-                            .put("version", "v1")
-                            .put("seq", 1)
-                            .put("cold_left_ms", 0)
-                            .put("slots", 4)
-                            .put("state", "ready"));
-        }
-        String entry = entry();
+        StandInOperator operator = new StandInOperator(client, platform);
+        operator.deploy(runners, SLOTS);
+        String entry = operator.entry(directory);
         String previous = "";
         int before = 0;
         boolean sound = true;
@@ -88,39 +70,6 @@
         return sound;
     }
 
-    private static JsonNode manifest() throws IOException {
-        return MAPPER.readTree("""
-                {"version": 1, "limits": {}, "services": [{"name": "desk", "engine": {"chunk_tokens": 5}}], "routes": [
-                  {"name": "talk", "host": "127.0.0.1", "path_prefix": "/talk/", "type": "streaming",
-                   "service": "desk", "timeout_ms": 3000, "stateful": true, "retention_s": 60},
-                  {"name": "crew", "host": "127.0.0.1", "path_prefix": "/crew/", "type": "non_idempotent",
-                   "service": "desk", "timeout_ms": 3000}]}
-                """);
-    }
-
-    private void put(String path, JsonNode spec) throws IOException, InterruptedException {
-        String body = MAPPER.createObjectNode().set("spec", spec).toString();
-        client.send(
-                HttpRequest.newBuilder(URI.create("http://" + platform + "/objects/" + path))
-                        .PUT(HttpRequest.BodyPublishers.ofString(body))
-                        .build(),
-                HttpResponse.BodyHandlers.ofString());
-    }
-
-    /** Asks which address to use until a node is ready. */
-    private String entry() throws IOException, InterruptedException {
-        HttpRequest ask = HttpRequest.newBuilder(URI.create("http://" + directory + "/resolve?name=desk.example"))
-                .build();
-        for (int i = 0; i < TRIES; i++) {
-            HttpResponse<String> answer = client.send(ask, HttpResponse.BodyHandlers.ofString());
-            if (answer.statusCode() == 200) {
-                return MAPPER.readTree(answer.body()).path("addresses").path(0).asText();
-            }
-            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(PAUSE_MILLIS));
-        }
-        throw new IOException("no entry node became ready");
-    }
-
     private HttpResponse<String> send(String entry, String path, String id, String body, Map<String, String> headers)
             throws IOException, InterruptedException {
         HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + entry + path))
