--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/Registry.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/Registry.java
@@ -18,9 +18,9 @@
     private static final Logger LOG = System.getLogger(Registry.class.getName());
     /**
      * Entries of runners lapse while the platform is silent and are back about two seconds after its return, if the
-     * runner lives. A node that dropped them at once would refuse requests that the runners could serve. Counted from
-     * the return, whenever the removal is learned: counted from there, a runner that leaves some time after the return
-     * would get requests for more than the two seconds in which it must be left alone.
+     * runner lives. A node that dropped them at once would refuse requests that the runners could serve. The time counts
+     * from the return. Counted from when a node learns of the removal, a runner that leaves a while after the return
+     * would get requests for longer than the two seconds after which it must be left alone.
      */
     private static final Duration LAPSE_GRACE = Duration.ofMillis(1900);
 
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
@@ -48,9 +48,9 @@
     /** How long a peer's newer knowledge is waited for from the platform before the peer is asked. */
     private static final Duration LAG_BORNE = Duration.ofMillis(250);
     /**
-     * Knowledge of this age is checked at the platform by the first node. With the passing on among nodes (a check's
-     * answer, a status frame, the lag borne, the peer's list: some 300 ms) all know a change after 1.3 s, of the two
-     * seconds that they have, though every watch be silent.
+     * Knowledge of this age is checked at the platform by the first node. With the period in which it is looked at (80 ms),
+     * the next status frame (320 ms) and the lag borne (250 ms) all know a change 1.6 s after it, by way of hubs 1.9 s,
+     * though every watch be silent; they have two seconds.
      */
     private static final Duration CHECK_AGE = Duration.ofMillis(900);
     /**
