--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -35,7 +35,7 @@
     private final long startNanos;
     private final QueueWait queueWait;
     private final Set<String> avoided = new HashSet<>();
-    private Stage stage = Stage.MATCHED;
+    private RequestStage stage = RequestStage.MATCHED;
     private long manifestVersion;
     private Route route;
     private String service = "";
@@ -51,17 +51,6 @@
     private int offers;
     private int runs;
 
-    /** Where a request is. */
-    private enum Stage {
-        STARTING,
-        MATCHED,
-        BEGINNING,
-        WAITING,
-        OFFERED,
-        COMMITTING,
-        ENDED
-    }
-
     RelayedRequest(Relay relay, CallerRequest request, Optional<RequestFacts> facts, CallerAnswer caller) {
         this.relay = relay;
         this.request = request;
@@ -78,7 +67,7 @@
             waitForManifest();
             return;
         }
-        stage = Stage.MATCHED;
+        stage = RequestStage.MATCHED;
         manifestVersion = manifest.get().version();
         Optional<Route> match = manifest.get().match(request.host(), request.target());
         if (match.isEmpty()) {
@@ -125,11 +114,11 @@
 
     /** Whether it waits for the first manifest. */
     boolean starting() {
-        return stage == Stage.STARTING;
+        return stage == RequestStage.STARTING;
     }
 
     private void waitForManifest() {
-        stage = Stage.STARTING;
+        stage = RequestStage.STARTING;
         long left = facts == null ? 0 : facts.deadlineMillis().orElse(RelayLimits.START_WAIT.toMillis());
         long most = Math.min((long) (left * RelayLimits.START_SHARE), RelayLimits.START_WAIT.toMillis());
         startTimer = relay.loop().schedule(Duration.ofMillis(most), () -> {
@@ -142,7 +131,7 @@
 
     /** The caller has left: nothing of the request may go on. */
     void callerGone() {
-        if (stage == Stage.ENDED || stage == Stage.COMMITTING) {
+        if (stage == RequestStage.ENDED || stage == RequestStage.COMMITTING) {
             return;
         }
         boolean neverOffered = exchange == null;
@@ -195,7 +184,7 @@
     public void offered(Candidate chosen) {
         Runner runner = chosen.runner();
         queueWait.end();
-        stage = Stage.OFFERED;
+        stage = RequestStage.OFFERED;
         offers++;
         LOG.log(
                 Logger.Level.INFO,
@@ -203,7 +192,7 @@
                         .with("runner", runner.life())
                         .with("load", chosen.load())
                         .with("slots", runner.slots())
-                        .with("prompt", promptTokens())
+                        .with("prompt", facts.promptTokens())
                         .with("missing", chosen.missingTokens())
                         .with("offer", offers)
                         .with("manifest", manifestVersion)
@@ -264,7 +253,7 @@
     }
 
     private void silent(Runner runner, RunnerExchange offered) {
-        if (stage == Stage.OFFERED
+        if (stage == RequestStage.OFFERED
                 && exchange == offered
                 && relay.dispatcher().retries(service).take()) {
             offered.cancel();
@@ -324,7 +313,7 @@
 
     /** A stream has come whole; its end is passed on once the turn can't be lost any more. */
     void streamEnded(Runner runner, EventStreamReader events) {
-        stage = Stage.COMMITTING;
+        stage = RequestStage.COMMITTING;
         long begun = relay.loop().clock().nanos();
         turn.map(each -> each.end(runner.life(), service, request.body(), events, leftMillis()))
                 .orElseGet(() -> CompletableFuture.completedFuture(null))
@@ -334,7 +323,7 @@
     private void committed(long commitBegunNanos, Throwable failure) {
         if (failure == null) {
             endStream(commitBegunNanos);
-        } else if (stage != Stage.ENDED) {
+        } else if (stage != RequestStage.ENDED) {
             LOG.log(
                     Logger.Level.WARNING,
                     () -> line("commit_failed").failure(failure).toString());
@@ -343,7 +332,7 @@
     }
 
     private void endStream(long commitBegunNanos) {
-        if (stage == Stage.ENDED) {
+        if (stage == RequestStage.ENDED) {
             return;
         }
         relay.meters().phase("commit", Duration.ofNanos(relay.loop().clock().nanos() - commitBegunNanos));
@@ -352,14 +341,14 @@
     }
 
     private void begin() {
-        stage = Stage.BEGINNING;
+        stage = RequestStage.BEGINNING;
         TurnRecord record = new TurnRecord(relay, facts, route);
         turn = Optional.of(record);
         record.begin(share(RelayLimits.BEGIN_SHARE, RelayLimits.BEGIN_MOST)).thenAccept(this::begun);
     }
 
     private void begun(BeginResult result) {
-        if (stage != Stage.BEGINNING) {
+        if (stage != RequestStage.BEGINNING) {
             releaseGrant();
             return;
         }
@@ -398,13 +387,13 @@
     }
 
     private void queue() {
-        stage = Stage.WAITING;
+        stage = RequestStage.WAITING;
         queueWait.begin(share(RelayLimits.QUEUE_SHARE, RelayLimits.QUEUE_MOST), this::waitedTooLong);
         relay.dispatcher().submit(this);
     }
 
     private void waitedTooLong() {
-        if (stage == Stage.WAITING && relay.dispatcher().withdraw(this)) {
+        if (stage == RequestStage.WAITING && relay.dispatcher().withdraw(this)) {
             if (runs > 0) {
                 own(502, "unknown", "sent once; no other runner had room");
             } else {
@@ -456,10 +445,10 @@
     }
 
     private void finish(String outcome, String cause) {
-        if (stage == Stage.ENDED) {
+        if (stage == RequestStage.ENDED) {
             return;
         }
-        stage = Stage.ENDED;
+        stage = RequestStage.ENDED;
         timeout.cancel();
         startTimer.cancel();
         queueWait.end();
@@ -492,10 +481,6 @@
         return Duration.ofNanos(relay.loop().clock().nanos() - startNanos);
     }
 
-    private int promptTokens() {
-        return facts.prompt().stream().mapToInt(PromptPart::tokens).sum();
-    }
-
     private boolean streaming() {
         return route.kind() == CallKind.STREAMING;
     }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestFacts.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestFacts.java
@@ -35,6 +35,11 @@
     /** A part with up to eight digits of tokens: more than any engine holds, and no overflow. */
     private static final Pattern PART = Pattern.compile("\\s*[^,:\\s]+:\\d{1,8}\\s*");
 
+    /** Tokens of all parts of the prompt. */
+    int promptTokens() {
+        return prompt.stream().mapToInt(PromptPart::tokens).sum();
+    }
+
     /**
      * Reads the headers.
      *
