One stand-in request in the users' dialect for both stand-in callers

Cause: ConversationCaller and LoadCaller each built the same requests header by header. Ruled out: sharing through StandInOperator, which speaks for the operator. Change: CallerRequest builds a turn or a call; a header that no process reads is dropped.

--- a/parsleydrift-standin/src/main/java/org/parsleydrift/standin/ConversationCaller.java
+++ b/parsleydrift-standin/src/main/java/org/parsleydrift/standin/ConversationCaller.java
@@ -1,13 +1,11 @@
 package org.parsleydrift.standin;
 
 import java.io.IOException;
-import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Map;
 import org.parsleydrift.kernel.LogLine;
 
 /**
@@ -18,6 +16,7 @@
 public final class ConversationCaller {
     private static final int FAILED = 1;
     private static final int SLOTS = 4;
+    private static final String PROGRAM = "p1";
     private static final List<String> SAID =
             List.of("A main has burst in Harbour Lane.", "It is at number 12.", "The water is up to the door.");
 
@@ -53,7 +52,7 @@
         for (int turn = 0; turn < SAID.size(); turn++) {
             String input = SAID.get(turn);
             String id = "turn-" + turn;
-            HttpResponse<String> answer = send(entry, "/talk/", id, input, Map.of("X-Previous-Turn", previous));
+            HttpResponse<String> answer = send(new CallerRequest(id, PROGRAM, previous, input).turn(entry));
             int heard = before + input.length();
             boolean whole = answer.statusCode() == 200 && answer.body().contains("data: heard " + heard + "\n");
             System.out.println(LogLine.of("turn")
@@ -64,28 +63,14 @@
             sound &= whole;
             before = heard + RunnerServer.output(heard).length;
             previous = id;
-            sound &= send(entry, "/crew/", "call-" + turn, "go", Map.of()).statusCode() == 200;
+            HttpResponse<String> called = send(new CallerRequest("call-" + turn, PROGRAM, "", "go").call(entry));
+            sound &= called.statusCode() == 200;
         }
         System.out.println("conversation turns=" + SAID.size() + " chain_whole=" + sound);
         return sound;
     }
 
-    private HttpResponse<String> send(String entry, String path, String id, String body, Map<String, String> headers)
-            throws IOException, InterruptedException {
-        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + entry + path))
-                .header("X-Attempt-Id", id)
-                .header("X-Program-Id", "p1")
-                .header("X-Deadline-Ms", "3000");
-        if (path.equals("/talk/")) {
-            request.header("X-Token-Budget", "100").header("X-Token-Count", "40,20");
-        }
-        headers.forEach((name, value) -> {
-            if (!value.isEmpty()) {
-                request.header(name, value);
-            }
-        });
-        request.header("X-Forwarded-Host", "desk.example");
-        return client.send(
-                request.POST(HttpRequest.BodyPublishers.ofString(body)).build(), HttpResponse.BodyHandlers.ofString());
+    private HttpResponse<String> send(HttpRequest request) throws IOException, InterruptedException {
+        return client.send(request, HttpResponse.BodyHandlers.ofString());
     }
 }
--- a/parsleydrift-standin/src/main/java/org/parsleydrift/standin/LoadCaller.java
+++ b/parsleydrift-standin/src/main/java/org/parsleydrift/standin/LoadCaller.java
@@ -1,7 +1,6 @@
 package org.parsleydrift.standin;
 
 import java.io.IOException;
-import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
@@ -166,7 +165,8 @@
         String previous = "";
         for (int turn = 0; turn < TURNS; turn++) {
             String id = name + "-t" + turn;
-            boolean whole = send("/talk/", name, id, previous) && send("/crew/", name, name + "-c" + turn, "");
+            boolean whole = send(new CallerRequest(id, name, previous, INPUT).turn(entry))
+                    && send(new CallerRequest(name + "-c" + turn, name, "", INPUT).call(entry));
             if (!whole) {
                 return;
             }
@@ -174,28 +174,17 @@
         }
     }
 
-    private boolean send(String path, String program, String id, String previous) {
-        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + entry + path))
-                .header("X-Attempt-Id", id)
-                .header("X-Program-Id", program)
-                .header("X-Deadline-Ms", "3000");
-        if (path.equals("/talk/")) {
-            request.header("X-Token-Budget", "1000").header("X-Token-Count", "650,20");
-        }
-        if (!previous.isEmpty()) {
-            request.header("X-Previous-Turn", previous);
-        }
+    private boolean send(HttpRequest request) {
         try {
-            int status = client.send(
-                            request.POST(HttpRequest.BodyPublishers.ofString(INPUT))
-                                    .build(),
-                            HttpResponse.BodyHandlers.ofString())
-                    .statusCode();
+            int status =
+                    client.send(request, HttpResponse.BodyHandlers.ofString()).statusCode();
             (status == OK ? served : failed).increment();
             return status == OK;
         } catch (IOException fault) {
             failed.increment();
-            System.err.println(LogLine.of("request_failed").with("request", id).failure(fault));
+            System.err.println(LogLine.of("request_failed")
+                    .with("target", request.uri().getPath())
+                    .failure(fault));
             return false;
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
