What nodes know of the shared objects leaves NodeMesh for KnowledgeExchange

Ruled out: leaving the comparison in NodeMesh and moving the frames alone, which would split one protocol. Change: a move; FollowedKind has a file of its own; how long a peer is waited for is fixed when it is first noted to know more.

--- /dev/null
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/FollowedKind.java
@@ -0,0 +1,36 @@
+package org.parsleydrift.roles;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.parsleydrift.registry.ObjectChanges;
+import org.parsleydrift.registry.SharedObject;
+
+/** A kind of shared objects that a node follows at the platform, and knows of from peers. */
+interface FollowedKind {
+    /** The revision up to which this node's knowledge is complete. */
+    long asOf();
+
+    /** The revision of the newest change that it knows. */
+    long newestChange();
+
+    List<SharedObject> present();
+
+    /** Notices a silence of the platform, and asks it for changes if the knowledge is as old as this. */
+    void lookAtAge(Duration checkAfter);
+
+    /** Time since the moment up to which this node's knowledge is complete. */
+    Duration age();
+
+    /** Whether the platform answers this node. */
+    boolean answered();
+
+    /** Time since this node's newest call was asked that the platform has answered; empty before the first. */
+    Optional<Duration> answeredAge();
+
+    /** A peer that knows no more was complete up to a moment, and so is this node. */
+    void completeAt(long nanos);
+
+    /** Takes in a peer's full list, complete up to a moment. */
+    void learn(ObjectChanges list, long newestChange, long completeNanos);
+}
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/FollowedObjects.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/FollowedObjects.java
@@ -15,7 +15,7 @@
 import org.parsleydrift.registry.VersionedTable;
 
 /** One kind of shared objects as an entry node knows it: from the platform, and from peers that know more. */
-final class FollowedObjects implements NodeMesh.FollowedKind {
+final class FollowedObjects implements FollowedKind {
     private final ObjectKind kind;
     private final VersionedTable table = new VersionedTable();
     private final ObjectFollower follower;
--- /dev/null
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/KnowledgeExchange.java
@@ -0,0 +1,172 @@
+package org.parsleydrift.roles;
+
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.stream.Collectors;
+import org.msgpack.core.MessageUnpacker;
+import org.parsleydrift.conversation.FrameSender;
+import org.parsleydrift.kernel.EventLoop;
+import org.parsleydrift.kernel.LogLine;
+import org.parsleydrift.kernel.codec.MessagePackFrames;
+import org.parsleydrift.registry.ObjectChanges;
+import org.parsleydrift.registry.ObjectKind;
+import org.parsleydrift.registry.SharedObject;
+
+/**
+ * What entry nodes tell each other of the shared objects that they follow: how new and how old their knowledge is, and, to
+ * a node that asks because it knows less, all of it.
+ */
+final class KnowledgeExchange {
+    private static final Logger LOG = System.getLogger(KnowledgeExchange.class.getName());
+    /** How long a peer's newer knowledge is waited for from the platform before the peer is asked. */
+    private static final Duration LAG_BORNE = Duration.ofMillis(250);
+
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final byte FETCH = 12;
+    private static final byte OBJECTS = 13;
+
+    private final EventLoop loop;
+    private final FrameSender frames;
+    private final String ownLink;
+    private final Map<ObjectKind, FollowedKind> followed;
+    private final Map<ObjectKind, Behind> behind = new EnumMap<>(ObjectKind.class);
+
+    KnowledgeExchange(EventLoop loop, FrameSender frames, String ownLink, Map<ObjectKind, FollowedKind> followed) {
+        this.loop = loop;
+        this.frames = frames;
+        this.ownLink = ownLink;
+        this.followed = Map.copyOf(followed);
+    }
+
+    /** That some peer knows more of a kind: since when, up to which revision, and when one was asked last. */
+    private record Behind(long sinceNanos, long revision, OptionalLong askedNanos) {}
+
+    /** What this node knows, by kind. */
+    Map<ObjectKind, NodeState.Known> known() {
+        return followed.entrySet().stream()
+                .collect(Collectors.toMap(Map.Entry::getKey, each -> known(each.getValue())));
+    }
+
+    private static NodeState.Known known(FollowedKind kind) {
+        return new NodeState.Known(
+                kind.newestChange(),
+                kind.answeredAge().stream().mapToLong(Duration::toMillis).findAny());
+    }
+
+    /** Whether the platform answers this node. */
+    boolean reachesPlatform() {
+        return followed.values().stream().allMatch(FollowedKind::answered);
+    }
+
+    /** Has each kind checked whose knowledge is as old as this. */
+    void lookAtAge(Duration checkAfter) {
+        followed.values().forEach(each -> each.lookAtAge(checkAfter));
+    }
+
+    /**
+     * Compares what a peer knows with what this node knows.
+     *
+     * @param peer the peer's link
+     * @param direct whether this node hears the peer itself; one that is known through others may be out of reach
+     * @param told what the peer knows
+     * @param saidNanos when it said so
+     */
+    void compare(String peer, boolean direct, Map<ObjectKind, NodeState.Known> told, long saidNanos) {
+        Duration patience = direct ? LAG_BORNE : LAG_BORNE.multipliedBy(2);
+        told.forEach((kind, known) -> {
+            FollowedKind own = followed.get(kind);
+            if (own != null && known.newestChange() > own.newestChange()) {
+                peerKnowsMore(peer, patience, kind, known.newestChange());
+            } else if (own != null) {
+                known.answeredMillis().ifPresent(age -> own.completeAt(saidNanos - age * NANOS_PER_MILLI));
+            }
+        });
+    }
+
+    private void peerKnowsMore(String peer, Duration patience, ObjectKind kind, long revision) {
+        Behind known = behind.get(kind);
+        if (known == null || known.revision() <= followed.get(kind).newestChange()) {
+            behind.put(kind, new Behind(loop.clock().nanos(), revision, OptionalLong.empty()));
+            loop.schedule(patience, () -> askIfBehind(peer, patience, kind));
+        } else {
+            askIfBehind(peer, patience, kind);
+        }
+    }
+
+    private void askIfBehind(String peer, Duration patience, ObjectKind kind) {
+        long now = loop.clock().nanos();
+        Behind known = behind.get(kind);
+        if (known.revision() <= followed.get(kind).newestChange()) {
+            return;
+        }
+        long waited = now - known.askedNanos().orElse(known.sinceNanos());
+        if (waited >= patience.toNanos()) {
+            behind.put(kind, new Behind(known.sinceNanos(), known.revision(), OptionalLong.of(now)));
+            frames.send(
+                    peer,
+                    MessagePackFrames.encode(
+                            out -> out.packByte(FETCH).packString(ownLink).packString(kind.name())));
+        }
+    }
+
+    /** Takes in the rest of a frame; gives whether its type is one of these. */
+    boolean receive(byte type, MessageUnpacker in) throws IOException {
+        switch (type) {
+            case FETCH -> answerFetch(in.unpackString(), ObjectKind.valueOf(in.unpackString()));
+            case OBJECTS -> takeObjects(in);
+            default -> {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void answerFetch(String asker, ObjectKind kind) {
+        FollowedKind own = followed.get(kind);
+        if (own == null || own.asOf() == 0) {
+            return;
+        }
+        List<SharedObject> present = own.present();
+        frames.send(asker, MessagePackFrames.encode(out -> {
+            out.packByte(OBJECTS).packString(kind.name()).packLong(own.asOf()).packLong(own.newestChange());
+            out.packLong(own.age().toMillis());
+            out.packArrayHeader(present.size());
+            for (SharedObject each : present) {
+                out.packString(each.name()).packLong(each.revision());
+                out.packBinaryHeader(each.content().length).addPayload(each.content());
+            }
+        }));
+    }
+
+    private void takeObjects(MessageUnpacker in) throws IOException {
+        ObjectKind kind = ObjectKind.valueOf(in.unpackString());
+        long asOf = in.unpackLong();
+        long newestChange = in.unpackLong();
+        long ageMillis = in.unpackLong();
+        int size = in.unpackArrayHeader();
+        List<SharedObject> objects = new ArrayList<>();
+        for (int i = 0; i < size; i++) {
+            objects.add(new SharedObject(
+                    in.unpackString(), in.unpackLong(), false, in.readPayload(in.unpackBinaryHeader())));
+        }
+        FollowedKind own = followed.get(kind);
+        if (own != null && newestChange > own.newestChange()) {
+            LOG.log(
+                    Logger.Level.INFO,
+                    () -> LogLine.of("learned_from_peer")
+                            .with("kind", kind)
+                            .with("own_as_of", own.asOf())
+                            .with("as_of", asOf)
+                            .with("known_ms_ago", ageMillis)
+                            .toString());
+            long completeNanos = loop.clock().nanos() - ageMillis * NANOS_PER_MILLI;
+            own.learn(new ObjectChanges(objects, asOf), newestChange, completeNanos);
+        }
+    }
+}
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
@@ -3,9 +3,7 @@
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,15 +19,14 @@
 import org.parsleydrift.kernel.EventLoop;
 import org.parsleydrift.kernel.LogLine;
 import org.parsleydrift.kernel.codec.MessagePackFrames;
-import org.parsleydrift.registry.ObjectChanges;
 import org.parsleydrift.registry.ObjectKind;
-import org.parsleydrift.registry.SharedObject;
 import org.parsleydrift.relay.Dispatcher;
 
 /**
  * What entry nodes tell each other: whether they are ready, what they have at each runner, and how new their knowledge
  * is. The platform may turn some nodes away while it serves others; a node that sees that a peer knows more asks that
- * peer for all of it, and so learns of drains and manifests in time. Whom a node tells what is the {@link MeshPlan}'s.
+ * peer for all of it, and so learns of drains and manifests in time ({@link KnowledgeExchange}). Whom a node tells what is
+ * the {@link MeshPlan}'s.
  */
 final class NodeMesh {
     private static final Logger LOG = System.getLogger(NodeMesh.class.getName());
@@ -45,8 +42,6 @@
     private static final Duration SILENT_RELAYED = Duration.ofMillis(1600);
     /** A hub unheard for this long is passed over: it speaks every 80 to 320 ms. */
     private static final Duration HUB_SILENT = Duration.ofMillis(600);
-    /** How long a peer's newer knowledge is waited for from the platform before the peer is asked. */
-    private static final Duration LAG_BORNE = Duration.ofMillis(250);
     /**
      * Knowledge of this age is checked at the platform by the first node. With the period in which it is looked at (80 ms),
      * the next status frame (320 ms) and the lag borne (250 ms) all know a change 1.6 s after it, by way of hubs 1.9 s,
@@ -63,8 +58,6 @@
 
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final byte STATES = 14;
-    private static final byte FETCH = 12;
-    private static final byte OBJECTS = 13;
 
     private final EventLoop loop;
     private final FrameSender frames;
@@ -73,9 +66,8 @@
     private final BooleanSupplier ready;
     private final BooleanSupplier reachesStores;
     private final RandomGenerator random;
-    private final Map<ObjectKind, FollowedKind> followed;
+    private final KnowledgeExchange exchange;
     private final Map<String, Peer> peers = new HashMap<>();
-    private final Map<ObjectKind, Behind> behind = new EnumMap<>(ObjectKind.class);
     private Map<String, Integer> lastLoad = Map.of();
     private boolean lastReady;
     private boolean news;
@@ -99,39 +91,10 @@
         this.ready = ready;
         this.reachesStores = reachesStores;
         this.random = random;
-        this.followed = Map.copyOf(followed);
+        this.exchange = new KnowledgeExchange(loop, frames, self.link(), followed);
         this.hubUntilNanos = loop.clock().nanos();
     }
 
-    /** A kind of shared objects that is followed here. */
-    interface FollowedKind {
-        /** The revision up to which this node's knowledge is complete. */
-        long asOf();
-
-        /** The revision of the newest change that it knows. */
-        long newestChange();
-
-        List<SharedObject> present();
-
-        /** Notices a silence of the platform, and asks it for changes if the knowledge is as old as this. */
-        void lookAtAge(Duration checkAfter);
-
-        /** Time since the moment up to which this node's knowledge is complete. */
-        Duration age();
-
-        /** Whether the platform answers this node. */
-        boolean answered();
-
-        /** Time since this node's newest call was asked that the platform has answered; empty before the first. */
-        Optional<Duration> answeredAge();
-
-        /** A peer that knows no more was complete up to a moment, and so is this node. */
-        void completeAt(long nanos);
-
-        /** Takes in a peer's full list, complete up to a moment. */
-        void learn(ObjectChanges list, long newestChange, long completeNanos);
-    }
-
     private static final class Peer {
         private final NodeIdentity identity;
         private Optional<NodeState> state = Optional.empty();
@@ -143,9 +106,6 @@
         }
     }
 
-    /** That some peer knows more of a kind: since when, up to which revision, and when one was asked last. */
-    private record Behind(long sinceNanos, long revision, OptionalLong askedNanos) {}
-
     void start() {
         loop.every(STATUS_PERIOD, this::tell);
     }
@@ -216,10 +176,8 @@
             byte type = in.unpackByte();
             switch (type) {
                 case STATES -> takeStates(in);
-                case FETCH -> answerFetch(in.unpackString(), ObjectKind.valueOf(in.unpackString()));
-                case OBJECTS -> takeObjects(in);
                 default -> {
-                    return false;
+                    return exchange.receive(type, in);
                 }
             }
             return true;
@@ -228,7 +186,7 @@
 
     private void tell() {
         forgetSilent();
-        followed.values().forEach(each -> each.lookAtAge(checkAfter()));
+        exchange.lookAtAge(checkAfter());
         Map<String, Integer> load = dispatcher.ownLoad();
         boolean nowReady = ready.getAsBoolean();
         boolean full = round % FULL_EVERY == 0;
@@ -265,11 +223,7 @@
 
     private boolean checksBefore(Peer peer) {
         boolean answered = peer.state.orElseThrow().reachesPlatform();
-        return answered == reachesPlatform() ? peer.identity.name().compareTo(self.name()) < 0 : answered;
-    }
-
-    private boolean reachesPlatform() {
-        return followed.values().stream().allMatch(FollowedKind::answered);
+        return answered == exchange.reachesPlatform() ? peer.identity.name().compareTo(self.name()) < 0 : answered;
     }
 
     private List<MeshPlan.Neighbour> neighbours() {
@@ -285,17 +239,16 @@
     private NodeState ownState(Map<String, Integer> load, boolean nowReady, boolean full) {
         Map<Integer, Integer> hashed = load.entrySet().stream()
                 .collect(Collectors.toMap(each -> each.getKey().hashCode(), Map.Entry::getValue, Integer::sum));
-        Map<ObjectKind, NodeState.Known> known = followed.entrySet().stream()
-                .collect(Collectors.toMap(Map.Entry::getKey, each -> known(each.getValue())));
         Optional<NodeIdentity> identity = full ? Optional.of(self) : Optional.empty();
         return new NodeState(
-                self.name(), identity, 0, nowReady, reachesStores.getAsBoolean(), reachesPlatform(), known, hashed);
-    }
-
-    private static NodeState.Known known(FollowedKind kind) {
-        return new NodeState.Known(
-                kind.newestChange(),
-                kind.answeredAge().stream().mapToLong(Duration::toMillis).findAny());
+                self.name(),
+                identity,
+                0,
+                nowReady,
+                reachesStores.getAsBoolean(),
+                exchange.reachesPlatform(),
+                exchange.known(),
+                hashed);
     }
 
     private Stream<NodeState> states(Predicate<Peer> told, boolean full) {
@@ -375,92 +328,10 @@
         boolean changed = peer.state.isEmpty() || !peer.state.get().saysTheSame(state);
         peer.state = Optional.of(state);
         peer.saidNanos = said;
-        state.known().forEach((kind, known) -> compare(peer, kind, known, said));
+        exchange.compare(peer.identity.link(), direct(peer, SILENT), state.known(), said);
         return changed;
     }
 
-    private void compare(Peer peer, ObjectKind kind, NodeState.Known told, long saidNanos) {
-        FollowedKind own = followed.get(kind);
-        if (own == null) {
-            return;
-        }
-        if (told.newestChange() <= own.newestChange()) {
-            told.answeredMillis().ifPresent(age -> own.completeAt(saidNanos - age * NANOS_PER_MILLI));
-            return;
-        }
-        Behind known = behind.get(kind);
-        if (known == null || known.revision() <= own.newestChange()) {
-            behind.put(kind, new Behind(loop.clock().nanos(), told.newestChange(), OptionalLong.empty()));
-            loop.schedule(patience(peer), () -> askIfBehind(peer, kind));
-        } else {
-            askIfBehind(peer, kind);
-        }
-    }
-
-    private void askIfBehind(Peer peer, ObjectKind kind) {
-        long now = loop.clock().nanos();
-        Behind known = behind.get(kind);
-        if (known.revision() <= followed.get(kind).newestChange()) {
-            return;
-        }
-        long waited = now - known.askedNanos().orElse(known.sinceNanos());
-        if (waited >= patience(peer).toNanos()) {
-            behind.put(kind, new Behind(known.sinceNanos(), known.revision(), OptionalLong.of(now)));
-            frames.send(
-                    peer.identity.link(),
-                    MessagePackFrames.encode(
-                            out -> out.packByte(FETCH).packString(self.link()).packString(kind.name())));
-        }
-    }
-
-    /** A peer that is known through others only may be out of reach; those heard directly are asked first. */
-    private Duration patience(Peer peer) {
-        return direct(peer, SILENT) ? LAG_BORNE : LAG_BORNE.multipliedBy(2);
-    }
-
-    private void answerFetch(String asker, ObjectKind kind) {
-        FollowedKind own = followed.get(kind);
-        if (own == null || own.asOf() == 0) {
-            return;
-        }
-        List<SharedObject> present = own.present();
-        frames.send(asker, MessagePackFrames.encode(out -> {
-            out.packByte(OBJECTS).packString(kind.name()).packLong(own.asOf()).packLong(own.newestChange());
-            out.packLong(own.age().toMillis());
-            out.packArrayHeader(present.size());
-            for (SharedObject each : present) {
-                out.packString(each.name()).packLong(each.revision());
-                out.packBinaryHeader(each.content().length).addPayload(each.content());
-            }
-        }));
-    }
-
-    private void takeObjects(MessageUnpacker in) throws IOException {
-        ObjectKind kind = ObjectKind.valueOf(in.unpackString());
-        long asOf = in.unpackLong();
-        long newestChange = in.unpackLong();
-        long ageMillis = in.unpackLong();
-        int size = in.unpackArrayHeader();
-        List<SharedObject> objects = new ArrayList<>();
-        for (int i = 0; i < size; i++) {
-            objects.add(new SharedObject(
-                    in.unpackString(), in.unpackLong(), false, in.readPayload(in.unpackBinaryHeader())));
-        }
-        FollowedKind own = followed.get(kind);
-        if (own != null && newestChange > own.newestChange()) {
-            LOG.log(
-                    Logger.Level.INFO,
-                    () -> LogLine.of("learned_from_peer")
-                            .with("kind", kind)
-                            .with("own_as_of", own.asOf())
-                            .with("as_of", asOf)
-                            .with("known_ms_ago", ageMillis)
-                            .toString());
-            long completeNanos = loop.clock().nanos() - ageMillis * NANOS_PER_MILLI;
-            own.learn(new ObjectChanges(objects, asOf), newestChange, completeNanos);
-        }
-    }
-
     private Duration silentAfter() {
         return peers.size() > MeshPlan.DIRECT_PEERS ? SILENT_RELAYED : SILENT;
     }
--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/MeshMember.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/MeshMember.java
@@ -92,7 +92,7 @@
         mesh.start();
     }
 
-    private Map<ObjectKind, NodeMesh.FollowedKind> following(SharedObjects platform) {
+    private Map<ObjectKind, FollowedKind> following(SharedObjects platform) {
         return Stream.of(ObjectKind.RUNNERS, ObjectKind.MANIFEST)
                 .collect(Collectors.toMap(kind -> kind, kind -> followed(kind, platform)));
     }
@@ -131,8 +131,8 @@
         };
     }
 
-    private NodeMesh.FollowedKind followed() {
-        return new NodeMesh.FollowedKind() {
+    private FollowedKind followed() {
+        return new FollowedKind() {
             @Override
             public long asOf() {
                 return runners.asOf();
