Listeners and outgoing connections are set up in one place

Cause: the same options stood at three listeners and three clients. Ruled out: one class for all servers, whose pipelines differ. Change: NetworkThreads gives both bootstraps; links between processes now have the same queue of connections that wait to be accepted as the others (1,024 instead of the system's usual).

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerServer.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerServer.java
@@ -1,10 +1,7 @@
 package org.parsleydrift.relay;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -18,8 +15,6 @@
 
 /** Listens for callers. Confined to the one network thread. */
 public final class CallerServer implements AutoCloseable {
-    /** Connections that may wait to be accepted; a full queue costs a caller seconds. */
-    private static final int BACKLOG = 1024;
 
     private static final Duration IDLE_CHECK = Duration.ofMillis(500);
 
@@ -45,12 +40,7 @@
             Relay relay,
             Supplier<CallerLimits> limits) {
         this.limits = limits;
-        this.listener = new ServerBootstrap()
-                .group(threads.group())
-                .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
+        this.listener = threads.listener()
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnections.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnections.java
@@ -4,8 +4,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.net.InetSocketAddress;
@@ -25,7 +23,7 @@
 /** Connections to runners, kept between requests by the id of the runner's life. Confined to one loop. */
 final class RunnerConnections implements IdleConnections {
     /** Time to connect; a healthy runner takes a round trip, a dead VM never answers. */
-    private static final int CONNECT_MILLIS = 400;
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
     /** Idle connections are closed after this; a connection takes one of the few that a runner accepts. */
     private static final Duration KEPT = Duration.ofSeconds(2);
     /** Kept this much shorter than the runner says, so that its close and our next request don't cross. */
@@ -43,11 +41,7 @@
     RunnerConnections(NetworkThreads threads, EventLoop loop, RelayDialect dialect) {
         this.loop = loop;
         this.dialect = dialect;
-        this.bootstrap = new Bootstrap()
-                .group(threads.group())
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
-                .option(ChannelOption.TCP_NODELAY, true);
+        this.bootstrap = threads.connector(CONNECT_TIMEOUT);
         loop.every(SWEEP, this::sweep);
     }
 
--- a/parsleydrift-wire/src/main/java/org/parsleydrift/wire/FrameLinks.java
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/FrameLinks.java
@@ -1,7 +1,6 @@
 package org.parsleydrift.wire;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -9,15 +8,13 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.util.ReferenceCountUtil;
 import java.lang.System.Logger;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -37,7 +34,8 @@
     private static final int LENGTH_BYTES = 4;
     private static final int MAX_FRAME_BYTES = 4 << 20;
     private static final int MAX_UNSENT_BYTES = 16 << 20;
-    private static final int CONNECT_MILLIS = 1000;
+    /** Time to connect; a peer takes a round trip, one that is gone never answers. */
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     /** Acknowledgements are gathered for this long, ms, so that a run of frames costs one. */
     private static final long ACKNOWLEDGE_MILLIS = 50;
     /** Without an acknowledgement for this long, ms, a connection counts as silent: some twenty times the usual. */
@@ -56,11 +54,7 @@
      * @param receiver receives each frame on a network thread; one that throws closes the connection
      */
     public FrameLinks(NetworkThreads threads, String host, int port, Consumer<byte[]> receiver) {
-        listener = new ServerBootstrap()
-                .group(threads.group())
-                .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
+        listener = threads.listener()
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -73,19 +67,14 @@
                 .bind(host, port)
                 .syncUninterruptibly()
                 .channel();
-        outbound = new Bootstrap()
-                .group(threads.group())
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .handler(new ChannelInitializer<>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        channel.pipeline()
-                                .addLast(new LengthFieldPrepender(LENGTH_BYTES))
-                                .addLast(new Acknowledgements());
-                    }
-                });
+        outbound = threads.connector(CONNECT_TIMEOUT).handler(new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline()
+                        .addLast(new LengthFieldPrepender(LENGTH_BYTES))
+                        .addLast(new Acknowledgements());
+            }
+        });
     }
 
     /**
--- a/parsleydrift-wire/src/main/java/org/parsleydrift/wire/HttpClient.java
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/HttpClient.java
@@ -6,9 +6,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -34,7 +32,9 @@
 
 /** A small HTTP/1.1 client on Netty's codec, with kept connections and a limit on silence. */
 public final class HttpClient {
-    private static final int CONNECT_MILLIS = 1000;
+    /** Time to connect; the platform and tools take some ms, a VM that is gone never answers. */
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
     private static final int MAX_ANSWER_BYTES = 4 << 20;
     private static final int KEPT_PER_ADDRESS = 64;
 
@@ -47,17 +47,12 @@
      * @param threads the network threads
      */
     public HttpClient(NetworkThreads threads) {
-        bootstrap = new Bootstrap()
-                .group(threads.group())
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .handler(new ChannelInitializer<>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec());
-                    }
-                });
+        bootstrap = threads.connector(CONNECT_TIMEOUT).handler(new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(new HttpClientCodec());
+            }
+        });
     }
 
     /**
--- a/parsleydrift-wire/src/main/java/org/parsleydrift/wire/HttpServer.java
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/HttpServer.java
@@ -1,12 +1,9 @@
 package org.parsleydrift.wire;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
@@ -23,7 +20,6 @@
     private static final Logger LOG = System.getLogger(HttpServer.class.getName());
     private static final int MAX_BODY_BYTES = 1 << 20;
     private static final int IDLE_SECONDS = 120;
-    private static final int BACKLOG = 1024;
 
     private final HttpHandler handler;
     private final int maxConnections;
@@ -42,12 +38,7 @@
     public HttpServer(NetworkThreads threads, String host, int port, int maxConnections, HttpHandler handler) {
         this.handler = handler;
         this.maxConnections = maxConnections;
-        this.listener = new ServerBootstrap()
-                .group(threads.group())
-                .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
+        this.listener = threads.listener()
                 .childHandler(new Initializer())
                 .bind(host, port)
                 .syncUninterruptibly()
