--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/Registry.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/Registry.java
@@ -119,18 +119,18 @@
     }
 
     /**
-     * Notes whether the manifest is known to be the newest, but for the last two seconds.
+     * Notes whether the manifest was the newest at some moment of the last {@link KnowledgeAge#SILENCE}.
      *
-     * @param current whether it is; not while the platform is silent
+     * @param current whether it was; false while the platform is silent
      */
     public void manifestCurrent(boolean current) {
         manifestCurrent = current;
     }
 
     /**
-     * Whether the manifest is known to be the newest, but for the last two seconds.
+     * Whether the manifest was the newest at some moment of the last {@link KnowledgeAge#SILENCE}.
      *
-     * @return whether it is
+     * @return whether it was
      */
     public boolean manifestCurrent() {
         return manifestCurrent;
--- a/parsleydrift-standin/src/main/java/org/parsleydrift/standin/LoadCaller.java
+++ b/parsleydrift-standin/src/main/java/org/parsleydrift/standin/LoadCaller.java
@@ -93,8 +93,8 @@
             return;
         }
         Optional<String> wrong = Stream.of(
-                        outside("rate", options.valueOf(rate), MOST_RATE),
-                        outside("seconds", options.valueOf(seconds), MOST_SECONDS))
+                        outside("rate", options.valueOf(rate), 1, MOST_RATE),
+                        outside("seconds", options.valueOf(seconds), (int) PERIOD.toSeconds(), MOST_SECONDS))
                 .flatMap(Optional::stream)
                 .findFirst();
         if (wrong.isPresent()) {
@@ -112,8 +112,10 @@
                 List.of(process(options.valueOf(entry)), process(options.valueOf(store))));
     }
 
-    private static Optional<String> outside(String name, int value, int most) {
-        return value >= 1 && value <= most ? Optional.empty() : Optional.of(name + " must be 1 to " + most);
+    private static Optional<String> outside(String name, int value, int least, int most) {
+        return value >= least && value <= most
+                ? Optional.empty()
+                : Optional.of("%s must be %d to %d".formatted(name, least, most));
     }
 
     private static ProcessHandle process(long pid) {
