--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/SetChange.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/SetChange.java
@@ -11,9 +11,6 @@
  * so two that decide at once never both succeed.
  */
 final class SetChange {
-    /** Members wanted at least: with three, one may be lost. */
-    private static final int WANTED = 3;
-
     private SetChange() {}
 
     /**
@@ -21,18 +18,23 @@
      *
      * @param self this VM as a member
      * @param set the set in force
-     * @param alive ids of the disks of members that answer, own included
      * @param completeMembers ids of disks that are complete at the set's epoch
      * @param silentLong ids of disks of members that have not answered for long
      * @param retiring names of VMs that are to be emptied
+     * @param toleratedLosses disks that may be lost at once
      */
     record View(
             StoreMember self,
             StoreSet set,
-            Set<String> alive,
             Set<String> completeMembers,
             Set<String> silentLong,
-            Set<String> retiring) {}
+            Set<String> retiring,
+            int toleratedLosses) {
+        /** Members wanted at least: a majority of them is left when as many disks as may be are lost at once. */
+        private int wanted() {
+            return 2 * toleratedLosses + 1;
+        }
+    }
 
     /** The set that this VM should write now, if any. */
     static Optional<StoreSet> decide(View view) {
@@ -55,7 +57,7 @@
         Optional<StoreMember> replaced = members.stream()
                 .filter(each -> each.name().equals(self.name()))
                 .findAny()
-                .or(() -> members.size() < WANTED
+                .or(() -> members.size() < view.wanted()
                         ? Optional.empty()
                         : members.stream()
                                 .filter(each -> view.silentLong().contains(each.disk()))
@@ -68,23 +70,24 @@
     }
 
     /**
-     * Members leave that are to be emptied, or that are silent for long where that helps: of four, so that one more may
-     * be lost; of two, since neither can write without the other. Three stay: two of them go on.
+     * Members leave that are to be emptied, or that are silent for long where that helps: of more than are wanted, or of an
+     * even number, which bears no more losses than one member less does; of two neither can write without the other. Of
+     * three or another odd number up to those wanted a silent one stays, since the rest go on without it.
      */
     private static Optional<StoreSet> maintain(View view) {
         if (!leads(view)) {
             return Optional.empty();
         }
         List<StoreMember> members = view.set().members();
-        // Its records must lie on two others before it may go: left to one, they would be lost with that one's disk.
+        // Its records must lie on more disks than may be lost before it may go.
+        boolean enoughOthers = members.size() - 1 > view.toleratedLosses();
+        boolean silentLeave = members.size() % 2 == 0 || members.size() > view.wanted();
         Optional<StoreMember> leaves = members.stream()
-                .filter(each -> members.size() >= WANTED && view.retiring().contains(each.name()))
+                .filter(each -> enoughOthers && view.retiring().contains(each.name()))
                 .findFirst()
-                .or(() -> members.size() == WANTED
-                        ? Optional.empty()
-                        : members.stream()
-                                .filter(each -> view.silentLong().contains(each.disk()))
-                                .findFirst());
+                .or(() -> members.stream()
+                        .filter(each -> silentLeave && view.silentLong().contains(each.disk()))
+                        .findFirst());
         return leaves.filter(any -> members.size() > 1)
                 .map(left -> view.set()
                         .change(members.stream()
@@ -92,10 +95,14 @@
                                 .toList()));
     }
 
-    /** One member acts, so that conditional writes rarely meet: the first complete one that isn't leaving. */
+    /**
+     * One member acts, so that conditional writes rarely meet: the first complete one that neither leaves nor is silent. If
+     * a silent one counted, a set whose first member is gone would never change, and no retirement would be reported.
+     */
     static boolean leads(View view) {
         return view.set().members().stream()
                 .filter(each -> view.completeMembers().contains(each.disk())
+                        && !view.silentLong().contains(each.disk())
                         && !view.retiring().contains(each.name()))
                 .map(StoreMember::disk)
                 .findFirst()
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/StoreSetKeeper.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/StoreSetKeeper.java
@@ -2,13 +2,12 @@
 
 import java.lang.System.Logger;
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.parsleydrift.kernel.EventLoop;
 import org.parsleydrift.kernel.LogLine;
@@ -35,9 +34,11 @@
      * A member silent for this long may be replaced, ms: longer than a restart of a process (a second), and short enough
      * that a replacement counts again before the next disk may be lost.
      */
-    private static final Duration SILENT_LONG = Duration.ofMillis(1500);
+    static final Duration SILENT_LONG = Duration.ofMillis(1500);
     /** The same for the other one of two, ms: no turn begins or ends meanwhile, and a mistake costs one more change. */
     private static final Duration SILENT_OF_TWO = Duration.ofMillis(700);
+    /** One round in so many asks the members of a large set while all of them are complete. */
+    private static final int QUIET_ROUNDS = 2;
 
     private final EventLoop loop;
     private final SharedObjects objects;
@@ -46,14 +47,15 @@
     private final String name;
     private final String address;
     private final boolean firstStart;
-    private final Map<String, Long> answeredAt = new HashMap<>();
-    private final Map<String, Long> completeEpochs = new HashMap<>();
+    private final MemberWatch members = new MemberWatch();
+    private final int toleratedLosses;
     private final Set<String> retiring = new HashSet<>();
     private final Set<String> reported = new HashSet<>();
     private Optional<StoreSet> newest = Optional.empty();
     private OptionalLong revision = OptionalLong.empty();
     private boolean listed;
     private boolean writing;
+    private int rounds;
 
     /**
      * Makes a keeper.
@@ -65,6 +67,7 @@
      * @param name this VM's name
      * @param address this VM's address for other processes
      * @param firstStart whether the whole system starts for the first time; only then may a set be made anew
+     * @param toleratedLosses disks that may be lost at once
      */
     public StoreSetKeeper(
             EventLoop loop,
@@ -73,7 +76,8 @@
             ReplicaCalls calls,
             String name,
             String address,
-            boolean firstStart) {
+            boolean firstStart,
+            int toleratedLosses) {
         this.loop = loop;
         this.objects = objects;
         this.replica = replica;
@@ -81,6 +85,7 @@
         this.name = name;
         this.address = address;
         this.firstStart = firstStart;
+        this.toleratedLosses = toleratedLosses;
     }
 
     /** Begins the rounds. */
@@ -126,7 +131,7 @@
             if (newest.isEmpty() || set.epoch() > newest.get().epoch()) {
                 newest = Optional.of(set);
                 revision = OptionalLong.of(object.revision());
-                completeEpochs.clear();
+                members.setChanged();
                 replica.adopt(set);
                 askMembers(set);
             }
@@ -138,7 +143,7 @@
     }
 
     private void round() {
-        newest.ifPresent(this::askMembers);
+        newest.ifPresent(this::askMembersInTurn);
         if (!listed || writing) {
             return;
         }
@@ -155,35 +160,45 @@
 
     private SetChange.View view(StoreSet set) {
         long now = loop.clock().nanos();
-        completeEpochs.put(
-                replica.disk(), replica.complete() ? replica.progress().completeEpoch() : 0L);
-        Set<String> complete = set.members().stream()
-                .map(StoreMember::disk)
-                .filter(disk -> completeEpochs.getOrDefault(disk, 0L) >= set.epoch())
-                .collect(Collectors.toSet());
-        long limit = (set.members().size() == 2 ? SILENT_OF_TWO : SILENT_LONG).toNanos();
-        Set<String> silent = set.members().stream()
-                .map(StoreMember::disk)
-                .filter(disk -> !disk.equals(replica.disk()))
-                .filter(disk -> now - answeredAt.computeIfAbsent(disk, any -> now) > limit)
-                .collect(Collectors.toSet());
-        Set<String> alive = set.members().stream()
-                .map(StoreMember::disk)
-                .filter(disk -> !silent.contains(disk))
-                .collect(Collectors.toSet());
-        return new SetChange.View(self(), set, alive, complete, silent, Set.copyOf(retiring));
+        members.progress(replica.disk(), replica.complete() ? replica.progress().completeEpoch() : 0L, now);
+        Duration limit = set.members().size() == 2 ? SILENT_OF_TWO : SILENT_LONG;
+        Set<String> silent = disks(set, each -> !each.equals(replica.disk()) && members.silent(each, now, limit));
+        return new SetChange.View(
+                self(),
+                set,
+                disks(set, each -> members.complete(each, set.epoch())),
+                silent,
+                Set.copyOf(retiring),
+                toleratedLosses);
+    }
+
+    private static Set<String> disks(StoreSet set, Predicate<String> wanted) {
+        return set.members().stream().map(StoreMember::disk).filter(wanted).collect(Collectors.toSet());
+    }
+
+    /** A quiet set is asked in every other round only: a silent member is then still missed five times in its limit. */
+    private void askMembersInTurn(StoreSet set) {
+        rounds++;
+        boolean quiet = set.members().stream().allMatch(each -> members.complete(each.disk(), set.epoch()));
+        if (set.members().size() <= MemberWatch.ALL_ASK_ALL || !quiet || rounds % QUIET_ROUNDS == 0) {
+            askMembers(set);
+        }
     }
 
     private void askMembers(StoreSet set) {
-        set.members().stream()
-                .filter(each -> !each.disk().equals(replica.disk()))
-                .forEach(each -> calls.ask(each.address(), new ReplicaRequest.Tell(newest), PATIENCE)
-                        .whenComplete((reply, failure) -> {
-                            if (reply instanceof ReplicaReply.Progress progress) {
-                                answeredAt.put(progress.disk(), loop.clock().nanos());
-                                completeEpochs.put(progress.disk(), progress.completeEpoch());
-                            }
-                        }));
+        long now = loop.clock().nanos();
+        members.asked(set, replica.disk(), retiring, now).forEach(each -> {
+            // One that is complete at this epoch has adopted the set; it need not be told again.
+            Optional<StoreSet> told = members.complete(each.disk(), set.epoch()) ? Optional.empty() : newest;
+            calls.ask(each.address(), new ReplicaRequest.Tell(told), PATIENCE).whenComplete((reply, failure) -> {
+                if (reply instanceof ReplicaReply.Progress progress) {
+                    members.progress(
+                            progress.disk(),
+                            progress.completeEpoch(),
+                            loop.clock().nanos());
+                }
+            });
+        });
     }
 
     private void write(StoreSet next, OptionalLong condition) {
@@ -224,11 +239,10 @@
         if (!SetChange.leads(view)) {
             return;
         }
-        Set<String> members =
-                view.set().members().stream().map(StoreMember::name).collect(Collectors.toSet());
+        Set<String> names = view.set().members().stream().map(StoreMember::name).collect(Collectors.toSet());
         boolean copied = view.completeMembers().size() == view.set().members().size();
         retiring.stream()
-                .filter(vm -> !members.contains(vm) && copied && reported.add(vm))
+                .filter(vm -> !names.contains(vm) && copied && reported.add(vm))
                 .toList()
                 .forEach(this::reportComplete);
     }
--- a/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/SetChangeTest.java
+++ b/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/SetChangeTest.java
@@ -17,7 +17,7 @@
                 .toList();
         StoreSet set = new StoreSet(1, members, List.of());
         Set<String> disks = members.stream().map(StoreMember::disk).collect(Collectors.toSet());
-        return SetChange.decide(new SetChange.View(members.getLast(), set, disks, disks, Set.of(), Set.of("a")))
+        return SetChange.decide(new SetChange.View(members.getLast(), set, disks, Set.of(), Set.of("a"), 1))
                 .map(next -> next.members().size());
     }
 
--- a/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/StoreCluster.java
+++ b/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/StoreCluster.java
@@ -36,6 +36,7 @@
     private Predicate<Held> holds = frame -> false;
     private int diskCount;
     private int sentFrames;
+    private int toleratedLosses = 1;
 
     /** A frame that a test holds back. */
     record Held(String from, String to, byte[] bytes) {}
@@ -58,7 +59,8 @@
             replica = new ConversationReplica(loop, disk, name, () -> "disk" + ++diskCount);
             ReplicaCalls calls = new ReplicaCalls(loop, sender(name), name, replica);
             receivers.put(name, frame -> loop.execute(() -> calls.receive(frame)));
-            StoreSetKeeper keeper = new StoreSetKeeper(loop, objects, replica, calls, name, name, firstStart);
+            StoreSetKeeper keeper =
+                    new StoreSetKeeper(loop, objects, replica, calls, name, name, firstStart, toleratedLosses);
             replica.start(calls);
             poll(loop, ObjectKind.STORE_SET, keeper::setChanged);
             poll(loop, ObjectKind.RETIREMENTS, keeper::retirementsChanged);
@@ -102,7 +104,13 @@
 
     /** Starts a set of VMs with these names. */
     static StoreCluster of(List<String> names) {
+        return of(names, 1);
+    }
+
+    /** Starts a set of VMs of which some disks may be lost at once. */
+    static StoreCluster of(List<String> names, int toleratedLosses) {
         StoreCluster cluster = new StoreCluster();
+        cluster.toleratedLosses = toleratedLosses;
         names.forEach(name -> cluster.add(name, true));
         cluster.run(Duration.ofSeconds(3));
         return cluster;
--- a/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/StoreSetAtScaleTest.java
+++ b/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/StoreSetAtScaleTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.parsleydrift.registry.ObjectKind;
 import org.testng.annotations.Test;
 
 /** Sets with many store VMs. */
@@ -70,4 +71,35 @@
         cluster.run(Duration.ofSeconds(6));
         assertEquals(members(cluster, "s05").size(), MEMBERS - 1);
     }
+
+    /**
+     * Symptom: an answered turn is gone. Events: of five members, two disks of which may be lost at once, two that hold a
+     * turn are cut off; they are back, and two of the others lose their disks together. Cause: the set shrank to three while
+     * two were silent, or the emptied ones counted again before they had copied.
+     */
+    @Test
+    public void aPairOfDisksLostAfterAPairWasCutOffLosesNothing() {
+        StoreCluster cluster = StoreCluster.of(List.of("a", "b", "c", "d", "e"), 2);
+        Conversations entry = cluster.entry("x");
+        List.of("d", "e").forEach(cluster::cut);
+        cluster.run(Duration.ofSeconds(4));
+        cluster.keepTurn(entry, "t1", "", "one", "x\n");
+        assertEquals(members(cluster, "a").size(), 5);
+        List.of("d", "e").forEach(cluster::heal);
+        cluster.run(Duration.ofSeconds(4));
+        List.of("a", "b").forEach(cluster::wipe);
+        cluster.run(Duration.ofSeconds(6));
+        BeginResult result = cluster.await(entry.begin(StoreCluster.begin("p", "t2", 1000, 10, "t1")));
+        assertTrue(result instanceof BeginResult.Granted, result.toString());
+    }
+
+    /** Symptom: records lie on two disks where two may be lost. Events: three of five VMs are to be emptied. */
+    @Test
+    public void moreMembersStayThanDisksMayBeLost() {
+        StoreCluster cluster = StoreCluster.of(List.of("a", "b", "c", "d", "e"), 2);
+        List.of("a", "b", "c")
+                .forEach(name -> cluster.objects.write(ObjectKind.RETIREMENTS, name, new byte[] {'{', '}'}));
+        cluster.run(Duration.ofSeconds(6));
+        assertEquals(members(cluster, "e").size(), 3);
+    }
 }
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RoleSettings.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RoleSettings.java
@@ -19,6 +19,7 @@
  * @param outside name of the plug-in that speaks to callers, runners and the platform
  * @param dataFolder folder on the disk; store only
  * @param firstStart whether the whole system starts for the first time, with empty disks
+ * @param toleratedLosses disks of store VMs that may be lost at once; store only
  * @param grace time between SIGTERM and the end by force
  */
 public record RoleSettings(
@@ -34,4 +35,5 @@
         String outside,
         Optional<Path> dataFolder,
         boolean firstStart,
+        int toleratedLosses,
         Duration grace) {}
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RoleSettingsReader.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RoleSettingsReader.java
@@ -24,6 +24,9 @@
     private static final JsonMapper MAPPER =
             JsonMapper.builder().enable(JsonReadFeature.ALLOW_JAVA_COMMENTS).build();
 
+    /** With three store VMs one may be lost; a set that wants fewer could not be changed. */
+    private static final int DEFAULT_TOLERATED_LOSSES = 1;
+
     private final JsonNode root;
     private final List<String> faults = new ArrayList<>();
 
@@ -89,9 +92,21 @@
                 required("outside", Function.identity()),
                 role == RoleKind.STORE ? Optional.ofNullable(required("data_folder", Path::of)) : Optional.empty(),
                 root.path("first_start").asBoolean(false),
+                role == RoleKind.STORE ? toleratedLosses() : 0,
                 required("grace_s", text -> Duration.ofMillis((long) (Double.parseDouble(text) * 1000))));
     }
 
+    private int toleratedLosses() {
+        JsonNode value = root.path("tolerated_losses");
+        if (value.isMissingNode()) {
+            return DEFAULT_TOLERATED_LOSSES;
+        }
+        if (!value.isIntegralNumber() || value.asInt() < 0) {
+            faults.add("/tolerated_losses is no whole number from 0");
+        }
+        return Math.max(DEFAULT_TOLERATED_LOSSES, value.asInt());
+    }
+
     private <T> T required(String field, Function<String, T> reader) {
         JsonNode value = root.path(field);
         if (!value.isValueNode() || value.asText().isBlank()) {
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/StoreRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/StoreRole.java
@@ -45,7 +45,8 @@
                 calls,
                 settings.vm(),
                 settings.link().toString(),
-                settings.firstStart());
+                settings.firstStart(),
+                settings.toleratedLosses());
     }
 
     /** Made only for an empty disk: setting up the secure generator would lengthen each start. */
--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/RoleSettingsReaderTest.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/RoleSettingsReaderTest.java
@@ -47,4 +47,15 @@
                 expectThrows(StepException.class, () -> RoleSettingsReader.parse("settings", "{\n\"a\": }"));
         assertTrue(fault.getMessage().contains("line 2"), fault.getMessage());
     }
+
+    @Test
+    public void lossesAreNumbers() {
+        assertEquals(RoleSettingsReader.parse("settings", STORE).toleratedLosses(), 1);
+        String two = STORE.replace("\"grace_s\"", "\"tolerated_losses\": 2, \"grace_s\"");
+        assertEquals(RoleSettingsReader.parse("settings", two).toleratedLosses(), 2);
+        StepException fault = expectThrows(
+                StepException.class,
+                () -> RoleSettingsReader.parse("settings", two.replace("losses\": 2", "losses\": -1")));
+        assertTrue(fault.getMessage().contains("/tolerated_losses is no whole number"), fault.getMessage());
+    }
 }
