Two nodes a zone watch the platform for all of a large fleet

Cause: each node watched each kind, so that each change cost a call a node and kind, and a fleet that starts wrote and watched its own entries: 83 writes, each answering up to 82 watches. Ruled out: a follower elected through the platform; the mesh already ranks the nodes of a zone and tells who is answered. Change: beyond sixteen peers the first two of a zone by name that are alive and answered watch; a hub passes changes on to its zone at once, a gap is closed by the list as before; ages and checks stay as they were, and now cover the store set. A node that starts again finds its entry and does not write it.

--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/ObjectFollower.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/ObjectFollower.java
@@ -40,6 +40,8 @@
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private boolean listed;
     private boolean answered = true;
+    private boolean following = true;
+    private boolean resting;
     private long run;
     private long askedNanos;
     private boolean checking;
@@ -111,6 +113,19 @@
         }
     }
 
+    /**
+     * Has this node watch, or leaves that to others who pass on what they learn. A watch that waits goes on to its end, and
+     * the first list is asked for in any case.
+     *
+     * @param watches whether to watch
+     */
+    public void follow(boolean watches) {
+        following = watches;
+        if (watches && resting) {
+            next(++run);
+        }
+    }
+
     /**
      * Drops the present watch and asks anew: another node knows more, so this watch has gone silent or is turned away.
      */
@@ -166,6 +181,10 @@
         if (mine != run) {
             return;
         }
+        resting = listed && !following;
+        if (resting) {
+            return;
+        }
         askedNanos = loop.clock().nanos();
         var asked = listed ? objects.watch(kind, table.asOf(), nextWait()) : objects.list(kind);
         boolean list = !listed;
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -57,8 +58,11 @@
     private final NodeMesh mesh;
     private final FollowedObjects runners;
     private final FollowedObjects manifests;
+    private final FollowedObjects storeSets;
+    private final ObjectFollower nodes;
     private final CallerServer callers;
     private volatile boolean draining;
+    private boolean entrySought;
 
     EntryRole(ProcessParts parts) {
         this.parts = parts;
@@ -89,6 +93,11 @@
                 parts.meters);
         runners = followed(ObjectKind.RUNNERS, listener(registry::runnersChanged, registry::platformReached));
         manifests = followed(ObjectKind.MANIFEST, listener(registry::manifestChanged, registry::manifestCurrent));
+        storeSets = followed(ObjectKind.STORE_SET, listener(this::storeSetChanged, reached -> {}));
+        nodes = parts.follow(
+                ObjectKind.NODES, RARE_WATCH_WAIT, new VersionedTable(), listener(this::nodesChanged, reached -> {}));
+        // Peers name each other; until the mesh has decided who watches for new ones, the list is enough.
+        nodes.follow(false);
         mesh = new NodeMesh(
                 parts.loop,
                 frames,
@@ -97,7 +106,8 @@
                 this::ready,
                 stores::reachesStores,
                 parts.random,
-                Map.of(ObjectKind.RUNNERS, runners, ObjectKind.MANIFEST, manifests));
+                Map.of(ObjectKind.RUNNERS, runners, ObjectKind.MANIFEST, manifests, ObjectKind.STORE_SET, storeSets),
+                nodes::follow);
         calls.overPeers(mesh::peerThatReachesStores);
         callers = new CallerServer(
                 parts.threads,
@@ -116,20 +126,9 @@
         parts.loop.execute(() -> {
             runners.start();
             manifests.start();
-            parts.follow(
-                            ObjectKind.STORE_SET,
-                            RARE_WATCH_WAIT,
-                            new VersionedTable(),
-                            listener(this::storeSetChanged, reached -> {}))
-                    .start();
-            parts.follow(
-                            ObjectKind.NODES,
-                            RARE_WATCH_WAIT,
-                            new VersionedTable(),
-                            listener(this::nodesChanged, reached -> {}))
-                    .start();
+            storeSets.start();
+            nodes.start();
             mesh.start();
-            writeEntry();
         });
     }
 
@@ -208,6 +207,10 @@
     }
 
     private void nodesChanged(List<SharedObject> news) {
+        if (!entrySought) {
+            entrySought = true;
+            writeEntry(ownEntry(news));
+        }
         forEachReadable(news, each -> mesh.known(NodeIdentity.read(each.content())));
     }
 
@@ -228,33 +231,54 @@
         });
     }
 
-    /** Names this node to its peers; tried until it is done, since a node that no peer knows gets no callers. */
-    private void writeEntry() {
-        parts.objects
-                .put(ObjectKind.NODES, self.name(), OptionalLong.empty(), self.json())
-                .exceptionallyCompose(conflict -> replaceEntry())
-                .whenComplete((written, failure) -> {
-                    if (failure != null) {
-                        LOG.log(
-                                Logger.Level.WARNING,
-                                LogLine.of("node_entry_not_written")
-                                        .failure(failure)
-                                        .toString());
-                        parts.loop.schedule(ENTRY_RETRY, this::writeEntry);
-                    }
-                });
+    private Optional<SharedObject> ownEntry(List<SharedObject> entries) {
+        return entries.stream()
+                .filter(each -> !each.deleted() && each.name().equals(self.name()))
+                .findAny();
+    }
+
+    /**
+     * Names this node to its peers; tried until it is done, since a node that no peer knows gets no callers. A node that
+     * starts again at its address finds its entry as it should be: written anew, it would cost a fleet that starts again a
+     * write a node, and each of its watches an answer.
+     */
+    private void writeEntry(Optional<SharedObject> present) {
+        if (present.filter(this::namesSelf).isPresent()) {
+            return;
+        }
+        OptionalLong revision =
+                present.stream().mapToLong(SharedObject::revision).findAny();
+        parts.objects.put(ObjectKind.NODES, self.name(), revision, self.json()).whenComplete((written, failure) -> {
+            if (failure != null) {
+                LOG.log(
+                        Logger.Level.WARNING,
+                        LogLine.of("node_entry_not_written").failure(failure).toString());
+                parts.loop.schedule(ENTRY_RETRY, this::writeEntryAnew);
+            }
+        });
     }
 
-    private CompletableFuture<SharedObject> replaceEntry() {
-        return parts.objects
+    private boolean namesSelf(SharedObject entry) {
+        try {
+            return NodeIdentity.read(entry.content()).equals(self);
+        } catch (StepException unreadable) {
+            LOG.log(
+                    Logger.Level.WARNING,
+                    LogLine.of("own_entry_unreadable").failure(unreadable).toString());
+            return false;
+        }
+    }
+
+    private void writeEntryAnew() {
+        parts.objects
                 .list(ObjectKind.NODES)
-                .thenCompose(list -> list.objects().stream()
-                        .filter(each -> each.name().equals(self.name()))
-                        .findAny()
-                        .map(each -> parts.objects.put(
-                                ObjectKind.NODES, self.name(), OptionalLong.of(each.revision()), self.json()))
-                        .orElseGet(() -> CompletableFuture.failedFuture(
-                                new StepException(Step.PLATFORM, "platform", "node entry neither made nor found"))));
+                .whenComplete((list, failure) -> parts.loop.execute(() -> {
+                    if (failure == null) {
+                        writeEntry(ownEntry(list.objects()));
+                    } else {
+                        parts.loop.schedule(ENTRY_RETRY, this::writeEntryAnew);
+                    }
+                }));
     }
 
     private static ObjectFollower.Listener listener(
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/FollowedKind.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/FollowedKind.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.parsleydrift.registry.ObjectChanges;
 import org.parsleydrift.registry.SharedObject;
 
@@ -31,6 +32,15 @@
     /** A peer that knows no more was complete up to a moment, and so is this node. */
     void completeAt(long nanos);
 
+    /** Has this node watch the platform, or leaves that to peers. */
+    void follow(boolean watches);
+
+    /** Says who is told of news, whatever way they came. */
+    void onNews(Consumer<List<SharedObject>> taker);
+
     /** Takes in a peer's full list, complete up to a moment. */
     void learn(ObjectChanges list, long newestChange, long completeNanos);
+
+    /** Takes in a peer's changes since the newest one that this node knows, complete up to a moment. */
+    void learnChanges(ObjectChanges changes, long newestChange, long completeNanos);
 }
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/FollowedObjects.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/FollowedObjects.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.parsleydrift.kernel.EventLoop;
 import org.parsleydrift.registry.ObjectChanges;
@@ -20,6 +21,7 @@
     private final VersionedTable table = new VersionedTable();
     private final ObjectFollower follower;
     private final ObjectFollower.Listener listener;
+    private Consumer<List<SharedObject>> newsTaker = news -> {};
 
     FollowedObjects(
             ObjectKind kind,
@@ -30,7 +32,23 @@
             ObjectFollower.Listener listener) {
         this.kind = kind;
         this.listener = listener;
-        follower = new ObjectFollower(kind, objects, loop, random, longestWait, table, listener);
+        follower = new ObjectFollower(kind, objects, loop, random, longestWait, table, new ObjectFollower.Listener() {
+            @Override
+            public void changed(List<SharedObject> news) {
+                tellNews(news);
+            }
+
+            @Override
+            public void reached(boolean reached) {
+                listener.reached(reached);
+            }
+        });
+    }
+
+    private void tellNews(List<SharedObject> news) {
+        // First: peers must learn of an entry that this node's own listener trips over.
+        newsTaker.accept(news);
+        listener.changed(news);
     }
 
     void start() {
@@ -92,9 +110,30 @@
     public void learn(ObjectChanges list, long newestChange, long completeNanos) {
         // First: what was removed in a silence that ends with this is no runner that left.
         follower.completeAt(completeNanos);
-        listener.changed(table.replace(list));
+        List<SharedObject> news = table.replace(list);
         table.knows(newestChange);
+        tellNews(news);
         // This node's own watch lags behind its peers': it may have gone silent.
         follower.restart();
     }
+
+    @Override
+    public void learnChanges(ObjectChanges changes, long newestChange, long completeNanos) {
+        follower.completeAt(completeNanos);
+        List<SharedObject> news = table.apply(changes);
+        table.knows(newestChange);
+        if (!news.isEmpty()) {
+            tellNews(news);
+        }
+    }
+
+    @Override
+    public void follow(boolean watches) {
+        follower.follow(watches);
+    }
+
+    @Override
+    public void onNews(Consumer<List<SharedObject>> taker) {
+        newsTaker = taker;
+    }
 }
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/KnowledgeExchange.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/KnowledgeExchange.java
@@ -3,12 +3,12 @@
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.stream.Collectors;
+import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 import org.parsleydrift.conversation.FrameSender;
 import org.parsleydrift.kernel.EventLoop;
@@ -30,18 +30,22 @@
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final byte FETCH = 12;
     private static final byte OBJECTS = 13;
+    private static final byte CHANGES = 15;
 
     private final EventLoop loop;
     private final FrameSender frames;
     private final String ownLink;
     private final Map<ObjectKind, FollowedKind> followed;
     private final Map<ObjectKind, Behind> behind = new EnumMap<>(ObjectKind.class);
+    private final Map<ObjectKind, Long> passedOn = new EnumMap<>(ObjectKind.class);
+    private List<NodeIdentity> receivers = List.of();
 
     KnowledgeExchange(EventLoop loop, FrameSender frames, String ownLink, Map<ObjectKind, FollowedKind> followed) {
         this.loop = loop;
         this.frames = frames;
         this.ownLink = ownLink;
         this.followed = Map.copyOf(followed);
+        followed.forEach((kind, each) -> each.onNews(news -> passOn(kind, news)));
     }
 
     /** That some peer knows more of a kind: since when, up to which revision, and when one was asked last. */
@@ -64,6 +68,16 @@
         return followed.values().stream().allMatch(FollowedKind::answered);
     }
 
+    /** Has this node watch the platform, or leaves that to peers. */
+    void follow(boolean watches) {
+        followed.values().forEach(each -> each.follow(watches));
+    }
+
+    /** Says whom news are passed on to at once: the nodes of its zone, if this one is their hub. */
+    void passOnTo(List<NodeIdentity> nodes) {
+        receivers = nodes;
+    }
+
     /** Has each kind checked whose knowledge is as old as this. */
     void lookAtAge(Duration checkAfter) {
         followed.values().forEach(each -> each.lookAtAge(checkAfter));
@@ -115,11 +129,42 @@
         }
     }
 
+    private void passOn(ObjectKind kind, List<SharedObject> news) {
+        FollowedKind own = followed.get(kind);
+        long since = passedOn.getOrDefault(kind, 0L);
+        passedOn.put(kind, own.newestChange());
+        if (!receivers.isEmpty() && !news.isEmpty() && since > 0) {
+            byte[] frame = MessagePackFrames.encode(out -> {
+                out.packByte(CHANGES).packString(ownLink).packLong(since);
+                writeObjects(out, kind, own, news);
+            });
+            receivers.forEach(each -> frames.send(each.link(), frame));
+        }
+    }
+
+    private void takeChanges(MessageUnpacker in) throws IOException {
+        String peer = in.unpackString();
+        long since = in.unpackLong();
+        ToldObjects told = ToldObjects.read(in);
+        FollowedKind own = followed.get(told.kind());
+        if (own == null || told.newestChange() <= own.newestChange()) {
+            return;
+        }
+        if (own.newestChange() < since) {
+            // Changes are missing between: a frame was lost, or this node has just started.
+            peerKnowsMore(peer, Duration.ZERO, told.kind(), told.newestChange());
+            return;
+        }
+        logLearned("changes_from_peer", own, told);
+        own.learnChanges(told.changes(), told.newestChange(), completeNanos(told));
+    }
+
     /** Takes in the rest of a frame; gives whether its type is one of these. */
     boolean receive(byte type, MessageUnpacker in) throws IOException {
         switch (type) {
             case FETCH -> answerFetch(in.unpackString(), ObjectKind.valueOf(in.unpackString()));
             case OBJECTS -> takeObjects(in);
+            case CHANGES -> takeChanges(in);
             default -> {
                 return false;
             }
@@ -132,41 +177,44 @@
         if (own == null || own.asOf() == 0) {
             return;
         }
-        List<SharedObject> present = own.present();
         frames.send(asker, MessagePackFrames.encode(out -> {
-            out.packByte(OBJECTS).packString(kind.name()).packLong(own.asOf()).packLong(own.newestChange());
-            out.packLong(own.age().toMillis());
-            out.packArrayHeader(present.size());
-            for (SharedObject each : present) {
-                out.packString(each.name()).packLong(each.revision());
-                out.packBinaryHeader(each.content().length).addPayload(each.content());
-            }
+            out.packByte(OBJECTS);
+            writeObjects(out, kind, own, own.present());
         }));
     }
 
+    private static void writeObjects(MessagePacker out, ObjectKind kind, FollowedKind own, List<SharedObject> objects)
+            throws IOException {
+        new ToldObjects(
+                        kind,
+                        new ObjectChanges(objects, own.asOf()),
+                        own.newestChange(),
+                        own.age().toMillis())
+                .write(out);
+    }
+
     private void takeObjects(MessageUnpacker in) throws IOException {
-        ObjectKind kind = ObjectKind.valueOf(in.unpackString());
-        long asOf = in.unpackLong();
-        long newestChange = in.unpackLong();
-        long ageMillis = in.unpackLong();
-        int size = in.unpackArrayHeader();
-        List<SharedObject> objects = new ArrayList<>();
-        for (int i = 0; i < size; i++) {
-            objects.add(new SharedObject(
-                    in.unpackString(), in.unpackLong(), false, in.readPayload(in.unpackBinaryHeader())));
-        }
-        FollowedKind own = followed.get(kind);
-        if (own != null && newestChange > own.newestChange()) {
-            LOG.log(
-                    Logger.Level.INFO,
-                    () -> LogLine.of("learned_from_peer")
-                            .with("kind", kind)
-                            .with("own_as_of", own.asOf())
-                            .with("as_of", asOf)
-                            .with("known_ms_ago", ageMillis)
-                            .toString());
-            long completeNanos = loop.clock().nanos() - ageMillis * NANOS_PER_MILLI;
-            own.learn(new ObjectChanges(objects, asOf), newestChange, completeNanos);
+        ToldObjects told = ToldObjects.read(in);
+        FollowedKind own = followed.get(told.kind());
+        if (own != null && told.newestChange() > own.newestChange()) {
+            logLearned("learned_from_peer", own, told);
+            own.learn(told.changes(), told.newestChange(), completeNanos(told));
         }
     }
+
+    private long completeNanos(ToldObjects told) {
+        return loop.clock().nanos() - told.ageMillis() * NANOS_PER_MILLI;
+    }
+
+    private static void logLearned(String event, FollowedKind own, ToldObjects told) {
+        LOG.log(
+                Logger.Level.INFO,
+                () -> LogLine.of(event)
+                        .with("kind", told.kind())
+                        .with("own_as_of", own.asOf())
+                        .with("as_of", told.changes().asOf())
+                        .with("changes", told.changes().objects().size())
+                        .with("known_ms_ago", told.ageMillis())
+                        .toString());
+    }
 }
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
@@ -56,6 +57,14 @@
     /** Addresses that callers are given at most; they read no more. */
     private static final int MOST_ADDRESSES = 64;
 
+    /**
+     * Nodes of a zone that watch the platform for all of it; the second goes on while the first one's end is not noticed.
+     * Where each node of a large fleet watches, each change costs a call a node.
+     */
+    private static final int WATCHING_PER_ZONE = 2;
+    /** A node that starts is told by then who watches; until then it doesn't, so that a fleet that starts asks less. */
+    private static final Duration WATCH_DECIDED = Duration.ofMillis(1200);
+
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final byte STATES = 14;
 
@@ -67,6 +76,8 @@
     private final BooleanSupplier reachesStores;
     private final RandomGenerator random;
     private final KnowledgeExchange exchange;
+    private final Consumer<Boolean> watching;
+    private final long startNanos;
     private final Map<String, Peer> peers = new HashMap<>();
     private Map<String, Integer> lastLoad = Map.of();
     private boolean lastReady;
@@ -83,7 +94,8 @@
             BooleanSupplier ready,
             BooleanSupplier reachesStores,
             RandomGenerator random,
-            Map<ObjectKind, FollowedKind> followed) {
+            Map<ObjectKind, FollowedKind> followed,
+            Consumer<Boolean> watching) {
         this.loop = loop;
         this.frames = frames;
         this.self = self;
@@ -92,7 +104,9 @@
         this.reachesStores = reachesStores;
         this.random = random;
         this.exchange = new KnowledgeExchange(loop, frames, self.link(), followed);
-        this.hubUntilNanos = loop.clock().nanos();
+        this.watching = watching;
+        this.startNanos = loop.clock().nanos();
+        this.hubUntilNanos = startNanos;
     }
 
     private static final class Peer {
@@ -192,6 +206,8 @@
         boolean full = round % FULL_EVERY == 0;
         MeshPlan plan =
                 MeshPlan.of(self, neighbours(), hubUntilNanos - loop.clock().nanos() > 0, full);
+        decideWatching();
+        exchange.passOnTo(plan.all());
         boolean relays = !plan.all().isEmpty() || !plan.zone().isEmpty();
         boolean same = load.equals(lastLoad) && nowReady == lastReady && !(relays && news);
         if (same && ++quiet < QUIET_PERIODS) {
@@ -210,6 +226,21 @@
         }
     }
 
+    /** Few nodes watch by themselves; of many, the first ones of each zone that the platform answers do so for the rest. */
+    private void decideWatching() {
+        boolean few = peers.size() <= MeshPlan.DIRECT_PEERS;
+        boolean early = loop.clock().nanos() - startNanos < WATCH_DECIDED.toNanos();
+        long before = peers.values().stream()
+                .filter(each -> each.identity.zone().equals(self.zone())
+                        && each.identity.name().compareTo(self.name()) < 0
+                        && alive(each)
+                        && each.state.orElseThrow().reachesPlatform())
+                .count();
+        boolean watches = before < WATCHING_PER_ZONE;
+        exchange.follow(few || (watches && !early));
+        watching.accept(watches && !early);
+    }
+
     /**
      * The age of its knowledge at which this node is to check it. Peers that the platform answers check first, since those
      * that it turns away would leave the knowledge to grow old; among equals the one with the least name.
--- /dev/null
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/ToldObjects.java
@@ -0,0 +1,46 @@
+package org.parsleydrift.roles;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+import org.parsleydrift.registry.ObjectChanges;
+import org.parsleydrift.registry.ObjectKind;
+import org.parsleydrift.registry.SharedObject;
+
+/**
+ * Shared objects as one node tells them another: all that are present, or the newest changes.
+ *
+ * @param kind their kind
+ * @param changes the objects, and the revision up to which the teller's knowledge is complete
+ * @param newestChange the revision of the newest change that the teller knows
+ * @param ageMillis time since the moment up to which the teller's knowledge is complete, ms
+ */
+record ToldObjects(ObjectKind kind, ObjectChanges changes, long newestChange, long ageMillis) {
+    void write(MessagePacker out) throws IOException {
+        out.packString(kind.name())
+                .packLong(changes.asOf())
+                .packLong(newestChange)
+                .packLong(ageMillis);
+        out.packArrayHeader(changes.objects().size());
+        for (SharedObject each : changes.objects()) {
+            out.packString(each.name()).packLong(each.revision()).packBoolean(each.deleted());
+            out.packBinaryHeader(each.content().length).addPayload(each.content());
+        }
+    }
+
+    static ToldObjects read(MessageUnpacker in) throws IOException {
+        ObjectKind kind = ObjectKind.valueOf(in.unpackString());
+        long asOf = in.unpackLong();
+        long newestChange = in.unpackLong();
+        long ageMillis = in.unpackLong();
+        int size = in.unpackArrayHeader();
+        List<SharedObject> objects = new ArrayList<>();
+        for (int i = 0; i < size; i++) {
+            objects.add(new SharedObject(
+                    in.unpackString(), in.unpackLong(), in.unpackBoolean(), in.readPayload(in.unpackBinaryHeader())));
+        }
+        return new ToldObjects(kind, new ObjectChanges(objects, asOf), newestChange, ageMillis);
+    }
+}
--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/MeshMember.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/MeshMember.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.parsleydrift.conversation.FrameSender;
@@ -88,7 +89,8 @@
                 () -> ready,
                 () -> reachesStores,
                 random,
-                platform.map(this::following).orElseGet(() -> Map.of(ObjectKind.RUNNERS, followed())));
+                platform.map(this::following).orElseGet(() -> Map.of(ObjectKind.RUNNERS, followed())),
+                watches -> {});
         mesh.start();
     }
 
@@ -175,6 +177,18 @@
             @Override
             public void completeAt(long nanos) {}
 
+            @Override
+            public void follow(boolean watches) {}
+
+            @Override
+            public void onNews(Consumer<List<SharedObject>> taker) {}
+
+            @Override
+            public void learnChanges(ObjectChanges changes, long newestChange, long completeNanos) {
+                learned.addAll(runners.apply(changes));
+                runners.knows(newestChange);
+            }
+
             @Override
             public void learn(ObjectChanges list, long newestChange, long completeNanos) {
                 learned.addAll(runners.replace(list));
