A turn that breaks off costs what was passed on

Ruled out: giving reservations of dead nodes back, whose tokens nobody knows. Change: when a request ends in any way but whole, its node notes the events that went to the caller; a whole answer that is no stream counts nothing, whatever its status.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -27,6 +27,7 @@
  */
 final class RelayedRequest implements Waiter {
     private static final Logger LOG = System.getLogger(RelayedRequest.class.getName());
+    private static final String ANSWERED = "answered";
 
     private final Relay relay;
     private final CallerRequest request;
@@ -139,10 +140,10 @@
             exchange.cancel();
         }
         relay.dispatcher().withdraw(this);
-        finish("caller_left", neverOffered ? "before_offer" : "after_offer");
         if (neverOffered) {
             releaseGrant();
         }
+        finish("caller_left", neverOffered ? "before_offer" : "after_offer");
     }
 
     @Override
@@ -305,10 +306,8 @@
     /** A whole answer that is not a stream. */
     void answered(Runner runner, int status, HttpHeaders headers, byte[] bytes) {
         caller.whole(status, ForwardedHeaders.toCaller(headers), bytes);
-        if (isTurn() && status >= 400 && status < 500) {
-            turn.ifPresent(each -> each.settle(runner.life(), 0));
-        }
-        finish("answered", String.valueOf(status));
+        turn.ifPresent(each -> each.settle(runner.life(), 0));
+        finish(ANSWERED, String.valueOf(status));
     }
 
     /** A stream has come whole; its end is passed on once the turn can't be lost any more. */
@@ -337,7 +336,7 @@
         }
         relay.meters().phase("commit", Duration.ofNanos(relay.loop().clock().nanos() - commitBegunNanos));
         caller.endStream();
-        finish("answered", "stream");
+        finish(ANSWERED, "stream");
     }
 
     private void begin() {
@@ -449,6 +448,10 @@
             return;
         }
         stage = RequestStage.ENDED;
+        if (!outcome.equals(ANSWERED)) {
+            int passedOn = exchange == null ? 0 : exchange.eventsPassedOn();
+            turn.ifPresent(each -> each.brokeOff(passedOn, service));
+        }
         timeout.cancel();
         startTimer.cancel();
         queueWait.end();
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerExchange.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerExchange.java
@@ -46,6 +46,11 @@
         return runner.life();
     }
 
+    /** Whole events of its stream that went to the caller. */
+    int eventsPassedOn() {
+        return streamBegun ? events.events() : 0;
+    }
+
     boolean streamBegun() {
         return streamBegun;
     }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/TurnRecord.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/TurnRecord.java
@@ -49,15 +49,32 @@
         }
     }
 
-    /** Notes the end of a stream that came whole; fails if the turn is to be kept and can't be made sure of in time. */
-    CompletableFuture<Void> end(
-            String runner, String service, byte[] input, EventStreamReader events, long leftMillis) {
-        int perEvent = relay.registry()
+    /**
+     * Notes what was passed on of a turn that broke off. Its reservation would else count at its most for as long as it is
+     * kept, and a program that has got few tokens or none would be told over and over that its budget is spent.
+     */
+    void brokeOff(int events, String service) {
+        if (reserved) {
+            reserved = false;
+            int tokens = events * tokensPerEvent(service);
+            relay.conversations()
+                    .background(
+                            new Grant(facts.program(), facts.id(), GrantState.SETTLED, tokens, ""), route.retention());
+        }
+    }
+
+    private int tokensPerEvent(String service) {
+        return relay.registry()
                 .manifest()
                 .flatMap(each -> each.service(service))
                 .map(each -> each.tokensPerEvent())
                 .orElse(0);
-        int tokens = events.events() * perEvent;
+    }
+
+    /** Notes the end of a stream that came whole; fails if the turn is to be kept and can't be made sure of in time. */
+    CompletableFuture<Void> end(
+            String runner, String service, byte[] input, EventStreamReader events, long leftMillis) {
+        int tokens = events.events() * tokensPerEvent(service);
         if (!route.keepsConversation()) {
             return settle(runner, tokens);
         }
