--- a/parsleydrift-logging/src/main/java/org/parsleydrift/logging/LogRing.java
+++ b/parsleydrift-logging/src/main/java/org/parsleydrift/logging/LogRing.java
@@ -27,6 +27,9 @@
     private static final int LINES_PER_SECOND = 60;
 
     private static final Duration DRAIN_PERIOD = Duration.ofMillis(100);
+    /** The same after a round that found nothing: a node at rest then wakes twice a second for its log, and not ten times. */
+    private static final Duration IDLE_DRAIN_PERIOD = Duration.ofMillis(500);
+
     private static final Duration WINDOW = Duration.ofSeconds(1);
 
     private final RingBuffer<Line> ring = RingBuffer.createMultiProducer(Line::new, SIZE, new SleepingWaitStrategy());
@@ -67,23 +70,24 @@
 
     private void run() {
         while (!Thread.currentThread().isInterrupted()) {
-            LockSupport.parkNanos(DRAIN_PERIOD.toNanos());
-            drain();
+            LockSupport.parkNanos((drain() ? DRAIN_PERIOD : IDLE_DRAIN_PERIOD).toNanos());
         }
     }
 
-    /** Writes out all that waits. */
-    synchronized void drain() {
+    /** Writes out all that waits; gives whether there was anything. */
+    synchronized boolean drain() {
         try {
             poller.poll((line, sequence, endOfBatch) -> {
                 line.appendTo(batch);
                 return true;
             });
             tellLeftOut();
-            if (!batch.isEmpty()) {
+            boolean any = !batch.isEmpty();
+            if (any) {
                 out.write(batch.toString().getBytes(StandardCharsets.UTF_8));
                 batch.setLength(0);
             }
+            return any;
         } catch (IOException fault) {
             throw new UncheckedIOException(fault);
         } catch (Exception fault) {
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnections.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnections.java
@@ -37,12 +37,12 @@
     private final RelayDialect dialect;
     private final EventLoop loop;
     private final Map<String, Deque<RunnerConnection>> idle = new HashMap<>();
+    private boolean sweeping;
 
     RunnerConnections(NetworkThreads threads, EventLoop loop, RelayDialect dialect) {
         this.loop = loop;
         this.dialect = dialect;
         this.bootstrap = threads.connector(CONNECT_TIMEOUT);
-        loop.every(SWEEP, this::sweep);
     }
 
     /** Gives a connection on which nothing was sent for the next request; fails with StepException. */
@@ -53,6 +53,10 @@
 
     @Override
     public void idle(RunnerConnection connection) {
+        if (!sweeping) {
+            sweeping = true;
+            loop.schedule(SWEEP, this::sweep);
+        }
         idle.computeIfAbsent(connection.runnerLife(), any -> new ArrayDeque<>()).addLast(connection);
     }
 
@@ -118,10 +122,15 @@
         return connected;
     }
 
+    /** Runs only while there are idle connections: a node at rest has none to look after. */
     private void sweep() {
         List.copyOf(idle.values()).stream()
                 .flatMap(each -> List.copyOf(each).stream())
                 .filter(each -> !fresh(each))
                 .forEach(RunnerConnection::close);
+        sweeping = !idle.isEmpty();
+        if (sweeping) {
+            loop.schedule(SWEEP, this::sweep);
+        }
     }
 }
--- a/parsleydrift-wire/src/main/java/org/parsleydrift/wire/FrameLinks.java
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/FrameLinks.java
@@ -36,9 +36,12 @@
     private static final int MAX_UNSENT_BYTES = 16 << 20;
     /** Time to connect; a peer takes a round trip, one that is gone never answers. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
-    /** Acknowledgements are gathered for this long, ms, so that a run of frames costs one. */
-    private static final long ACKNOWLEDGE_MILLIS = 50;
-    /** Without an acknowledgement for this long, ms, a connection counts as silent: some twenty times the usual. */
+    /**
+     * Acknowledgements are gathered for this long, ms. Nodes tell each other their loads every 80 to 160 ms: gathered for
+     * 50 ms each such frame cost a second one in return, gathered for 300 ms every second to fourth does.
+     */
+    private static final long ACKNOWLEDGE_MILLIS = 300;
+    /** Without an acknowledgement for this long, ms, a connection counts as silent: three times the usual. */
     private static final long SILENT_MILLIS = 1000;
 
     private final Channel listener;
