Three nodes watch the platform for a small fleet too, two members for a store set

Ruled out: fewer checks; they are one call a second and kind for the fleet. The store set is not checked any more, since store VMs answer a request at an earlier epoch with the newer set. Change: the first three nodes that the platform answers watch, of each zone its share of three; a watcher passes changes on at once; nodes that start wait for the decision. Two members watch the set; one that was dropped while away learns from the member that it asks. Retirements are still watched by all.

--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/MemberWatch.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/MemberWatch.java
@@ -15,6 +15,9 @@
     /** Up to so many members each asks each: there it costs a few frames, and each knows of a loss by itself. */
     static final int ALL_ASK_ALL = 4;
 
+    /** Members that watch the platform for all. */
+    private static final int WATCHING = 2;
+
     private final Map<String, Asked> asked = new HashMap<>();
 
     /** Since when a member is asked in each round without a pause, when it answered last, and what it said. */
@@ -85,6 +88,19 @@
         return acting == before.size() ? others : before.subList(0, acting + 1);
     }
 
+    /**
+     * Whether this VM should watch the platform for the set: as the one that acts for it, as the next one, which then has
+     * what it needs when the first is gone, or as one that is no member yet. A member that is not asked, since one before it
+     * answers, is taken for one that would act.
+     */
+    boolean watches(StoreSet set, String self, Set<String> retiring, long now) {
+        long before = set.members().stream()
+                .takeWhile(each -> !each.disk().equals(self))
+                .filter(each -> !asked.containsKey(each.disk()) || acts(set, each, retiring, now))
+                .count();
+        return before < WATCHING || set.byDisk(self).isEmpty();
+    }
+
     private boolean acts(StoreSet set, StoreMember member, Set<String> retiring, long now) {
         return complete(member.disk(), set.epoch())
                 && !retiring.contains(member.name())
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/StoreSetKeeper.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/StoreSetKeeper.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.parsleydrift.kernel.EventLoop;
@@ -55,7 +56,9 @@
     private OptionalLong revision = OptionalLong.empty();
     private boolean listed;
     private boolean writing;
+    private boolean refreshing;
     private int rounds;
+    private Consumer<Boolean> watching = follows -> {};
 
     /**
      * Makes a keeper.
@@ -142,7 +145,20 @@
         }
     }
 
+    /**
+     * Says who is told, in each round, whether this VM should watch the platform for the set. Two members do so for all: the
+     * others learn from the one that acts that there is a newer set.
+     *
+     * @param follows is told
+     */
+    public void onWatching(Consumer<Boolean> follows) {
+        watching = follows;
+    }
+
     private void round() {
+        watching.accept(newest.isEmpty()
+                || members.watches(
+                        newest.get(), replica.disk(), retiring, loop.clock().nanos()));
         newest.ifPresent(this::askMembersInTurn);
         if (!listed || writing) {
             return;
@@ -196,6 +212,7 @@
                             progress.disk(),
                             progress.completeEpoch(),
                             loop.clock().nanos());
+                    learnNewer(progress.adoptedEpoch());
                 }
             });
         });
@@ -225,10 +242,19 @@
                 }));
     }
 
+    /** A VM that was away when the set changed is no member any more perhaps, and is told of no set by anybody. */
+    private void learnNewer(long epoch) {
+        if (newest.filter(known -> known.epoch() < epoch).isPresent() && !refreshing) {
+            refresh();
+        }
+    }
+
     /** After a refused or unanswered write the object may have changed either way. */
     private void refresh() {
+        refreshing = true;
         objects.list(ObjectKind.STORE_SET)
                 .whenComplete((list, failure) -> loop.execute(() -> {
+                    refreshing = false;
                     if (list != null) {
                         setChanged(list.objects());
                     }
--- a/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/StoreCluster.java
+++ b/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/StoreCluster.java
@@ -47,6 +47,7 @@
         final MemoryDurableLog disk;
         ManualEventLoop loop;
         ConversationReplica replica;
+        boolean watches = true;
 
         private Store(String name, MemoryDurableLog disk) {
             this.name = name;
@@ -62,7 +63,12 @@
             StoreSetKeeper keeper =
                     new StoreSetKeeper(loop, objects, replica, calls, name, name, firstStart, toleratedLosses);
             replica.start(calls);
-            poll(loop, ObjectKind.STORE_SET, keeper::setChanged);
+            keeper.onWatching(follows -> watches = follows);
+            poll(loop, ObjectKind.STORE_SET, news -> {
+                if (watches) {
+                    keeper.setChanged(news);
+                }
+            });
             poll(loop, ObjectKind.RETIREMENTS, keeper::retirementsChanged);
             keeper.start();
         }
--- a/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/StoreSetAtScaleTest.java
+++ b/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/StoreSetAtScaleTest.java
@@ -102,4 +102,34 @@
         cluster.run(Duration.ofSeconds(6));
         assertEquals(members(cluster, "e").size(), 3);
     }
+
+    /**
+     * Symptom: a store VM stays outside the set for good. Events: one that doesn't watch the platform is cut off until it
+     * is dropped, and is back. Cause: nobody tells a VM that is no member of a newer set.
+     */
+    @Test
+    public void aMemberThatWasDroppedWhileAwayComesBack() {
+        StoreCluster cluster = ofTwelve();
+        cluster.cut("s09");
+        cluster.run(Duration.ofSeconds(6));
+        assertEquals(members(cluster, "s05").size(), MEMBERS - 1);
+        cluster.heal("s09");
+        cluster.run(Duration.ofSeconds(4));
+        assertEquals(members(cluster, "s05").size(), MEMBERS);
+    }
+
+    /** Two members watch the platform for all; when they are gone, two others do. */
+    @Test
+    public void twoMembersWatch() {
+        StoreCluster cluster = ofTwelve();
+        assertEquals(watching(cluster), 2);
+        List.of("s00", "s01").forEach(name -> cluster.stores.get(name).die());
+        cluster.run(Duration.ofSeconds(6));
+        List.of("s00", "s01").forEach(cluster.stores::remove);
+        assertEquals(watching(cluster), 2);
+    }
+
+    private static long watching(StoreCluster cluster) {
+        return cluster.stores.values().stream().filter(each -> each.watches).count();
+    }
 }
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/KnowledgeExchange.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/KnowledgeExchange.java
@@ -46,6 +46,8 @@
         this.ownLink = ownLink;
         this.followed = Map.copyOf(followed);
         followed.forEach((kind, each) -> each.onNews(news -> passOn(kind, news)));
+        // Until it is told otherwise: a fleet that starts would ask as often as it has nodes.
+        follow(false);
     }
 
     /** That some peer knows more of a kind: since when, up to which revision, and when one was asked last. */
@@ -83,9 +85,14 @@
         receivers = nodes;
     }
 
-    /** Has each kind checked whose knowledge is as old as this. */
+    /**
+     * Has each kind checked whose knowledge is as old as this. The set of store VMs is not: those that are asked at an
+     * earlier epoch answer with the newer set.
+     */
     void lookAtAge(Duration checkAfter) {
-        followed.values().forEach(each -> each.lookAtAge(checkAfter));
+        followed.entrySet().stream()
+                .filter(each -> each.getKey() != ObjectKind.STORE_SET)
+                .forEach(each -> each.getValue().lookAtAge(checkAfter));
     }
 
     /**
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
@@ -63,10 +63,10 @@
     private static final int MOST_ADDRESSES = 64;
 
     /**
-     * Nodes of a zone that watch the platform for all of it; the second goes on while the first one's end is not noticed.
-     * Where each node of a large fleet watches, each change costs a call a node.
+     * Nodes that watch the platform for a whole fleet, at least: of three, two go on while the end of one is not noticed,
+     * and the age of knowledge tells if all have gone silent. Where each node watches, each change costs a call a node.
      */
-    private static final int WATCHING_PER_ZONE = 2;
+    private static final int WATCHING = 3;
     /** A node that starts is told by then who watches; until then it doesn't, so that a fleet that starts asks less. */
     private static final Duration WATCH_DECIDED = Duration.ofMillis(1200);
 
@@ -222,7 +222,7 @@
         MeshPlan plan =
                 MeshPlan.of(self, neighbours(), hubUntilNanos - loop.clock().nanos() > 0, full);
         decideWatching();
-        exchange.passOnTo(plan.all());
+        exchange.passOnTo(relayed() ? plan.all() : plan.own());
         boolean wasHub = actsAsHub;
         actsAsHub = !plan.all().isEmpty() || !plan.zone().isEmpty();
         if (actsAsHub && !wasHub) {
@@ -255,21 +255,31 @@
                 .toList();
     }
 
-    /** Few nodes watch by themselves; of many, the first ones of each zone that the platform answers do so for the rest. */
+    /**
+     * The first nodes of each zone that the platform answers watch it for all. Of a fleet without hubs each node hears each
+     * other one: there it is the first nodes of all.
+     */
     private void decideWatching() {
-        boolean few = peers.size() <= MeshPlan.DIRECT_PEERS;
         boolean early = loop.clock().nanos() - startNanos < WATCH_DECIDED.toNanos();
         long before = peers.values().stream()
-                .filter(each -> each.identity.zone().equals(self.zone())
-                        && each.identity.name().compareTo(self.name()) < 0
+                .filter(each -> !relayed() || each.identity.zone().equals(self.zone()))
+                .filter(each -> each.name().compareTo(self.name()) < 0
                         && alive(each)
                         && each.state().orElseThrow().reachesPlatform())
                 .count();
-        boolean watches = before < WATCHING_PER_ZONE;
-        exchange.follow(few || (watches && !early));
+        boolean watches = before < (relayed() ? watchingPerZone() : WATCHING);
+        exchange.follow(watches && !early);
         watching.accept(watches && !early);
     }
 
+    private long watchingPerZone() {
+        long zoneCount = Stream.concat(
+                        Stream.of(self.zone()), peers.values().stream().map(each -> each.identity.zone()))
+                .distinct()
+                .count();
+        return (WATCHING + zoneCount - 1) / zoneCount;
+    }
+
     /**
      * The age of its knowledge at which this node is to check it. Peers that the platform answers check first, since those
      * that it turns away would leave the knowledge to grow old; among equals the one with the least name.
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/StoreRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/StoreRole.java
@@ -60,8 +60,10 @@
     public void start() {
         parts.loop.execute(() -> {
             replica.start(calls);
-            follow(ObjectKind.STORE_SET, keeper::setChanged);
-            follow(ObjectKind.RETIREMENTS, keeper::retirementsChanged);
+            ObjectFollower sets = follower(ObjectKind.STORE_SET, keeper::setChanged);
+            keeper.onWatching(sets::follow);
+            sets.start();
+            follower(ObjectKind.RETIREMENTS, keeper::retirementsChanged).start();
             keeper.start();
         });
     }
@@ -83,18 +85,17 @@
         calls.receive(frame);
     }
 
-    private void follow(ObjectKind kind, Consumer<List<SharedObject>> news) {
-        parts.follow(kind, WATCH_WAIT, new VersionedTable(), new ObjectFollower.Listener() {
-                    @Override
-                    public void changed(List<SharedObject> changed) {
-                        news.accept(changed);
-                    }
+    private ObjectFollower follower(ObjectKind kind, Consumer<List<SharedObject>> news) {
+        return parts.follow(kind, WATCH_WAIT, new VersionedTable(), new ObjectFollower.Listener() {
+            @Override
+            public void changed(List<SharedObject> changed) {
+                news.accept(changed);
+            }
 
-                    @Override
-                    public void reached(boolean reached) {
-                        // The follower has logged it; the set stays as it is until the platform is back.
-                    }
-                })
-                .start();
+            @Override
+            public void reached(boolean reached) {
+                // The follower has logged it; the set stays as it is until the platform is back.
+            }
+        });
     }
 }
