Failing test: a reset by a peer prints a stack trace

Cause: the pipeline of outgoing links takes no failures; the network library warns of each with thirty lines. Change: none yet.

--- a/parsleydrift-wire/src/test/java/org/parsleydrift/wire/FrameLinksTest.java
+++ b/parsleydrift-wire/src/test/java/org/parsleydrift/wire/FrameLinksTest.java
@@ -4,16 +4,21 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNotNull;
 
+import io.netty.channel.DefaultChannelPipeline;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
 import org.testng.annotations.Test;
 
 /** Links between processes whose connections go silent. */
@@ -108,4 +113,58 @@
             threads.close();
         }
     }
+
+    /**
+     * Symptom: nodes whose peers are killed print a stack trace of thirty lines for each connection, and are late with all
+     * else meanwhile. Events: a peer resets the connection that this node sends on. Cause: nobody takes the failure, so the
+     * network library warns of it.
+     */
+    @Test
+    public void aResetByThePeerLeavesNoStackTrace() throws Exception {
+        BlockingQueue<LogRecord> warnings = new LinkedBlockingQueue<>();
+        Handler collector = new Handler() {
+            @Override
+            public void publish(LogRecord warning) {
+                warnings.add(warning);
+            }
+
+            @Override
+            public void flush() {}
+
+            @Override
+            public void close() {}
+        };
+        Logger pipeline = Logger.getLogger(DefaultChannelPipeline.class.getName());
+        pipeline.addHandler(collector);
+        NetworkThreads threads = new NetworkThreads("links", 1);
+        try (ServerSocket peer = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+                FrameLinks sender = new FrameLinks(threads, "127.0.0.1", 0, frame -> {})) {
+            String address = "127.0.0.1:" + peer.getLocalPort();
+            sender.send(address, "first".getBytes(UTF_8));
+            try (Socket connection = peer.accept()) {
+                connection.setSoLinger(true, 0);
+            }
+            // The next frame finds the connection closed, once the reset has arrived, and opens another one.
+            peer.setSoTimeout(PAUSE_MILLIS);
+            Socket next = null;
+            for (int tries = 0; next == null && tries < PATIENCE_SECONDS * 10; tries++) {
+                sender.send(address, "next".getBytes(UTF_8));
+                next = acceptOrNull(peer);
+            }
+            assertNotNull(next, "no new connection after the reset");
+            next.close();
+            assertEquals(warnings.size(), 0);
+        } finally {
+            pipeline.removeHandler(collector);
+            threads.close();
+        }
+    }
+
+    private static Socket acceptOrNull(ServerSocket peer) throws IOException {
+        try {
+            return peer.accept();
+        } catch (SocketTimeoutException none) {
+            return null;
+        }
+    }
 }
