A reset of an outgoing link is one log line

Ruled out: silencing the library's log, which would hide failures that nobody takes. Change: the outgoing side logs link_lost and closes.

--- a/parsleydrift-wire/src/main/java/org/parsleydrift/wire/FrameLinks.java
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/FrameLinks.java
@@ -176,6 +176,18 @@
             ReferenceCountUtil.release(message);
             unacknowledgedSince = NONE;
         }
+
+        /** A peer that is killed resets what it had open; taken by nobody, each costs a stack trace of thirty lines. */
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            LOG.log(
+                    Logger.Level.INFO,
+                    () -> LogLine.of("link_lost")
+                            .with("to", context.channel().remoteAddress())
+                            .with("reason", cause.getMessage())
+                            .toString());
+            context.close();
+        }
     }
 
     /** Hands frames on; one connection's bad frame disturbs no other connection. */
