Failing test: many nodes meet at one engine; the experiment tool learns the size of a fleet

Cause: each of 57 nodes takes the engine that costs least by views 240 ms old; until these change all take the same.

--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/decisions/DecisionRun.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/decisions/DecisionRun.java
@@ -20,13 +20,9 @@
  * last, and places turns at model engines. The same seed gives the same programs to every policy.
  */
 public final class DecisionRun {
-    private static final int NODES = 7;
-    private static final int ENGINES = 6;
     private static final double SECONDS = 25;
     /** Time for programs to end after the last began, ms. */
     private static final double END_MILLIS = 60_000;
-    /** Period in which nodes tell each other their loads, ms. */
-    private static final double TELL_MILLIS = 80;
     /** Way between caller, node and engine and back, ms. */
     private static final double WAY_MILLIS = 20;
     /** Past this wait a turn goes to any engine with room, ms. */
@@ -45,7 +41,7 @@
     private final Map<String, String> lastEngine = new HashMap<>();
     private final RandomGenerator ties;
     private final Policy policy;
-    private final EngineFigures figures;
+    private final FleetShape shape;
     private int programs;
     private int inTime;
     private int late;
@@ -54,8 +50,8 @@
 
     /** An entry node. */
     private final class Node {
-        private final int[] own = new int[ENGINES];
-        private final int[] told = new int[ENGINES];
+        private final int[] own = new int[shape.engines()];
+        private final int[] told = new int[shape.engines()];
         private final PromptMemory memory = new PromptMemory();
         private final List<Turn> waiting = new ArrayList<>();
         private double usualMissing = FIRST_USUAL_MISSING;
@@ -66,7 +62,7 @@
 
         private void place(Turn turn) {
             List<HeldPart> known = policy.hears() ? heard.getOrDefault(turn.program, List.of()) : List.of();
-            List<Candidate> candidates = IntStream.range(0, ENGINES)
+            List<Candidate> candidates = IntStream.range(0, shape.engines())
                     .mapToObj(engine -> {
                         String life = runners.get(engine).life();
                         int missing = memory.missing(life, turn.prompt, known, time.nanos());
@@ -129,15 +125,21 @@
         }
     }
 
-    private DecisionRun(Policy policy, LoadPattern pattern, EngineFigures figures, long seed) {
+    private DecisionRun(Policy policy, LoadPattern pattern, FleetShape shape, long seed) {
         this.policy = policy;
-        this.figures = figures;
+        this.shape = shape;
         this.ties = new Random(seed + 1);
-        IntStream.range(0, ENGINES).forEach(engine -> {
-            engines.add(new EngineModel(figures, time, millis -> pattern.slownessAt(engine, millis)));
-            runners.add(new Runner("engine" + engine, "engines", "10.0.0.1:80", "z", figures.slots(), false));
+        IntStream.range(0, shape.engines()).forEach(engine -> {
+            engines.add(new EngineModel(shape.figures(), time, millis -> pattern.slownessAt(engine, millis)));
+            runners.add(new Runner(
+                    "engine" + engine,
+                    "engines",
+                    "10.0.0.1:80",
+                    "z",
+                    shape.figures().slots(),
+                    false));
         });
-        IntStream.range(0, NODES).forEach(node -> nodes.add(new Node()));
+        IntStream.range(0, shape.nodes()).forEach(node -> nodes.add(new Node()));
     }
 
     /**
@@ -145,14 +147,14 @@
      *
      * @param policy the policy
      * @param pattern the load
-     * @param figures the engines
+     * @param shape the fleet
      * @param seed seed of programs and ties
      * @return how it went
      */
-    public static RunResult run(Policy policy, LoadPattern pattern, EngineFigures figures, long seed) {
-        DecisionRun run = new DecisionRun(policy, pattern, figures, seed);
+    public static RunResult run(Policy policy, LoadPattern pattern, FleetShape shape, long seed) {
+        DecisionRun run = new DecisionRun(policy, pattern, shape, seed);
         run.schedule(pattern, new Random(seed));
-        run.time.after(TELL_MILLIS, run::tell);
+        run.time.after(shape.viewMillis(), run::tell);
         run.time.runUntil(SECONDS * 1000 + END_MILLIS);
         long read = run.engines.stream().mapToLong(EngineModel::tokensRead).sum();
         return new RunResult(
@@ -168,8 +170,8 @@
     private void schedule(LoadPattern pattern, RandomGenerator random) {
         double seconds = 0;
         while (seconds < SECONDS) {
-            seconds += -Math.log(1 - random.nextDouble()) / pattern.rateAt(seconds);
-            ProgramScript program = ProgramScript.draw("p" + programs++, seconds * 1000, random, figures);
+            seconds += -Math.log(1 - random.nextDouble()) / (pattern.rateAt(seconds) * shape.rateFactor());
+            ProgramScript program = ProgramScript.draw("p" + programs++, seconds * 1000, random, shape.figures());
             time.after(program.beginMillis(), () -> begin(program));
         }
     }
@@ -196,7 +198,7 @@
             List<PromptPart> after = extended(prompt, script.outputTokens());
             subAgents(program, script, after, () -> line(program, turns, next + 1, after, ended));
         });
-        Node node = nodes.get((int) (script.nodeDraw() * NODES));
+        Node node = nodes.get((int) (script.nodeDraw() * shape.nodes()));
         time.after(WAY_MILLIS, () -> {
             node.waiting.add(turn);
             node.dispatch();
@@ -229,10 +231,10 @@
     }
 
     private void tell() {
-        nodes.forEach(each -> System.arraycopy(each.own, 0, each.told, 0, ENGINES));
+        nodes.forEach(each -> System.arraycopy(each.own, 0, each.told, 0, shape.engines()));
         nodes.forEach(Node::dispatch);
         if (time.millis() < SECONDS * 1000 + END_MILLIS) {
-            time.after(TELL_MILLIS, this::tell);
+            time.after(shape.viewMillis(), this::tell);
         }
     }
 }
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/decisions/DecisionsMain.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/decisions/DecisionsMain.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.stream.LongStream;
+import java.util.stream.Stream;
 import joptsimple.OptionException;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
@@ -17,8 +18,11 @@
             new Policy.Sticky(),
             new Policy.OneMore(),
             new Policy.HeldParts(),
-            new Policy.HeldParts(false, true),
-            new Policy.HeldParts(true, false));
+            new Policy.HeldParts(false, true, 0),
+            new Policy.HeldParts(true, false, 0),
+            new Policy.HeldParts(true, true, 2),
+            new Policy.HeldParts(true, true, 4),
+            new Policy.HeldParts(true, true, 8));
 
     private static final double USUAL_RATE = 18;
 
@@ -44,6 +48,8 @@
                 .ofType(Integer.class)
                 .defaultsTo(20);
         OptionSpec<String> only = parser.accepts("pattern", "one pattern only").withRequiredArg();
+        OptionSpec<String> fleet =
+                parser.accepts("fleet", "small or large").withRequiredArg().defaultsTo("small");
         OptionSpec<Void> help = parser.accepts("help", "print this").forHelp();
         try {
             OptionSet options = parser.parse(arguments);
@@ -53,25 +59,37 @@
             }
             PATTERNS.stream()
                     .filter(each -> !options.has(only) || each.name().equals(options.valueOf(only)))
-                    .forEach(each -> compare(each, options.valueOf(seeds)));
+                    .forEach(each -> compare(each, shape(options.valueOf(fleet)), options.valueOf(seeds)));
         } catch (OptionException fault) {
             System.err.println("decisions: " + fault.getMessage());
             System.exit(2);
         }
     }
 
-    private static void compare(LoadPattern pattern, int seeds) {
+    private static FleetShape shape(String name) {
+        return Stream.of(FleetShape.small(), FleetShape.large())
+                .filter(each -> each.name().equals(name))
+                .findFirst()
+                .orElseGet(() -> {
+                    System.err.println("decisions: no fleet '" + name + "'; small or large");
+                    System.exit(2);
+                    return FleetShape.small();
+                });
+    }
+
+    private static void compare(LoadPattern pattern, FleetShape shape, int seeds) {
         for (Policy policy : POLICIES) {
             List<RunResult> results = LongStream.range(0, seeds)
                     .parallel()
-                    .mapToObj(seed -> DecisionRun.run(policy, pattern, EngineFigures.usual(), seed))
+                    .mapToObj(seed -> DecisionRun.run(policy, pattern, shape, seed))
                     .toList();
             double[] worth =
                     results.stream().mapToDouble(RunResult::worth).sorted().toArray();
             System.out.printf(
                     Locale.ROOT,
-                    "{\"pattern\":\"%s\",\"policy\":\"%s\",\"seeds\":%d,\"worth_mean\":%.3f,\"worth_least\":%.3f,"
+                    "{\"fleet\":\"%s\",\"pattern\":\"%s\",\"policy\":\"%s\",\"seeds\":%d,\"worth_mean\":%.3f,\"worth_least\":%.3f,"
                             + "\"read_share\":%.3f,\"turn_p50_ms\":%.0f,\"turn_p99_ms\":%.0f}%n",
+                    shape.name(),
                     pattern.name(),
                     policy,
                     seeds,
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/decisions/EngineFigures.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/decisions/EngineFigures.java
@@ -27,4 +27,13 @@
     public static EngineFigures usual() {
         return new EngineFigures(16, 2.3, 0.006, 0.008, 83, 2048, 134_000);
     }
+
+    /**
+     * The same with a batch of six, as a larger model leaves room for.
+     *
+     * @return its figures
+     */
+    public static EngineFigures few() {
+        return new EngineFigures(6, 2.3, 0.006, 0.008, 83, 2048, 54_000);
+    }
 }
--- a/parsleydrift-bench/src/test/java/org/parsleydrift/bench/decisions/DecisionRunTest.java
+++ b/parsleydrift-bench/src/test/java/org/parsleydrift/bench/decisions/DecisionRunTest.java
@@ -12,12 +12,16 @@
     private static final int SEEDS = 2;
 
     private static List<RunResult> runs(Policy policy, String pattern) {
+        return runs(policy, pattern, FleetShape.small());
+    }
+
+    private static List<RunResult> runs(Policy policy, String pattern, FleetShape shape) {
         LoadPattern load = DecisionsMain.PATTERNS.stream()
                 .filter(each -> each.name().equals(pattern))
                 .findFirst()
                 .orElseThrow();
         return LongStream.range(0, SEEDS)
-                .mapToObj(seed -> DecisionRun.run(policy, load, EngineFigures.usual(), seed))
+                .mapToObj(seed -> DecisionRun.run(policy, load, shape, seed))
                 .toList();
     }
 
@@ -58,4 +62,15 @@
     public void aSeedGivesTheSameRunAgain() {
         assertEquals(runs(new Policy.HeldParts(), "burst"), runs(new Policy.HeldParts(), "burst"));
     }
+
+    /**
+     * Symptom: in a burst engines of a large fleet refuse requests as full while others have places, and most programs are
+     * late. Events: programs come at nearly twice the usual rate to 57 nodes. Cause: all nodes see the same engine as the
+     * least loaded until they hear of each other's requests there, 240 ms later, and meet at it.
+     */
+    @Test
+    public void inABurstManyNodesDontMeetAtOneEngine() {
+        double worth = worth(runs(new Policy.HeldParts(), "burst", FleetShape.large()));
+        assertTrue(worth > 0.9, "worth " + worth);
+    }
 }
--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/RunnerChoice.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/RunnerChoice.java
@@ -1,9 +1,13 @@
 package org.parsleydrift.placement;
 
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 
 /**
  * Chooses a runner. Load pattern: bursts that fill all model engines. An engine reads prompts one chunk at a time, and all
@@ -45,6 +49,38 @@
      */
     public static Optional<Candidate> choose(
             List<Candidate> candidates, double usualMissing, boolean anywhere, RandomGenerator random) {
+        return choose(candidates, usualMissing, anywhere, 0, random);
+    }
+
+    /**
+     * Chooses a runner among those that hold something of the prompt, and a few others that are drawn by lot.
+     *
+     * @param candidates runners of the service that may get new requests
+     * @param usualMissing tokens that a usual request of the service has to read; 0 where there are no prompts
+     * @param anywhere whether the request has waited nearly as long as it may, so that any runner with room will do
+     * @param drawn how many runners that hold nothing are drawn; 0 for all
+     * @param random breaks ties
+     * @return the runner; empty if none has room, or if it is better to wait for one that has none
+     */
+    public static Optional<Candidate> choose(
+            List<Candidate> candidates, double usualMissing, boolean anywhere, int drawn, RandomGenerator random) {
+        return chooseAmong(drawn == 0 ? candidates : draw(candidates, drawn, random), usualMissing, anywhere, random);
+    }
+
+    private static List<Candidate> draw(List<Candidate> candidates, int drawn, RandomGenerator random) {
+        int most = candidates.stream().mapToInt(Candidate::missingTokens).max().orElse(0);
+        List<Candidate> others = new ArrayList<>(candidates.stream()
+                .filter(each -> each.missingTokens() == most && !each.suspended())
+                .toList());
+        Collections.shuffle(others, Random.from(random));
+        return Stream.concat(
+                        candidates.stream().filter(each -> each.missingTokens() < most),
+                        others.stream().limit(drawn))
+                .toList();
+    }
+
+    private static Optional<Candidate> chooseAmong(
+            List<Candidate> candidates, double usualMissing, boolean anywhere, RandomGenerator random) {
         boolean anyHealthy = candidates.stream().anyMatch(each -> !each.suspended());
         boolean prompted = usualMissing > 0;
         int largest = candidates.stream()
