NodeMesh.tell in steps with one job each

Cause: one function planned, compared, told and switched the role of hub. Ruled out: - Change: what is told at once stands in one record; planning whom to pass news on to, resting and acting as hub are functions of their own. No behaviour changes.

--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
@@ -87,11 +87,9 @@
     private final ZoneSummaries zones = new ZoneSummaries();
     private final ToldLoads toldLoads = new ToldLoads();
     private final ZoneHub hub;
-    private Map<ObjectKind, Long> lastKnown = Map.of();
+    private Said lastSaid = new Said(Map.of(), false, Map.of());
     private boolean actsAsHub;
     private int period;
-    private Map<String, Integer> lastLoad = Map.of();
-    private boolean lastReady;
     private boolean news;
     private long hubUntilNanos;
     private int quiet;
@@ -216,40 +214,51 @@
     private void tell() {
         forgetSilent();
         exchange.lookAtAge(checkAfter());
-        Map<String, Integer> load = dispatcher.ownLoad();
-        boolean nowReady = ready.getAsBoolean();
         boolean full = round % FULL_EVERY == 0;
         MeshPlan plan =
                 MeshPlan.of(self, neighbours(), hubUntilNanos - loop.clock().nanos() > 0, full);
-        boolean watches = decideWatching();
-        // Where each hears each, a change that every node passed on would cost as many frames as there are pairs.
-        List<NodeIdentity> all = watches ? plan.own() : List.of();
-        exchange.passOnTo(relayed() ? plan.all() : all);
-        boolean wasHub = actsAsHub;
-        actsAsHub = !plan.all().isEmpty() || !plan.zone().isEmpty();
-        if (actsAsHub && !wasHub) {
-            // From now on the nodes of the zone tell this one themselves.
-            dispatcher.peerLoads(Map.of(ofZone(self.zone()), Map.of()));
-        }
-        Map<ObjectKind, Long> known = exchange.newestChanges();
-        boolean same =
-                load.equals(lastLoad) && nowReady == lastReady && known.equals(lastKnown) && !(actsAsHub && news);
-        if (same && ++quiet < (relayed() ? QUIET_PERIODS / RELAYED_PERIODS : QUIET_PERIODS)) {
+        passNewsOnTo(plan);
+        actAsHub(!plan.all().isEmpty() || !plan.zone().isEmpty());
+        Said now = new Said(dispatcher.ownLoad(), ready.getAsBoolean(), exchange.newestChanges());
+        if (mayRest(now)) {
             return;
         }
         quiet = 0;
         round++;
         news = false;
-        lastLoad = load;
-        lastReady = nowReady;
-        lastKnown = known;
-        NodeState own = ownState(load, nowReady, full);
+        lastSaid = now;
+        NodeState own = ownState(now, full);
         send(plan.own(), own);
         if (actsAsHub) {
             hub.tell(plan, own, full, heardMates(), loop.clock().nanos());
         }
     }
 
+    /** What of a node's state is told at once when it changes. */
+    private record Said(Map<String, Integer> load, boolean ready, Map<ObjectKind, Long> known) {}
+
+    /** Whether there is nothing new to tell, and the time for telling all the same has not come. */
+    private boolean mayRest(Said now) {
+        boolean same = now.equals(lastSaid) && !(actsAsHub && news);
+        int mostQuiet = relayed() ? QUIET_PERIODS / RELAYED_PERIODS : QUIET_PERIODS;
+        return same && ++quiet < mostQuiet;
+    }
+
+    private void passNewsOnTo(MeshPlan plan) {
+        boolean watches = decideWatching();
+        // Where each hears each, a change that every node passed on would cost as many frames as there are pairs.
+        List<NodeIdentity> all = watches ? plan.own() : List.of();
+        exchange.passOnTo(relayed() ? plan.all() : all);
+    }
+
+    private void actAsHub(boolean acts) {
+        if (acts && !actsAsHub) {
+            // From now on the nodes of the zone tell this one themselves.
+            dispatcher.peerLoads(Map.of(ofZone(self.zone()), Map.of()));
+        }
+        actsAsHub = acts;
+    }
+
     private List<MeshPeer> heardMates() {
         return peers.values().stream()
                 .filter(each -> each.identity.zone().equals(self.zone()) && direct(each, SILENT) && alive(each))
@@ -305,8 +314,8 @@
                 .toList();
     }
 
-    private NodeState ownState(Map<String, Integer> load, boolean nowReady, boolean full) {
-        Map<Long, Integer> keyed = load.entrySet().stream()
+    private NodeState ownState(Said now, boolean full) {
+        Map<Long, Integer> keyed = now.load().entrySet().stream()
                 .collect(Collectors.toMap(each -> RunnerKey.of(each.getKey()), Map.Entry::getValue, Integer::sum));
         toldLoads.told(round, keyed);
         Optional<NodeIdentity> identity = full ? Optional.of(self) : Optional.empty();
@@ -314,7 +323,7 @@
                 self.name(),
                 identity,
                 round,
-                nowReady,
+                now.ready(),
                 reachesStores.getAsBoolean(),
                 exchange.reachesPlatform(),
                 exchange.known(),
