Test of broken turns: patience by the loop's clock

Cause: the test read the machine's clock by itself. Ruled out: - Change: the same clock as the code under test.

--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/BrokenTurnTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/BrokenTurnTest.java
@@ -175,8 +175,8 @@
     }
 
     private void awaitCounted(String id, int tokens) {
-        long end = System.nanoTime() + Duration.ofMillis(PATIENCE_MILLIS).toNanos();
-        while (countedOf(id) != tokens && System.nanoTime() < end) {
+        long end = loop.clock().nanos() + Duration.ofMillis(PATIENCE_MILLIS).toNanos();
+        while (countedOf(id) != tokens && loop.clock().nanos() - end < 0) {
             Thread.onSpinWait();
         }
         assertEquals(countedOf(id), tokens);
