Events of unknown size count as the most of their turn

Ruled out: leaving a broken turn's reservation alone: a whole turn is settled in any case and needs the same answer. Change: one function says how many tokens passed-on events are, for broken and for whole turns.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/TurnRecord.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/TurnRecord.java
@@ -56,25 +56,32 @@
     void brokeOff(int events, String service) {
         if (reserved) {
             reserved = false;
-            int tokens = events * tokensPerEvent(service);
+            int tokens = tokensOf(events, service);
             relay.conversations()
                     .background(
                             new Grant(facts.program(), facts.id(), GrantState.SETTLED, tokens, ""), route.retention());
         }
     }
 
-    private int tokensPerEvent(String service) {
+    /**
+     * Tokens of events that were passed on. Where the manifest names their service no more, nobody can tell how many an event
+     * has; they then count as the most that the turn may generate, or the program could get more than its budget holds.
+     */
+    private int tokensOf(int events, String service) {
+        if (events == 0) {
+            return 0;
+        }
         return relay.registry()
                 .manifest()
                 .flatMap(each -> each.service(service))
-                .map(each -> each.tokensPerEvent())
-                .orElse(0);
+                .map(each -> events * each.tokensPerEvent())
+                .orElse(facts.mostTokens());
     }
 
     /** Notes the end of a stream that came whole; fails if the turn is to be kept and can't be made sure of in time. */
     CompletableFuture<Void> end(
             String runner, String service, byte[] input, EventStreamReader events, long leftMillis) {
-        int tokens = events.events() * tokensPerEvent(service);
+        int tokens = tokensOf(events.events(), service);
         if (!route.keepsConversation()) {
             return settle(runner, tokens);
         }
