Comments and a name that told of the code before

Cause: read as a newcomer: hubs were said to pass states on, all nodes to watch, periods of 80 ms where hubs speak every 160; in RunnerChoice three things were called drawn. Ruled out: - Change: comments; drawn(..) is someOf(..). Figures: none; no behaviour changes.

--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/RunnerChoice.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/RunnerChoice.java
@@ -87,15 +87,15 @@
                 .toList();
         // Plain requests stay near while there are places; drawn among all they would rarely meet a near runner.
         Stream<Candidate> others = prompted
-                ? drawn(free, drawn, random)
+                ? someOf(free, drawn, random)
                 : Stream.concat(
-                        drawn(free.stream().filter(Candidate::near).toList(), drawn, random),
-                        drawn(free.stream().filter(each -> !each.near()).toList(), drawn, random));
+                        someOf(free.stream().filter(Candidate::near).toList(), drawn, random),
+                        someOf(free.stream().filter(each -> !each.near()).toList(), drawn, random));
         List<Candidate> met = Stream.concat(holding, others).toList();
         return met.isEmpty() ? candidates : met;
     }
 
-    private static Stream<Candidate> drawn(List<Candidate> from, int count, RandomGenerator random) {
+    private static Stream<Candidate> someOf(List<Candidate> from, int count, RandomGenerator random) {
         return from.size() <= count
                 ? from.stream()
                 : random.ints(0, from.size()).distinct().limit(count).mapToObj(from::get);
--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/ObjectFollower.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/ObjectFollower.java
@@ -24,8 +24,7 @@
     /** Longest pause between tries, ms: a quarter of the time in which a drain must be known. */
     private static final long LAST_PAUSE_MILLIS = 500;
     /**
-     * After a silence each node asks its watch anew within this time, ms: of 360 nodes two or three a millisecond, while
-     * news reach the others over the one that checked.
+     * After a silence each node that watches asks anew within this time, ms, while news reach all over the one that checked.
      */
     private static final long REWATCH_SPREAD_MILLIS = 300;
 
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/KnowledgeExchange.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/KnowledgeExchange.java
@@ -19,8 +19,8 @@
 import org.parsleydrift.registry.SharedObject;
 
 /**
- * What entry nodes tell each other of the shared objects that they follow: how new and how old their knowledge is, and, to
- * a node that asks because it knows less, all of it.
+ * What entry nodes tell each other of the shared objects that they follow: changes as soon as they are known, how new and
+ * how old their knowledge is, and, to a node that asks because it knows less, all of it.
  */
 final class KnowledgeExchange {
     private static final Logger LOG = System.getLogger(KnowledgeExchange.class.getName());
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/MeshPlan.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/MeshPlan.java
@@ -15,8 +15,8 @@
  * as one, as does a node that another takes for one. So while they disagree some states are told twice and none is lost.
  *
  * @param own nodes that are told this node's own state
- * @param zone nodes that are told the states of this node's zone: the first ones of other zones
- * @param all nodes that are told every state that is known here: the members of this hub's zone
+ * @param zone nodes that are told the sums of this node's zone: the first ones of other zones
+ * @param all nodes that are told the sums of all zones that are known here: the members of this hub's zone
  */
 record MeshPlan(List<NodeIdentity> own, List<NodeIdentity> zone, List<NodeIdentity> all) {
     /** Up to so many peers each tells each: at that number it costs as many frames as a hub with its relays. */
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
@@ -25,9 +25,9 @@
 
 /**
  * What entry nodes tell each other: whether they are ready, what they have at each runner, and how new their knowledge
- * is. The platform may turn some nodes away while it serves others; a node that sees that a peer knows more asks that
- * peer for all of it, and so learns of drains and manifests in time ({@link KnowledgeExchange}). Whom a node tells what is
- * the {@link MeshPlan}'s.
+ * is. Whom a node tells what is the {@link MeshPlan}'s; in large fleets a {@link ZoneHub} sums up what the nodes of its zone
+ * say. A few nodes watch the platform for all, and the others learn of drains and manifests from them, as do nodes that the
+ * platform turns away ({@link KnowledgeExchange}).
  */
 final class NodeMesh {
     private static final Logger LOG = System.getLogger(NodeMesh.class.getName());
@@ -46,10 +46,10 @@
     private static final Duration SILENT = Duration.ofSeconds(1);
     /** The same where hubs pass states on: the wait for a silent hub's successor comes on top. */
     private static final Duration SILENT_RELAYED = Duration.ofMillis(1600);
-    /** A hub unheard for this long is passed over: it speaks every 80 to 320 ms. */
+    /** A hub unheard for this long is passed over: it speaks every 160 to 320 ms. */
     private static final Duration HUB_SILENT = Duration.ofMillis(600);
     /**
-     * Knowledge of this age is checked at the platform by the first node. With the period in which it is looked at (80 ms),
+     * Knowledge of this age is checked at the platform by the first node. With the period in which it is looked at (80 ms, with hubs 160),
      * the next status frame (320 ms) and the lag borne (250 ms) all know a change 1.6 s after it, by way of hubs 1.9 s,
      * though every watch be silent; they have two seconds.
      */
