--- /dev/null
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/Allotment.java
@@ -0,0 +1,31 @@
+package org.parsleydrift.registry;
+
+/**
+ * How many requests of a team may run, over all nodes together.
+ *
+ * @param ratePerSecond requests a second; 0 for no limit
+ * @param burst requests on top of the rate in any window
+ */
+public record Allotment(double ratePerSecond, double burst) {
+    /** No limit. */
+    public static final Allotment UNLIMITED = new Allotment(0, 0);
+
+    /**
+     * Whether there is a limit at all.
+     *
+     * @return true if requests of the team are to be counted
+     */
+    public boolean limited() {
+        return ratePerSecond > 0;
+    }
+
+    /**
+     * Requests that may run in a window.
+     *
+     * @param windowSeconds the length of the window, s
+     * @return requests
+     */
+    public double most(double windowSeconds) {
+        return ratePerSecond * windowSeconds + burst;
+    }
+}
--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/Route.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/Route.java
@@ -17,6 +17,7 @@
  * @param resumable whether a stream may go on at another runner
  * @param keepsConversation whether the system keeps what was said
  * @param retention how long a turn is kept
+ * @param open whether callers need no key, where the manifest names teams
  * @param destinations the services that serve it, with weights
  */
 public record Route(
@@ -31,6 +32,7 @@
         boolean resumable,
         boolean keepsConversation,
         Duration retention,
+        boolean open,
         List<Destination> destinations) {
     /** Copies the destinations. */
     public Route {
--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/RoutingManifest.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/RoutingManifest.java
@@ -14,9 +14,10 @@
     private final Map<String, Map<String, Route>> routesByHost;
     private final Map<String, UpstreamService> services;
     private final CallerLimits limits;
+    private final Optional<TeamKeys> teams;
 
     /**
-     * Makes a manifest.
+     * Makes a manifest that names no teams.
      *
      * @param version its version
      * @param routes its routes
@@ -24,8 +25,27 @@
      * @param limits limits for callers
      */
     public RoutingManifest(long version, List<Route> routes, List<UpstreamService> services, CallerLimits limits) {
+        this(version, routes, services, limits, Optional.empty());
+    }
+
+    /**
+     * Makes a manifest.
+     *
+     * @param version its version
+     * @param routes its routes
+     * @param services its services
+     * @param limits limits for callers
+     * @param teams whose each key is; empty if callers need none
+     */
+    public RoutingManifest(
+            long version,
+            List<Route> routes,
+            List<UpstreamService> services,
+            CallerLimits limits,
+            Optional<TeamKeys> teams) {
         this.version = version;
         this.limits = limits;
+        this.teams = teams;
         this.services =
                 services.stream().collect(Collectors.toUnmodifiableMap(UpstreamService::name, Function.identity()));
         Map<String, Map<String, Route>> byHost = new HashMap<>();
@@ -52,6 +72,15 @@
         return limits;
     }
 
+    /**
+     * Whose each key is.
+     *
+     * @return the teams' keys; empty if callers need none
+     */
+    public Optional<TeamKeys> teams() {
+        return teams;
+    }
+
     /**
      * Finds the route with the longest prefix.
      *
--- a/parsleydrift-registry/src/test/java/org/parsleydrift/registry/RoutingManifestTest.java
+++ b/parsleydrift-registry/src/test/java/org/parsleydrift/registry/RoutingManifestTest.java
@@ -23,6 +23,7 @@
                 false,
                 false,
                 Duration.ZERO,
+                false,
                 List.of(new Destination("a", 90), new Destination("b", 10)));
     }
 
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
@@ -107,6 +107,11 @@
         dispatch();
     }
 
+    /** Lets those leave that the manifest in force does not allow any more. */
+    void manifestChanged() {
+        List.copyOf(waiting).forEach(each -> each.waiter().manifestChanged());
+    }
+
     /** Places what can be placed. */
     void dispatch() {
         if (waiting.isEmpty()) {
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Relay.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Relay.java
@@ -7,6 +7,7 @@
 import java.util.random.RandomGenerator;
 import org.parsleydrift.conversation.Conversations;
 import org.parsleydrift.kernel.EventLoop;
+import org.parsleydrift.placement.Allotments;
 import org.parsleydrift.registry.Registry;
 import org.parsleydrift.wire.NetworkThreads;
 
@@ -16,6 +17,7 @@
     private final Registry registry;
     private final Dispatcher dispatcher;
     private final Conversations conversations;
+    private final Allotments allotments;
     private final RunnerConnections connections;
     private final RelayDialect dialect;
     private final RandomGenerator random;
@@ -31,6 +33,7 @@
      * @param registry knows manifest and runners
      * @param dispatcher places requests
      * @param conversations begins and ends turns
+     * @param allotments what teams may still run
      * @param dialect header names
      * @param random draws among destinations
      * @param meters where to count
@@ -41,6 +44,7 @@
             Registry registry,
             Dispatcher dispatcher,
             Conversations conversations,
+            Allotments allotments,
             RelayDialect dialect,
             RandomGenerator random,
             MeterRegistry meters) {
@@ -48,6 +52,7 @@
         this.registry = registry;
         this.dispatcher = dispatcher;
         this.conversations = conversations;
+        this.allotments = allotments;
         this.connections = new RunnerConnections(threads, loop, dialect);
         this.dialect = dialect;
         this.random = random;
@@ -83,6 +88,7 @@
             awaitingManifest.clear();
             waiting.stream().filter(RelayedRequest::starting).forEach(RelayedRequest::start);
         }
+        dispatcher.manifestChanged();
         dispatcher.runnersChanged();
     }
 
@@ -106,6 +112,10 @@
         return conversations;
     }
 
+    Allotments allotments() {
+        return allotments;
+    }
+
     RunnerConnections connections() {
         return connections;
     }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayDialect.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayDialect.java
@@ -18,7 +18,9 @@
  * @param tokenCount prompt tokens and most output tokens, separated by a comma
  * @param previousTurn the turn that a turn goes on from
  * @param promptParts parts of the prompt in order, each "ID:TOKENS", separated by commas
- * @param systemOnly headers in lower case that only the system may set; taken off what callers send
+ * @param key the caller's key
+ * @param team the name of the team that holds the key; for runners
+ * @param systemOnly headers in lower case that don't go on to runners as callers send them
  */
 public record RelayDialect(
         String requestId,
@@ -33,6 +35,8 @@
         String tokenCount,
         String previousTurn,
         String promptParts,
+        String key,
+        String team,
         Set<String> systemOnly) {
     /** Copies the set. */
     public RelayDialect {
@@ -58,6 +62,8 @@
                 "Parsleydrift-Tokens",
                 "Parsleydrift-Previous-Turn",
                 "Parsleydrift-Prompt-Parts",
-                Set.of("parsleydrift-expect-runner"));
+                "Parsleydrift-Key",
+                "Parsleydrift-Team",
+                Set.of("parsleydrift-expect-runner", "parsleydrift-key", "parsleydrift-team"));
     }
 }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayLimits.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayLimits.java
@@ -46,6 +46,9 @@
     /** When to come back when runners are full: a usual turn ends in about 300 ms. */
     static final Duration COME_BACK_FULL = Duration.ofMillis(300);
 
+    /** When to come back to a node that hears no peer: callers reach another address meanwhile. */
+    static final Duration COME_BACK_ALONE = Duration.ofMillis(300);
+
     /** Spread of the time to come back, so that callers refused together don't return together. */
     static final double COME_BACK_SPREAD = 0.5;
 
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -4,7 +4,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.lang.System.Logger;
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -12,6 +11,7 @@
 import org.parsleydrift.conversation.BeginResult;
 import org.parsleydrift.kernel.LogLine;
 import org.parsleydrift.kernel.LoopTimer;
+import org.parsleydrift.placement.AllotmentRuling;
 import org.parsleydrift.placement.Candidate;
 import org.parsleydrift.placement.HeldPart;
 import org.parsleydrift.placement.PromptPart;
@@ -28,6 +28,9 @@
 final class RelayedRequest implements Waiter {
     private static final Logger LOG = System.getLogger(RelayedRequest.class.getName());
     private static final String ANSWERED = "answered";
+    private static final String DENIED = "denied";
+    private static final String KEY_TAKEN_AWAY = "key_taken_away";
+    private static final String OVER_ALLOTMENT = "over the team's allotment";
 
     private final Relay relay;
     private final CallerRequest request;
@@ -35,10 +38,11 @@
     private final RequestFacts facts;
     private final long startNanos;
     private final QueueWait queueWait;
-    private final Set<String> avoided = new HashSet<>();
+    private final Tries tries = new Tries();
     private RequestStage stage = RequestStage.MATCHED;
     private long manifestVersion;
     private Route route;
+    private TeamClaim claim;
     private String service = "";
     private long endNanos;
     private LoopTimer timeout = () -> {};
@@ -49,8 +53,6 @@
     private boolean chained;
     private byte[] body;
     private RunnerExchange exchange;
-    private int offers;
-    private int runs;
 
     RelayedRequest(Relay relay, CallerRequest request, Optional<RequestFacts> facts, CallerAnswer caller) {
         this.relay = relay;
@@ -59,6 +61,7 @@
         this.facts = facts.orElse(null);
         this.startNanos = relay.loop().clock().nanos();
         this.body = request.body();
+        this.claim = new TeamClaim(relay, request, Optional.empty(), "");
         this.queueWait = new QueueWait(relay.loop(), relay.dispatcher()::dispatch);
     }
 
@@ -70,46 +73,48 @@
         }
         stage = RequestStage.MATCHED;
         manifestVersion = manifest.get().version();
-        Optional<Route> match = manifest.get().match(request.host(), request.target());
-        if (match.isEmpty()) {
-            noRoute();
-            return;
-        }
-        if (facts == null) {
-            own(400, "denied", "bad_headers");
-            return;
+        boolean current = relay.registry().manifestCurrent();
+        switch (RequestMatch.of(manifest.get(), current, request, facts != null, relay.dialect())) {
+            case RequestMatch.Denied denied -> own(denied.status(), DENIED, denied.reason());
+            case RequestMatch.Unsure unsure -> refuse(unsure.reason(), RelayLimits.COME_BACK_MANIFEST);
+            case RequestMatch.Found found -> matched(found);
         }
-        route = match.get();
+    }
+
+    private void matched(RequestMatch.Found found) {
+        route = found.route();
+        claim = new TeamClaim(relay, request, found.team(), found.owner());
         service = route.destination(relay.random().nextDouble());
         long most = Math.min(
                 route.timeout().toMillis(),
                 facts.deadlineMillis().orElse(route.timeout().toMillis()));
         endNanos = startNanos + Duration.ofMillis(most).toNanos();
         timeout = relay.loop().schedule(Duration.ofMillis(leftMillis()), this::timedOut);
-        if (isTurn()) {
+        Optional<Duration> full = claim.full();
+        if (full.isPresent()) {
+            refuse(429, OVER_ALLOTMENT, full.get());
+        } else if (isTurn()) {
             begin();
         } else {
-            queue();
+            admit();
         }
     }
 
-    /**
-     * Callers don't try again once they were told that there is no such route. A manifest that may be old can't tell: a
-     * route that was added in a silence of the platform would be denied to them.
-     */
-    private void noRoute() {
-        boolean current = relay.registry().manifestCurrent();
-        LOG.log(
-                Logger.Level.INFO,
-                () -> line("no_route")
-                        .with("host", request.host())
-                        .with("manifest", manifestVersion)
-                        .with("current", current)
-                        .toString());
-        if (current) {
-            own(404, "denied", "no_route");
-        } else {
-            refuse("no route in a manifest that may be old", RelayLimits.COME_BACK_MANIFEST);
+    private void admit() {
+        switch (claim.ask(underWay(), !facts.program().isEmpty())) {
+            case AllotmentRuling.Allowed ignored -> queue();
+            case AllotmentRuling.Over over -> refuse(429, OVER_ALLOTMENT, over.comeBack());
+            case AllotmentRuling.Unsure ignored ->
+                refuse("no peer tells what the team has used", RelayLimits.COME_BACK_ALONE);
+        }
+    }
+
+    @Override
+    public void manifestChanged() {
+        if (stage == RequestStage.WAITING
+                && claim.takenAway()
+                && relay.dispatcher().withdraw(this)) {
+            own(401, DENIED, KEY_TAKEN_AWAY);
         }
     }
 
@@ -142,6 +147,7 @@
         relay.dispatcher().withdraw(this);
         if (neverOffered) {
             releaseGrant();
+            claim.giveBack();
         }
         finish("caller_left", neverOffered ? "before_offer" : "after_offer");
     }
@@ -163,7 +169,7 @@
 
     @Override
     public Set<String> avoided() {
-        return avoided;
+        return tries.avoided();
     }
 
     @Override
@@ -173,7 +179,7 @@
 
     @Override
     public int priority() {
-        return route.priority();
+        return claim.priority(route);
     }
 
     @Override
@@ -186,7 +192,7 @@
         Runner runner = chosen.runner();
         queueWait.end();
         stage = RequestStage.OFFERED;
-        offers++;
+        tries.offered();
         LOG.log(
                 Logger.Level.INFO,
                 () -> line("request_placed")
@@ -195,11 +201,11 @@
                         .with("slots", runner.slots())
                         .with("prompt", facts.promptTokens())
                         .with("missing", chosen.missingTokens())
-                        .with("offer", offers)
+                        .with("offer", tries.offers())
                         .with("manifest", manifestVersion)
                         .toString());
         relay.meters().phase("wait", elapsed());
-        if (offers == 1) {
+        if (tries.offers() == 1) {
             relay.dispatcher().retries(service).firstTry();
         }
         exchange = new RunnerExchange(this, relay, runner, streaming(), route.keepsConversation());
@@ -229,23 +235,23 @@
     }
 
     RunnerRequest runnerRequest(Runner runner) {
-        return RunnerRequest.of(request, facts, relay.dialect(), runner, leftMillis(), body, repeatable());
+        return RunnerRequest.of(
+                request, facts, claim.team(), relay.dialect(), runner, leftMillis(), body, repeatable());
     }
 
     /** The runner said, or it is certain, that the request was not begun there. */
     void notRun(Runner runner, String reason) {
         exchange = null;
-        avoided.add(runner.life());
+        tries.notRunAt(runner.life());
         LOG.log(
                 Logger.Level.INFO,
                 () -> line("not_run_at_runner")
                         .with("runner", runner.life())
                         .with("reason", reason)
                         .toString());
-        boolean others = relay.dispatcher().runners(service).stream().anyMatch(each -> !avoided.contains(each.life()));
-        if (offers < RelayLimits.MOST_OFFERS && others) {
+        if (tries.mayBeOffered(relay.dispatcher().runners(service))) {
             queue();
-        } else if (runs > 0) {
+        } else if (tries.mayHaveRun()) {
             // This runner's word does not speak for the one before, which may have run the request.
             own(502, "unknown", "sent once; " + reason);
         } else {
@@ -259,35 +265,34 @@
                 && relay.dispatcher().retries(service).take()) {
             offered.cancel();
             relay.dispatcher().health(runner.life()).broken(relay.loop().clock().nanos());
-            runs++;
             sendAgain(runner, "silent for longer than the route's target");
         }
     }
 
     /** No whole answer came, and the runner may have begun the request. Nothing has gone to the caller yet. */
     void unknown(Runner runner, String reason) {
-        boolean again = mayRunAgain() && relay.dispatcher().retries(service).take();
-        runs++;
-        if (again) {
+        if (mayRunAgain() && relay.dispatcher().retries(service).take()) {
             sendAgain(runner, reason);
         } else {
+            tries.mayHaveRunAt(runner.life());
             own(502, "unknown", reason);
         }
     }
 
     private boolean mayRunAgain() {
-        return repeatable() && runs + 1 < route.maxAttempts() && leftMillis() > 0 && hasOtherRunner();
+        return repeatable() && tries.anotherAllowed(route.maxAttempts()) && leftMillis() > 0 && hasOtherRunner();
     }
 
     private boolean hasOtherRunner() {
-        return relay.dispatcher().runners(service).stream()
-                .anyMatch(each ->
-                        !avoided.contains(each.life()) && !exchange.runnerLife().equals(each.life()));
+        return tries.anyLeft(relay.dispatcher().runners(service).stream()
+                .filter(each -> !exchange.runnerLife().equals(each.life()))
+                .toList());
     }
 
     private void sendAgain(Runner runner, String reason) {
         exchange = null;
-        avoided.add(runner.life());
+        claim.again();
+        tries.mayHaveRunAt(runner.life());
         LOG.log(
                 Logger.Level.INFO,
                 () -> line("sent_again")
@@ -341,7 +346,7 @@
 
     private void begin() {
         stage = RequestStage.BEGINNING;
-        TurnRecord record = new TurnRecord(relay, facts, route);
+        TurnRecord record = new TurnRecord(relay, facts, route, claim.owner());
         turn = Optional.of(record);
         record.begin(share(RelayLimits.BEGIN_SHARE, RelayLimits.BEGIN_MOST)).thenAccept(this::begun);
     }
@@ -359,33 +364,20 @@
                         .toList();
                 chained = !grantedTurn.chain().isEmpty();
                 body = ChainText.assemble(grantedTurn.chain(), request.body());
-                queue();
-            }
-            case BeginResult.Spent spent -> {
-                LOG.log(
-                        Logger.Level.INFO,
-                        () -> line("budget_spent")
-                                .with("counted", spent.counted())
-                                .with("generated", spent.generated())
-                                .with("most", facts.mostTokens())
-                                .with("budget", facts.budget().orElse(0))
-                                .toString());
-                own(402, "denied", "budget_spent");
-            }
-            case BeginResult.NoSuchTurn ignored -> {
-                LOG.log(
-                        Logger.Level.INFO,
-                        () -> line("no_such_turn")
-                                .with("previous", facts.previousTurn())
-                                .toString());
-                own(404, "denied", "no_such_turn");
+                admit();
             }
+            case BeginResult.Spent ignored -> own(402, DENIED, "budget_spent");
+            case BeginResult.NoSuchTurn ignored -> own(404, DENIED, "no_such_turn");
             case BeginResult.Unavailable unavailable ->
                 refuse("stores: " + unavailable.reason(), RelayLimits.COME_BACK_STORES);
         }
     }
 
     private void queue() {
+        if (claim.takenAway()) {
+            own(401, DENIED, KEY_TAKEN_AWAY);
+            return;
+        }
         stage = RequestStage.WAITING;
         queueWait.begin(share(RelayLimits.QUEUE_SHARE, RelayLimits.QUEUE_MOST), this::waitedTooLong);
         relay.dispatcher().submit(this);
@@ -393,7 +385,7 @@
 
     private void waitedTooLong() {
         if (stage == RequestStage.WAITING && relay.dispatcher().withdraw(this)) {
-            if (runs > 0) {
+            if (tries.mayHaveRun()) {
                 own(502, "unknown", "sent once; no other runner had room");
             } else {
                 refuse("no runner had room", RelayLimits.COME_BACK_FULL);
@@ -407,7 +399,7 @@
             case BEGINNING -> refuse("time over before the turn began", RelayLimits.COME_BACK_STORES);
             case WAITING -> {
                 relay.dispatcher().withdraw(this);
-                if (runs > 0) {
+                if (tries.mayHaveRun()) {
                     own(504, "timeout", "after an unknown try");
                 } else {
                     refuse("time over while waiting", RelayLimits.COME_BACK_FULL);
@@ -428,9 +420,14 @@
 
     /** Says "not run": only where no runner can have begun the request or will. */
     private void refuse(String reason, Duration comeBack) {
+        refuse(503, reason, comeBack);
+    }
+
+    private void refuse(int status, String reason, Duration comeBack) {
         HttpHeaders headers = ForwardedHeaders.comeBack(comeBack, relay.random());
-        caller.whole(503, headers, new byte[0]);
+        caller.whole(status, headers, new byte[0]);
         releaseGrant();
+        claim.giveBack();
         finish("refused", reason);
     }
 
@@ -465,7 +462,8 @@
                         .with("outcome", outcome)
                         .with("cause", cause)
                         .with("ms", elapsed().toMillis())
-                        .with("offers", offers)
+                        .with("offers", tries.offers())
+                        .with("manifest", manifestVersion)
                         .toString());
     }
 
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerRequest.java
@@ -1,7 +1,9 @@
 package org.parsleydrift.relay;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
 import org.parsleydrift.registry.Runner;
+import org.parsleydrift.registry.Team;
 
 /**
  * A request as it goes to a runner.
@@ -18,6 +20,7 @@
     static RunnerRequest of(
             CallerRequest request,
             RequestFacts facts,
+            Optional<Team> team,
             RelayDialect dialect,
             Runner runner,
             long leftMillis,
@@ -27,6 +30,7 @@
         headers.set(dialect.requestId(), facts.id());
         headers.set(dialect.deadlineMillis(), leftMillis);
         headers.set(dialect.expectInstance(), runner.id());
+        team.ifPresent(each -> headers.set(dialect.team(), each.name()));
         headers.set("Host", request.host());
         if (body.length > 0 || !"GET".equals(request.method())) {
             headers.setInt("Content-Length", body.length);
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/TurnRecord.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/TurnRecord.java
@@ -1,5 +1,6 @@
 package org.parsleydrift.relay;
 
+import java.lang.System.Logger;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -9,43 +10,81 @@
 import org.parsleydrift.conversation.Grant;
 import org.parsleydrift.conversation.GrantState;
 import org.parsleydrift.conversation.Turn;
+import org.parsleydrift.kernel.LogLine;
 import org.parsleydrift.placement.PromptPart;
 import org.parsleydrift.registry.Route;
 
 /** What the store VMs know of one request: its reservation of tokens and, once it has ended, its turn. */
 final class TurnRecord {
+    private static final Logger LOG = System.getLogger(TurnRecord.class.getName());
+
     private final Relay relay;
     private final RequestFacts facts;
     private final Route route;
+    private final String owner;
     private boolean reserved;
 
-    TurnRecord(Relay relay, RequestFacts facts, Route route) {
+    /** Makes a record; under an owner's name, since turns and programs of other owners may have the same ids. */
+    TurnRecord(Relay relay, RequestFacts facts, Route route, String owner) {
         this.relay = relay;
         this.facts = facts;
         this.route = route;
+        this.owner = owner;
+    }
+
+    private String program() {
+        return facts.program().isEmpty() ? "" : owner + facts.program();
+    }
+
+    private String previousTurn() {
+        return facts.previousTurn().isEmpty() ? "" : owner + facts.previousTurn();
     }
 
     /** Reserves tokens and reads the chain; completes on the relay's loop and never fails. */
     CompletableFuture<BeginResult> begin(Duration patience) {
         OptionalInt budget = facts.program().isEmpty() ? OptionalInt.empty() : facts.budget();
-        String previous = route.keepsConversation() ? facts.previousTurn() : "";
+        String previous = route.keepsConversation() ? previousTurn() : "";
         BeginRequest begin = new BeginRequest(
-                facts.program(), facts.id(), budget, facts.mostTokens(), previous, route.retention(), patience);
+                program(), facts.id(), budget, facts.mostTokens(), previous, route.retention(), patience);
         return relay.conversations()
                 .begin(begin)
                 .thenApplyAsync(
                         result -> {
                             reserved = result instanceof BeginResult.Granted && budget.isPresent();
+                            logDenied(result);
                             return result;
                         },
                         relay.loop());
     }
 
+    private void logDenied(BeginResult result) {
+        LogLine line = LogLine.of("turn_denied").with("request", facts.id()).with("program", facts.program());
+        switch (result) {
+            case BeginResult.Spent spent ->
+                LOG.log(
+                        Logger.Level.INFO,
+                        line.with("reason", "budget_spent")
+                                .with("counted", spent.counted())
+                                .with("generated", spent.generated())
+                                .with("most", facts.mostTokens())
+                                .with("budget", facts.budget().orElse(0))
+                                .toString());
+            case BeginResult.NoSuchTurn ignored ->
+                LOG.log(
+                        Logger.Level.INFO,
+                        line.with("reason", "no_such_turn")
+                                .with("previous", facts.previousTurn())
+                                .toString());
+            case BeginResult.Granted ignored -> {}
+            case BeginResult.Unavailable ignored -> {}
+        }
+    }
+
     /** Gives the reservation back; only where no runner has begun the request or will. */
     void release() {
         if (reserved) {
             reserved = false;
-            relay.conversations().release(facts.program(), facts.id(), route.retention());
+            relay.conversations().release(program(), facts.id(), route.retention());
         }
     }
 
@@ -58,8 +97,7 @@
             reserved = false;
             int tokens = tokensOf(events, service);
             relay.conversations()
-                    .background(
-                            new Grant(facts.program(), facts.id(), GrantState.SETTLED, tokens, ""), route.retention());
+                    .background(new Grant(program(), facts.id(), GrantState.SETTLED, tokens, ""), route.retention());
         }
     }
 
@@ -109,16 +147,16 @@
 
     private CompletableFuture<Void> keep(String runner, int tokens, byte[] input, byte[] output, Duration patience) {
         Optional<Grant> grant = reserved ? Optional.of(settled(runner, tokens)) : Optional.empty();
-        Turn turn = new Turn(facts.id(), facts.previousTurn(), input, output);
+        Turn turn = new Turn(owner + facts.id(), previousTurn(), input, output);
         return relay.conversations().commit(grant, Optional.of(turn), route.retention(), patience);
     }
 
     private Grant settled(String runner, int tokens) {
         if (facts.prompt().isEmpty()) {
-            return new Grant(facts.program(), facts.id(), GrantState.SETTLED, tokens, runner);
+            return new Grant(program(), facts.id(), GrantState.SETTLED, tokens, runner);
         }
         PromptPart line = facts.prompt().getLast();
         int held = line.tokens() + tokens;
-        return new Grant(facts.program(), facts.id(), GrantState.SETTLED, tokens, runner, line.id(), held);
+        return new Grant(program(), facts.id(), GrantState.SETTLED, tokens, runner, line.id(), held);
     }
 }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Waiter.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Waiter.java
@@ -29,6 +29,9 @@
     /** Whether its program has already used runner time, which is lost if it fails. */
     boolean underWay();
 
+    /** The manifest may be another one; it leaves if it may not run any more. */
+    void manifestChanged();
+
     /** A place at a runner is taken for it. */
     void offered(Candidate chosen);
 }
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/BrokenTurnTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/BrokenTurnTest.java
@@ -30,6 +30,7 @@
 import org.parsleydrift.conversation.StoreMember;
 import org.parsleydrift.conversation.StoreSet;
 import org.parsleydrift.kernel.SystemClock;
+import org.parsleydrift.placement.Allotments;
 import org.parsleydrift.registry.CallKind;
 import org.parsleydrift.registry.CallerLimits;
 import org.parsleydrift.registry.Destination;
@@ -90,6 +91,7 @@
                 registry,
                 new Dispatcher(registry, new Random(1), "z", loop.clock()::nanos),
                 new Conversations(client),
+                new Allotments(loop.clock()::nanos, new Random(3), Duration.ofSeconds(5), () -> true),
                 RelayDialect.own(),
                 new Random(2),
                 new SimpleMeterRegistry());
@@ -149,6 +151,7 @@
                         false,
                         false,
                         Duration.ofSeconds(60),
+                        false,
                         List.of(new Destination("s", 1)))),
                 withService ? List.of(new UpstreamService("s", 100, true, TOKENS_PER_EVENT)) : List.of(),
                 CallerLimits.defaults());
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DispatcherTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DispatcherTest.java
@@ -45,6 +45,9 @@
             this.underWay = underWay;
         }
 
+        @Override
+        public void manifestChanged() {}
+
         @Override
         public String service() {
             return "s";
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RelayTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RelayTest.java
@@ -26,6 +26,7 @@
 import org.parsleydrift.conversation.FrameSender;
 import org.parsleydrift.conversation.ReplicaCalls;
 import org.parsleydrift.kernel.SystemClock;
+import org.parsleydrift.placement.Allotments;
 import org.parsleydrift.registry.CallKind;
 import org.parsleydrift.registry.CallerLimits;
 import org.parsleydrift.registry.Destination;
@@ -76,6 +77,7 @@
                 registry,
                 dispatcher,
                 new Conversations(new ConversationClient(loop, calls)),
+                new Allotments(loop.clock()::nanos, new Random(3), Duration.ofSeconds(5), () -> true),
                 RelayDialect.own(),
                 new Random(2),
                 new SimpleMeterRegistry());
@@ -131,6 +133,7 @@
                 false,
                 false,
                 Duration.ofSeconds(60),
+                false,
                 List.of(new Destination("s", 1)));
     }
 
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -17,6 +17,7 @@
 import org.parsleydrift.kernel.LogLine;
 import org.parsleydrift.kernel.Step;
 import org.parsleydrift.kernel.StepException;
+import org.parsleydrift.placement.Allotments;
 import org.parsleydrift.registry.CallerLimits;
 import org.parsleydrift.registry.ObjectFollower;
 import org.parsleydrift.registry.ObjectKind;
@@ -53,6 +54,7 @@
     private final Registry registry;
     private final ConversationClient stores;
     private final ReplicaCalls calls;
+    private final Allotments allotments;
     private final Dispatcher dispatcher;
     private final Relay relay;
     private final NodeMesh mesh;
@@ -81,6 +83,8 @@
                 request -> CompletableFuture.failedFuture(
                         new StepException(Step.FORWARD, self.name(), "an entry node keeps no conversations")));
         stores = new ConversationClient(parts.loop, calls);
+        allotments = new Allotments(
+                parts.loop.clock()::nanos, parts.random, settings.allotmentWindow(), this::knowsFleetsUse);
         dispatcher = new Dispatcher(registry, parts.random, settings.zone(), parts.loop.clock()::nanos);
         relay = new Relay(
                 parts.threads,
@@ -88,6 +92,7 @@
                 registry,
                 dispatcher,
                 new Conversations(stores),
+                allotments,
                 parts.outside.dialect(),
                 parts.random,
                 parts.meters);
@@ -102,7 +107,7 @@
                 parts.loop,
                 frames,
                 self,
-                dispatcher,
+                new FleetUse(dispatcher, allotments),
                 this::ready,
                 stores::reachesStores,
                 parts.random,
@@ -178,6 +183,11 @@
         return !draining && registry.manifest().isPresent() && !cutOff;
     }
 
+    /** A node that hears none of its peers, or doesn't know yet whether it has any, can't tell what teams have used. */
+    private boolean knowsFleetsUse() {
+        return mesh.hearsAnyone() || (entrySought && !mesh.hasKnownPeers());
+    }
+
     private void readiness(HttpExchange exchange) {
         boolean known = exchange.path().equals(parts.outside.readinessPath());
         exchange.respond(known ? (ready() ? 200 : 503) : 404, "text/plain", "", Map.of());
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/MeshPeer.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/MeshPeer.java
@@ -58,7 +58,7 @@
         state = Optional.empty();
     }
 
-    /** Whether the load that it told itself is counted, and not its zone's sum. */
+    /** Whether the use that it told itself is counted, and not its zone's sum. */
     boolean countsByItself() {
         return countsByItself;
     }
@@ -67,7 +67,7 @@
         countsByItself = counts;
     }
 
-    /** Its state as its hub tells it; what it told of its load and knowledge itself is kept beside it. */
+    /** Its state as its hub tells it; what it told of its use and knowledge itself is kept beside it. */
     NodeState relayed(ZoneSummary.Member told) {
         return new NodeState(
                 told.name(),
@@ -77,6 +77,6 @@
                 told.reachesStores(),
                 told.reachesPlatform(),
                 state.map(NodeState::known).orElse(Map.of()),
-                state.map(NodeState::load).orElse(Map.of()));
+                state.map(NodeState::use).orElse(NodeUse.NONE));
     }
 }
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
@@ -20,8 +20,6 @@
 import org.parsleydrift.kernel.LogLine;
 import org.parsleydrift.kernel.codec.MessagePackFrames;
 import org.parsleydrift.registry.ObjectKind;
-import org.parsleydrift.registry.RunnerKey;
-import org.parsleydrift.relay.Dispatcher;
 
 /**
  * What entry nodes tell each other: whether they are ready, what they have at each runner, and how new their knowledge
@@ -76,7 +74,7 @@
     private final EventLoop loop;
     private final FrameSender frames;
     private final NodeIdentity self;
-    private final Dispatcher dispatcher;
+    private final FleetUse fleetUse;
     private final BooleanSupplier ready;
     private final BooleanSupplier reachesStores;
     private final RandomGenerator random;
@@ -85,9 +83,9 @@
     private final long startNanos;
     private final Map<String, MeshPeer> peers = new HashMap<>();
     private final ZoneSummaries zones = new ZoneSummaries();
-    private final ToldLoads toldLoads = new ToldLoads();
+    private final ToldUse toldUse = new ToldUse();
     private final ZoneHub hub;
-    private Said lastSaid = new Said(Map.of(), false, Map.of());
+    private Said lastSaid = new Said(NodeUse.NONE, false, Map.of());
     private boolean actsAsHub;
     private int period;
     private boolean news;
@@ -99,7 +97,7 @@
             EventLoop loop,
             FrameSender frames,
             NodeIdentity self,
-            Dispatcher dispatcher,
+            FleetUse fleetUse,
             BooleanSupplier ready,
             BooleanSupplier reachesStores,
             RandomGenerator random,
@@ -108,7 +106,7 @@
         this.loop = loop;
         this.frames = frames;
         this.self = self;
-        this.dispatcher = dispatcher;
+        this.fleetUse = fleetUse;
         this.ready = ready;
         this.reachesStores = reachesStores;
         this.random = random;
@@ -132,7 +130,7 @@
         if (peer == null || !peer.identity.equals(identity)) {
             peers.put(identity.name(), new MeshPeer(identity));
             // What its former life had at the runners is gone with it.
-            dispatcher.peerLoads(Map.of(identity.name(), Map.of()));
+            fleetUse.told(Map.of(identity.name(), NodeUse.NONE));
             LOG.log(
                     Logger.Level.INFO,
                     () -> LogLine.of("peer_known")
@@ -219,7 +217,7 @@
                 MeshPlan.of(self, neighbours(), hubUntilNanos - loop.clock().nanos() > 0, full);
         passNewsOnTo(plan);
         actAsHub(!plan.all().isEmpty() || !plan.zone().isEmpty());
-        Said now = new Said(dispatcher.ownLoad(), ready.getAsBoolean(), exchange.newestChanges());
+        Said now = new Said(fleetUse.own(), ready.getAsBoolean(), exchange.newestChanges());
         if (mayRest(now)) {
             return;
         }
@@ -235,7 +233,7 @@
     }
 
     /** What of a node's state is told at once when it changes. */
-    private record Said(Map<String, Integer> load, boolean ready, Map<ObjectKind, Long> known) {}
+    private record Said(NodeUse use, boolean ready, Map<ObjectKind, Long> known) {}
 
     /** Whether there is nothing new to tell, and the time for telling all the same has not come. */
     private boolean mayRest(Said now) {
@@ -254,7 +252,7 @@
     private void actAsHub(boolean acts) {
         if (acts && !actsAsHub) {
             // From now on the nodes of the zone tell this one themselves.
-            dispatcher.peerLoads(Map.of(ofZone(self.zone()), Map.of()));
+            fleetUse.movedFrom(Set.of(ofZone(self.zone())));
         }
         actsAsHub = acts;
     }
@@ -315,9 +313,7 @@
     }
 
     private NodeState ownState(Said now, boolean full) {
-        Map<Long, Integer> keyed = now.load().entrySet().stream()
-                .collect(Collectors.toMap(each -> RunnerKey.of(each.getKey()), Map.Entry::getValue, Integer::sum));
-        toldLoads.told(round, keyed);
+        toldUse.told(round, now.use());
         Optional<NodeIdentity> identity = full ? Optional.of(self) : Optional.empty();
         return new NodeState(
                 self.name(),
@@ -327,7 +323,7 @@
                 reachesStores.getAsBoolean(),
                 exchange.reachesPlatform(),
                 exchange.known(),
-                keyed);
+                now.use());
     }
 
     private void send(List<NodeIdentity> receivers, NodeState own) {
@@ -342,18 +338,18 @@
     }
 
     private void forgetSilent() {
-        Map<String, Map<Long, Integer>> gone = new HashMap<>();
-        zones.forgetOlder(SILENT_RELAYED, loop.clock().nanos()).forEach(each -> gone.put(ofZone(each), Map.of()));
+        Map<String, NodeUse> gone = new HashMap<>();
+        zones.forgetOlder(SILENT_RELAYED, loop.clock().nanos()).forEach(each -> gone.put(ofZone(each), NodeUse.NONE));
         peers.values().stream()
                 .filter(each -> each.state().isPresent() && !alive(each))
                 .forEach(each -> {
                     each.forgetState();
                     frames.reset(each.identity.link());
-                    gone.put(each.name(), Map.of());
+                    gone.put(each.name(), NodeUse.NONE);
                     logPeer("peer_silent", each.name());
                 });
         if (!gone.isEmpty()) {
-            dispatcher.peerLoads(gone);
+            fleetUse.told(gone);
         }
     }
 
@@ -374,7 +370,7 @@
         news |= changed;
         if (changed || !peer.countsByItself()) {
             peer.countByItself(true);
-            dispatcher.peerLoads(Map.of(state.name(), state.load()));
+            fleetUse.told(Map.of(state.name(), state.use()));
         }
     }
 
@@ -408,10 +404,10 @@
         news |= changed;
         if (!summary.zone().equals(self.zone())) {
             if (changed) {
-                dispatcher.peerLoads(Map.of(ofZone(summary.zone()), summary.load()));
+                fleetUse.told(Map.of(ofZone(summary.zone()), summary.use()));
             }
         } else if (!actsAsHub) {
-            dispatcher.peerLoads(loadsOfOwnZone(taken.get()));
+            takeOwnZone(taken.get());
         }
     }
 
@@ -433,19 +429,19 @@
     }
 
     /** The hub's sum counts in place of what mates told this node while it was the hub itself. */
-    private Map<String, Map<Long, Integer>> loadsOfOwnZone(ZoneSummaries.Heard heard) {
-        Map<String, Map<Long, Integer>> loads = new HashMap<>();
-        peers.values().stream()
+    private void takeOwnZone(ZoneSummaries.Heard heard) {
+        Set<String> mates = peers.values().stream()
                 .filter(each -> each.countsByItself() && each.identity.zone().equals(self.zone()))
-                .forEach(each -> {
-                    each.countByItself(false);
-                    loads.put(each.name(), Map.of());
-                });
-        loads.put(ofZone(self.zone()), toldLoads.othersIn(heard, self.name()));
-        return loads;
+                .peek(each -> each.countByItself(false))
+                .map(MeshPeer::name)
+                .collect(Collectors.toSet());
+        if (!mates.isEmpty()) {
+            fleetUse.movedFrom(mates);
+        }
+        fleetUse.told(Map.of(ofZone(self.zone()), toldUse.othersIn(heard, self.name())));
     }
 
-    /** The key under which the load of a zone is counted; no node has such a name. */
+    /** The key under which the use of a zone is counted; no node has such a name. */
     private static String ofZone(String zone) {
         return "zone " + zone;
     }
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeState.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeState.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.util.EnumMap;
-import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -23,7 +22,7 @@
  * @param reachesStores whether it reaches the store VMs directly
  * @param reachesPlatform whether the platform answers it
  * @param known what it knows, by kind
- * @param load its requests at each runner, by the {@link org.parsleydrift.registry.RunnerKey} of the runner's life
+ * @param use what it has in use
  */
 record NodeState(
         String name,
@@ -33,14 +32,13 @@
         boolean reachesStores,
         boolean reachesPlatform,
         Map<ObjectKind, Known> known,
-        Map<Long, Integer> load) {
+        NodeUse use) {
     private static final Map<String, ObjectKind> KINDS =
             Stream.of(ObjectKind.values()).collect(Collectors.toMap(ObjectKind::name, each -> each));
 
-    /** Copies the maps. */
+    /** Copies the map. */
     NodeState {
         known = Map.copyOf(known);
-        load = Map.copyOf(load);
     }
 
     /**
@@ -91,7 +89,7 @@
         return ready == other.ready
                 && reachesStores == other.reachesStores
                 && reachesPlatform == other.reachesPlatform
-                && load.equals(other.load)
+                && use.equals(other.use)
                 && newestChanges(known).equals(newestChanges(other.known));
     }
 
@@ -106,7 +104,7 @@
         writeIdentity(out, identity);
         out.packInt(round).packBoolean(ready).packBoolean(reachesStores).packBoolean(reachesPlatform);
         writeKnown(out, known);
-        writeLoad(out, load);
+        use.write(out);
     }
 
     static NodeState read(MessageUnpacker in) throws IOException {
@@ -119,7 +117,7 @@
                 in.unpackBoolean(),
                 in.unpackBoolean(),
                 readKnown(in),
-                readLoad(in));
+                NodeUse.read(in));
     }
 
     static void writeIdentity(MessagePacker out, Optional<NodeIdentity> identity) throws IOException {
@@ -157,20 +155,4 @@
         }
         return known;
     }
-
-    static void writeLoad(MessagePacker out, Map<Long, Integer> load) throws IOException {
-        out.packMapHeader(load.size());
-        for (Map.Entry<Long, Integer> each : load.entrySet()) {
-            out.packLong(each.getKey()).packInt(each.getValue());
-        }
-    }
-
-    static Map<Long, Integer> readLoad(MessageUnpacker in) throws IOException {
-        Map<Long, Integer> load = new HashMap<>();
-        int runners = in.unpackMapHeader();
-        for (int i = 0; i < runners; i++) {
-            load.put(in.unpackLong(), in.unpackInt());
-        }
-        return load;
-    }
 }
--- /dev/null
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeUse.java
@@ -0,0 +1,70 @@
+package org.parsleydrift.roles;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+import org.parsleydrift.placement.TeamUse;
+import org.parsleydrift.placement.UseReport;
+
+/**
+ * What an entry node, or several together, have in use.
+ *
+ * @param load requests at each runner, by the {@link org.parsleydrift.registry.RunnerKey} of the runner's life
+ * @param teams use of the teams' allotments
+ */
+record NodeUse(Map<Long, Integer> load, UseReport teams) {
+    static final NodeUse NONE = new NodeUse(Map.of(), UseReport.NONE);
+
+    /** Copies the map. */
+    NodeUse {
+        load = Map.copyOf(load);
+    }
+
+    NodeUse plus(NodeUse other) {
+        Map<Long, Integer> sum = new HashMap<>(load);
+        other.load.forEach((runner, requests) -> sum.merge(runner, requests, Integer::sum));
+        return new NodeUse(sum, teams.plus(other.teams));
+    }
+
+    /** What is left without what one of the nodes told. */
+    NodeUse minus(NodeUse part) {
+        Map<Long, Integer> rest = new HashMap<>(load);
+        part.load.forEach((runner, requests) -> rest.merge(runner, -requests, Integer::sum));
+        rest.values().removeIf(each -> each <= 0);
+        return new NodeUse(rest, teams.minus(part.teams));
+    }
+
+    void write(MessagePacker out) throws IOException {
+        out.packMapHeader(load.size());
+        for (Map.Entry<Long, Integer> each : load.entrySet()) {
+            out.packLong(each.getKey()).packInt(each.getValue());
+        }
+        out.packInt(teams.nodes()).packInt(teams.unseenMillis());
+        out.packMapHeader(teams.teams().size());
+        for (Map.Entry<String, TeamUse> each : teams.teams().entrySet()) {
+            TeamUse use = each.getValue();
+            out.packString(each.getKey())
+                    .packInt(use.ran())
+                    .packInt(use.planned())
+                    .packInt(use.asked());
+        }
+    }
+
+    static NodeUse read(MessageUnpacker in) throws IOException {
+        Map<Long, Integer> load = new HashMap<>();
+        int runners = in.unpackMapHeader();
+        for (int i = 0; i < runners; i++) {
+            load.put(in.unpackLong(), in.unpackInt());
+        }
+        int nodes = in.unpackInt();
+        int unseenMillis = in.unpackInt();
+        Map<String, TeamUse> teams = new HashMap<>();
+        int named = in.unpackMapHeader();
+        for (int i = 0; i < named; i++) {
+            teams.put(in.unpackString(), new TeamUse(in.unpackInt(), in.unpackInt(), in.unpackInt()));
+        }
+        return new NodeUse(load, new UseReport(nodes, unseenMillis, teams));
+    }
+}
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RoleSettings.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RoleSettings.java
@@ -20,6 +20,7 @@
  * @param dataFolder folder on the disk; store only
  * @param firstStart whether the whole system starts for the first time, with empty disks
  * @param toleratedLosses disks of store VMs that may be lost at once; store only
+ * @param allotmentWindow span in which requests count against their team's allotment; entry only
  * @param grace time between SIGTERM and the end by force
  */
 public record RoleSettings(
@@ -36,4 +37,5 @@
         Optional<Path> dataFolder,
         boolean firstStart,
         int toleratedLosses,
+        Duration allotmentWindow,
         Duration grace) {}
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RoleSettingsReader.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RoleSettingsReader.java
@@ -27,6 +27,9 @@
     /** With three store VMs one may be lost; a set that wants fewer could not be changed. */
     private static final int DEFAULT_TOLERATED_LOSSES = 1;
 
+    /** Long beside the tenths of a second after which nodes know of each other's requests. */
+    private static final Duration DEFAULT_ALLOTMENT_WINDOW = Duration.ofSeconds(5);
+
     private final JsonNode root;
     private final List<String> faults = new ArrayList<>();
 
@@ -93,9 +96,22 @@
                 role == RoleKind.STORE ? Optional.ofNullable(required("data_folder", Path::of)) : Optional.empty(),
                 root.path("first_start").asBoolean(false),
                 role == RoleKind.STORE ? toleratedLosses() : 0,
+                allotmentWindow(),
                 required("grace_s", text -> Duration.ofMillis((long) (Double.parseDouble(text) * 1000))));
     }
 
+    private Duration allotmentWindow() {
+        JsonNode value = root.path("allotment_window_s");
+        if (value.isMissingNode()) {
+            return DEFAULT_ALLOTMENT_WINDOW;
+        }
+        if (!value.isNumber() || value.asDouble() <= 0) {
+            faults.add("/allotment_window_s is no number above 0");
+            return DEFAULT_ALLOTMENT_WINDOW;
+        }
+        return Duration.ofMillis((long) (value.asDouble() * 1000));
+    }
+
     private int toleratedLosses() {
         JsonNode value = root.path("tolerated_losses");
         if (value.isMissingNode()) {
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/ZoneHub.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/ZoneHub.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.parsleydrift.conversation.FrameSender;
 import org.parsleydrift.kernel.codec.MessagePackFrames;
@@ -85,7 +84,7 @@
                 Optional.of(members),
                 states.stream().map(NodeState::round).toList(),
                 known(own, mates, now),
-                sum(states.stream().map(NodeState::load)));
+                states.stream().map(NodeState::use).reduce(NodeUse.NONE, NodeUse::plus));
     }
 
     private static ZoneSummary.Member member(NodeIdentity identity, NodeState state) {
@@ -107,11 +106,6 @@
         return known;
     }
 
-    private static Map<Long, Integer> sum(Stream<Map<Long, Integer>> loads) {
-        return loads.flatMap(each -> each.entrySet().stream())
-                .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue, Integer::sum));
-    }
-
     private void send(List<NodeIdentity> receivers, List<ZoneSummary> told) {
         if (receivers.isEmpty()) {
             return;
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/ZoneSummary.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/ZoneSummary.java
@@ -21,7 +21,7 @@
  * @param members the nodes that the hub hears; told when they change and now and then, else the last ones hold
  * @param rounds the round of each member's newest state, in the order of the members
  * @param known what the nodes of the zone know, by kind
- * @param load requests of all members at each runner, by the key of the runner's life
+ * @param use what all members have in use
  */
 record ZoneSummary(
         String zone,
@@ -31,13 +31,12 @@
         Optional<List<Member>> members,
         List<Integer> rounds,
         Map<ObjectKind, NodeState.Known> known,
-        Map<Long, Integer> load) {
+        NodeUse use) {
     /** Copies the collections. */
     ZoneSummary {
         members = members.map(List::copyOf);
         rounds = List.copyOf(rounds);
         known = Map.copyOf(known);
-        load = Map.copyOf(load);
     }
 
     /**
@@ -82,12 +81,12 @@
 
     /** The same summary as a node of another zone passes it on, without the rounds, which its own zone needs alone. */
     ZoneSummary passedOn(Optional<List<Member>> heard, Detail detail, long age) {
-        return new ZoneSummary(zone, hub, age, version, detailed(heard, detail), List.of(), known, load);
+        return new ZoneSummary(zone, hub, age, version, detailed(heard, detail), List.of(), known, use);
     }
 
     /** The same summary with its members in a detail. */
     ZoneSummary with(Detail detail) {
-        return new ZoneSummary(zone, hub, ageMillis, version, detailed(members, detail), rounds, known, load);
+        return new ZoneSummary(zone, hub, ageMillis, version, detailed(members, detail), rounds, known, use);
     }
 
     /** Whether it tells the addresses of its members. */
@@ -101,7 +100,7 @@
     boolean saysTheSame(ZoneSummary other) {
         return hub.equals(other.hub)
                 && version == other.version
-                && load.equals(other.load)
+                && use.equals(other.use)
                 && NodeState.newestChanges(known).equals(NodeState.newestChanges(other.known));
     }
 
@@ -127,7 +126,7 @@
             out.packInt(each);
         }
         NodeState.writeKnown(out, known);
-        NodeState.writeLoad(out, load);
+        use.write(out);
     }
 
     static ZoneSummary read(MessageUnpacker in) throws IOException {
@@ -142,7 +141,7 @@
             rounds.add(in.unpackInt());
         }
         return new ZoneSummary(
-                zone, hub, ageMillis, version, members, rounds, NodeState.readKnown(in), NodeState.readLoad(in));
+                zone, hub, ageMillis, version, members, rounds, NodeState.readKnown(in), NodeUse.read(in));
     }
 
     private static List<Member> readMembers(MessageUnpacker in) throws IOException {
--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/MeshMember.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/MeshMember.java
@@ -13,6 +13,7 @@
 import org.parsleydrift.conversation.FrameSender;
 import org.parsleydrift.kernel.ManualEventLoop;
 import org.parsleydrift.kernel.ManualScheduler;
+import org.parsleydrift.placement.Allotments;
 import org.parsleydrift.registry.ObjectChanges;
 import org.parsleydrift.registry.ObjectDecoder;
 import org.parsleydrift.registry.ObjectFollower;
@@ -34,6 +35,7 @@
     int silences;
     final List<SharedObject> learned = new ArrayList<>();
     final NodeMesh mesh;
+    final Allotments allotments;
     boolean ready = true;
     boolean reachesStores = true;
     boolean cut;
@@ -82,11 +84,12 @@
             }
         });
         Dispatcher dispatcher = new Dispatcher(registry, new Random(1), "z", time::nanos);
+        allotments = new Allotments(time::nanos, random, Duration.ofSeconds(5), () -> true);
         mesh = new NodeMesh(
                 loop,
                 sender(),
                 identity,
-                dispatcher,
+                new FleetUse(dispatcher, allotments),
                 () -> ready,
                 () -> reachesStores,
                 random,
--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/ZoneSummariesTest.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/ZoneSummariesTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.parsleydrift.placement.UseReport;
 import org.testng.annotations.Test;
 
 /** What a node makes of the sums that hubs tell. */
@@ -27,7 +28,11 @@
                         .toList()),
                 Arrays.stream(rounds).boxed().toList(),
                 Map.of(),
-                Map.of(RUNNER, load));
+                use(load));
+    }
+
+    private static NodeUse use(int load) {
+        return new NodeUse(Map.of(RUNNER, load), UseReport.NONE);
     }
 
     private static Optional<List<String>> names(String... names) {
@@ -41,17 +46,17 @@
      */
     @Test
     public void aNodeTakesItsOwnLoadOutOfTheSum() {
-        ToldLoads told = new ToldLoads();
-        told.told(1, Map.of(RUNNER, 3));
-        told.told(2, Map.of(RUNNER, 1));
+        ToldUse told = new ToldUse();
+        told.told(1, use(3));
+        told.told(2, use(1));
         ZoneSummaries zones = new ZoneSummaries();
         ZoneSummaries.Heard heard =
                 zones.take(summary("a", 1, names("a", "b"), 8, 40, 1), 100).orElseThrow();
-        assertEquals(told.othersIn(heard, "b"), Map.of(RUNNER, 5));
+        assertEquals(told.othersIn(heard, "b"), use(5));
         ZoneSummaries.Heard newer =
                 zones.take(summary("a", 1, Optional.empty(), 8, 41, 2), 200).orElseThrow();
-        assertEquals(told.othersIn(newer, "b"), Map.of(RUNNER, 7));
-        assertEquals(told.othersIn(newer, "c"), Map.of(RUNNER, 8));
+        assertEquals(told.othersIn(newer, "b"), use(7));
+        assertEquals(told.othersIn(newer, "c"), use(8));
     }
 
     /** Summaries come over several hubs and out of order; an older one changes nothing. */
@@ -60,7 +65,7 @@
         ZoneSummaries zones = new ZoneSummaries();
         assertTrue(zones.take(summary("a", 1, names("a", "b"), 8, 1, 1), 200).isPresent());
         assertFalse(zones.take(summary("a", 1, names("a"), 2, 1), 150).isPresent());
-        assertEquals(zones.of("z").orElseThrow().summary().load(), Map.of(RUNNER, 8));
+        assertEquals(zones.of("z").orElseThrow().summary().use(), use(8));
     }
 
     /**
