Store VMs stand by for members that are lost

Cause: share = 0.5 left three store processes where two losses are to be borne, which wants five. One replaced and one cut off leave no quorum; of three two wiped leave one whole copy, which waits for ever. Ruled out: all VMs as members (each turn is written to ten disks where five are enough). Change: all store VMs run a process; the set takes 2 x losses + 1 members, the setting store_members raises that. A VM beyond them stands by, and takes the place of a member that is silent for long or is to be emptied. Settings that ask for a set too small for its losses are refused at start. The rule it replaces has no process to stand by; SetChangeTest's two new cases can't be expressed on it.

--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/SetChange.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/SetChange.java
@@ -22,6 +22,7 @@
      * @param silentLong ids of disks of members that have not answered for long
      * @param retiring names of VMs that are to be emptied
      * @param toleratedLosses disks that may be lost at once
+     * @param mostMembers members beyond which a VM stands by
      */
     record View(
             StoreMember self,
@@ -29,7 +30,8 @@
             Set<String> completeMembers,
             Set<String> silentLong,
             Set<String> retiring,
-            int toleratedLosses) {
+            int toleratedLosses,
+            int mostMembers) {
         /** Members wanted at least: a majority of them is left when as many disks as may be are lost at once. */
         private int wanted() {
             return 2 * toleratedLosses + 1;
@@ -48,20 +50,17 @@
         return member ? maintain(view) : join(view);
     }
 
+    /** A VM comes in anew, in the place of a member that is gone or is to go, or where members are wanted. */
     private static Optional<StoreSet> join(View view) {
         StoreMember self = view.self();
         if (view.retiring().contains(self.name())) {
             return Optional.empty();
         }
         List<StoreMember> members = view.set().members();
-        Optional<StoreMember> replaced = members.stream()
-                .filter(each -> each.name().equals(self.name()))
-                .findAny()
-                .or(() -> members.size() < view.wanted()
-                        ? Optional.empty()
-                        : members.stream()
-                                .filter(each -> view.silentLong().contains(each.disk()))
-                                .findFirst());
+        Optional<StoreMember> replaced = replaced(view);
+        if (replaced.isEmpty() && members.size() >= view.mostMembers()) {
+            return Optional.empty();
+        }
         List<StoreMember> next = Stream.concat(
                         members.stream().filter(each -> !replaced.equals(Optional.of(each))), Stream.of(self))
                 .sorted(Comparator.comparing(StoreMember::name))
@@ -69,6 +68,23 @@
         return Optional.of(view.set().change(next));
     }
 
+    private static Optional<StoreMember> replaced(View view) {
+        List<StoreMember> members = view.set().members();
+        Optional<StoreMember> former = members.stream()
+                .filter(each -> each.name().equals(view.self().name()))
+                .findAny();
+        if (former.isPresent() || members.size() < view.wanted()) {
+            return former;
+        }
+        Optional<StoreMember> silent = members.stream()
+                .filter(each -> view.silentLong().contains(each.disk()))
+                .findFirst();
+        return silent.or(() -> members.stream()
+                .filter(each ->
+                        members.size() >= view.mostMembers() && view.retiring().contains(each.name()))
+                .findFirst());
+    }
+
     /**
      * Members leave that are to be emptied, or that are silent for long where that helps: of more than are wanted, or of an
      * even number, which bears no more losses than one member less does; of two neither can write without the other. Of
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/StoreSetKeeper.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/StoreSetKeeper.java
@@ -40,6 +40,8 @@
     private static final Duration SILENT_OF_TWO = Duration.ofMillis(700);
     /** One round in so many asks the members of a large set while all of them are complete. */
     private static final int QUIET_ROUNDS = 2;
+    /** The same for a VM that stands by: a silent member is missed three times in its limit. */
+    private static final int STANDBY_ROUNDS = 3;
 
     private final EventLoop loop;
     private final SharedObjects objects;
@@ -50,6 +52,7 @@
     private final boolean firstStart;
     private final MemberWatch members = new MemberWatch();
     private final int toleratedLosses;
+    private final int mostMembers;
     private final Set<String> retiring = new HashSet<>();
     private final Set<String> reported = new HashSet<>();
     private Optional<StoreSet> newest = Optional.empty();
@@ -71,6 +74,7 @@
      * @param address this VM's address for other processes
      * @param firstStart whether the whole system starts for the first time; only then may a set be made anew
      * @param toleratedLosses disks that may be lost at once
+     * @param mostMembers members beyond which a VM stands by
      */
     public StoreSetKeeper(
             EventLoop loop,
@@ -80,7 +84,8 @@
             String name,
             String address,
             boolean firstStart,
-            int toleratedLosses) {
+            int toleratedLosses,
+            int mostMembers) {
         this.loop = loop;
         this.objects = objects;
         this.replica = replica;
@@ -89,6 +94,7 @@
         this.address = address;
         this.firstStart = firstStart;
         this.toleratedLosses = toleratedLosses;
+        this.mostMembers = mostMembers;
     }
 
     /** Begins the rounds. */
@@ -185,18 +191,25 @@
                 disks(set, each -> members.complete(each, set.epoch())),
                 silent,
                 Set.copyOf(retiring),
-                toleratedLosses);
+                toleratedLosses,
+                mostMembers);
     }
 
     private static Set<String> disks(StoreSet set, Predicate<String> wanted) {
         return set.members().stream().map(StoreMember::disk).filter(wanted).collect(Collectors.toSet());
     }
 
-    /** A quiet set is asked in every other round only: a silent member is then still missed five times in its limit. */
+    /**
+     * A quiet set is asked in every other round only: a silent member is then still missed five times in its limit. VMs that
+     * stand by ask less often yet: they are many, and each asks every member.
+     */
     private void askMembersInTurn(StoreSet set) {
         rounds++;
         boolean quiet = set.members().stream().allMatch(each -> members.complete(each.disk(), set.epoch()));
-        if (set.members().size() <= MemberWatch.ALL_ASK_ALL || !quiet || rounds % QUIET_ROUNDS == 0) {
+        boolean standsBy = set.members().size() >= mostMembers
+                && set.byDisk(replica.disk()).isEmpty();
+        int turn = standsBy ? STANDBY_ROUNDS : set.members().size() <= MemberWatch.ALL_ASK_ALL ? 1 : QUIET_ROUNDS;
+        if (!quiet || rounds % turn == 0) {
             askMembers(set);
         }
     }
--- a/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/SetChangeTest.java
+++ b/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/SetChangeTest.java
@@ -11,13 +11,16 @@
 
 /** When a member that is to be emptied may leave the set. */
 public class SetChangeTest {
+    /** A bound that no set here reaches. */
+    private static final int ANY = 100;
+
     private static Optional<Integer> membersAfterRetiringA(String... names) {
         List<StoreMember> members = Stream.of(names)
                 .map(name -> new StoreMember(name, name, "disk-" + name))
                 .toList();
         StoreSet set = new StoreSet(1, members, List.of());
         Set<String> disks = members.stream().map(StoreMember::disk).collect(Collectors.toSet());
-        return SetChange.decide(new SetChange.View(members.getLast(), set, disks, Set.of(), Set.of("a"), 1))
+        return SetChange.decide(new SetChange.View(members.getLast(), set, disks, Set.of(), Set.of("a"), 1, ANY))
                 .map(next -> next.members().size());
     }
 
@@ -29,4 +32,34 @@
     public void theOtherOfTwoIsNotLeftAlone() {
         assertEquals(membersAfterRetiringA("a", "b"), Optional.empty());
     }
+
+    private static Optional<StoreSet> joined(Set<String> silent, Set<String> retiring) {
+        List<StoreMember> members = Stream.of("a", "b", "c", "d", "e")
+                .map(name -> new StoreMember(name, name, "disk-" + name))
+                .toList();
+        StoreSet set = new StoreSet(1, members, List.of());
+        Set<String> disks = members.stream().map(StoreMember::disk).collect(Collectors.toSet());
+        StoreMember standby = new StoreMember("f", "f", "disk-f");
+        return SetChange.decide(new SetChange.View(standby, set, disks, silent, retiring, 2, 5));
+    }
+
+    private static List<String> names(Optional<StoreSet> set) {
+        return set.orElseThrow().members().stream().map(StoreMember::name).toList();
+    }
+
+    /**
+     * Every store VM held every record, so a turn was written to ten disks where five are enough. A VM more than are wanted
+     * stands by, and is there when one is lost.
+     */
+    @Test
+    public void oneMoreThanAreWantedStandsBy() {
+        assertEquals(joined(Set.of(), Set.of()), Optional.empty());
+        assertEquals(names(joined(Set.of("c"), Set.of())), List.of("a", "b", "d", "e", "f"));
+    }
+
+    /** A VM that is to be emptied leaves as another one comes, so that the set bears as many losses meanwhile. */
+    @Test
+    public void aStandbyTakesThePlaceOfAMemberThatIsToBeEmptied() {
+        assertEquals(names(joined(Set.of(), Set.of("b"))), List.of("a", "c", "d", "e", "f"));
+    }
 }
--- /dev/null
+++ b/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/StandbyTest.java
@@ -0,0 +1,155 @@
+package org.parsleydrift.conversation;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.parsleydrift.registry.ObjectKind;
+import org.testng.annotations.Test;
+
+/** Store VMs beyond those of the set, which take the place of members that are lost. */
+public class StandbyTest {
+    private static final int TOLERATED = 2;
+    private static final int WANTED = 2 * TOLERATED + 1;
+    /** From the loss of a member to as many complete copies as before. */
+    private static final Duration REPLACED = Duration.ofSeconds(3);
+
+    private static final int SEEDS = 40;
+    private static final int STEPS = 4;
+
+    private static StoreCluster ofNine() {
+        return StoreCluster.withStandbys(
+                IntStream.range(0, 9).mapToObj(each -> "s" + each).toList(), TOLERATED);
+    }
+
+    private static StoreSet newest(StoreCluster cluster) {
+        return cluster.stores.values().stream()
+                .flatMap(each -> each.replica.set().stream())
+                .max((one, other) -> Long.compare(one.epoch(), other.epoch()))
+                .orElseThrow();
+    }
+
+    private static List<String> members(StoreCluster cluster) {
+        return newest(cluster).members().stream().map(StoreMember::name).collect(Collectors.toList());
+    }
+
+    private static long copies(StoreCluster cluster) {
+        StoreSet set = newest(cluster);
+        return set.members().stream()
+                .map(each -> cluster.stores.get(each.name()).replica)
+                .filter(each -> set.byDisk(each.disk()).isPresent() && each.complete())
+                .count();
+    }
+
+    @Test
+    public void theSetHasAsManyMembersAsItNeeds() {
+        StoreCluster cluster = ofNine();
+        assertEquals(members(cluster).size(), WANTED);
+        assertEquals(copies(cluster), WANTED);
+    }
+
+    /**
+     * No turn could begin for eight seconds, and none at all after the day's last fault. One of three members was replaced
+     * and another one cut off; later two disks of the three were lost, and the third waited for ever for one more whole
+     * copy. Half of the store VMs ran, one fewer than the losses that were to be borne want.
+     */
+    @Test
+    public void twoDisksMayBeLostAfterMembersWereReplacedOneAfterTheOther() {
+        StoreCluster cluster = ofNine();
+        Conversations entry = cluster.entry("x");
+        cluster.keepTurn(entry, "t1", "", "one", "x\n");
+        List<String> first = members(cluster);
+        cluster.stores.get(first.get(0)).die();
+        cluster.cut(first.get(1));
+        cluster.run(REPLACED);
+        assertEquals(copies(cluster), WANTED, members(cluster).toString());
+        cluster.heal(first.get(1));
+        List<String> second = members(cluster);
+        cluster.stores.get(second.get(0)).die();
+        cluster.run(REPLACED);
+        assertEquals(copies(cluster), WANTED, members(cluster).toString());
+        List<String> last = members(cluster);
+        losePowerAndDisks(cluster, last.subList(0, TOLERATED));
+        cluster.run(Duration.ofSeconds(4));
+        BeginResult result = cluster.await(entry.begin(StoreCluster.begin("p", "t2", 1000, 10, "t1")));
+        assertTrue(result instanceof BeginResult.Granted, result.toString());
+    }
+
+    private static void losePowerAndDisks(StoreCluster cluster, List<String> wiped) {
+        List<String> running = cluster.stores.values().stream()
+                .filter(each -> each.alive)
+                .map(each -> each.name)
+                .toList();
+        running.forEach(each -> cluster.stores.get(each).die());
+        cluster.run(Duration.ofSeconds(1));
+        running.forEach(each -> {
+            if (wiped.contains(each)) {
+                cluster.wipe(each);
+            } else {
+                cluster.restart(each);
+            }
+        });
+    }
+
+    /**
+     * A member is cut off, is gone for good while another VM comes, loses its disk, or is to be emptied, one after the other
+     * in any order; then power fails everywhere, with as many disks as may be lost. What was answered is still there.
+     */
+    @Test
+    public void nothingIsLostInAnyOrderOfLosses() {
+        IntStream.range(0, SEEDS).forEach(StandbyTest::playLosses);
+    }
+
+    private static void playLosses(int seed) {
+        Random random = new Random(seed);
+        StoreCluster cluster = ofNine();
+        Conversations entry = cluster.entry("x");
+        List<String> steps = new ArrayList<>();
+        String previous = "";
+        for (int step = 0; step < STEPS; step++) {
+            String turn = "t" + step;
+            cluster.keepTurn(entry, turn, previous, "in", "out\n");
+            previous = turn;
+            String name = members(cluster).get(random.nextInt(WANTED));
+            steps.add(lose(cluster, name, random.nextInt(4), step));
+            cluster.run(REPLACED.plusSeconds(random.nextInt(3)));
+            assertEquals(copies(cluster), WANTED, "seed " + seed + ": " + steps + " " + members(cluster));
+        }
+        List<String> all = members(cluster);
+        Collections.shuffle(all, random);
+        losePowerAndDisks(cluster, all.subList(0, TOLERATED));
+        cluster.run(Duration.ofSeconds(5));
+        BeginResult result = cluster.await(entry.begin(StoreCluster.begin("p", "last", 1000, 10, previous)));
+        assertTrue(result instanceof BeginResult.Granted, "seed " + seed + ": " + steps + " " + result);
+    }
+
+    private static String lose(StoreCluster cluster, String name, int how, int step) {
+        return switch (how) {
+            case 0 -> {
+                cluster.cut(name);
+                cluster.run(Duration.ofSeconds(2));
+                cluster.heal(name);
+                yield name + " was cut off";
+            }
+            case 1 -> {
+                cluster.stores.get(name).die();
+                cluster.add("new" + step, false);
+                yield name + " was replaced";
+            }
+            case 2 -> {
+                cluster.wipe(name);
+                yield name + " lost its disk";
+            }
+            default -> {
+                cluster.objects.write(ObjectKind.RETIREMENTS, name, new byte[] {'{', '}'});
+                yield name + " was to be emptied";
+            }
+        };
+    }
+}
--- a/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/StoreCluster.java
+++ b/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/StoreCluster.java
@@ -37,6 +37,7 @@
     private int diskCount;
     private int sentFrames;
     private int toleratedLosses = 1;
+    private int mostMembers = Integer.MAX_VALUE;
 
     /** A frame that a test holds back. */
     record Held(String from, String to, byte[] bytes) {}
@@ -48,6 +49,7 @@
         ManualEventLoop loop;
         ConversationReplica replica;
         boolean watches = true;
+        boolean alive;
 
         private Store(String name, MemoryDurableLog disk) {
             this.name = name;
@@ -55,13 +57,14 @@
         }
 
         private void boot(boolean firstStart) {
+            alive = true;
             loop = time.newLoop();
             disk.open(loop);
             replica = new ConversationReplica(loop, disk, name, () -> "disk" + ++diskCount);
             ReplicaCalls calls = new ReplicaCalls(loop, sender(name), name, replica);
             receivers.put(name, frame -> loop.execute(() -> calls.receive(frame)));
-            StoreSetKeeper keeper =
-                    new StoreSetKeeper(loop, objects, replica, calls, name, name, firstStart, toleratedLosses);
+            StoreSetKeeper keeper = new StoreSetKeeper(
+                    loop, objects, replica, calls, name, name, firstStart, toleratedLosses, mostMembers);
             replica.start(calls);
             keeper.onWatching(follows -> watches = follows);
             poll(loop, ObjectKind.STORE_SET, news -> {
@@ -74,6 +77,7 @@
         }
 
         void die() {
+            alive = false;
             loop.kill();
             receivers.remove(name);
         }
@@ -122,6 +126,16 @@
         return cluster;
     }
 
+    /** Starts a set that is kept at the least number of members that bears some losses; the other VMs stand by. */
+    static StoreCluster withStandbys(List<String> names, int toleratedLosses) {
+        StoreCluster cluster = new StoreCluster();
+        cluster.toleratedLosses = toleratedLosses;
+        cluster.mostMembers = 2 * toleratedLosses + 1;
+        names.forEach(name -> cluster.add(name, true));
+        cluster.run(Duration.ofSeconds(3));
+        return cluster;
+    }
+
     /** Frames that were sent so far, those that were lost included. */
     int sentFrames() {
         return sentFrames;
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RoleSettings.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RoleSettings.java
@@ -20,6 +20,7 @@
  * @param dataFolder folder on the disk; store only
  * @param firstStart whether the whole system starts for the first time, with empty disks
  * @param toleratedLosses disks of store VMs that may be lost at once; store only
+ * @param storeMembers members of the set at most; store VMs beyond them stand by; store only
  * @param allotmentWindow span in which requests count against their team's allotment; entry only
  * @param grace time between SIGTERM and the end by force
  */
@@ -37,5 +38,6 @@
         Optional<Path> dataFolder,
         boolean firstStart,
         int toleratedLosses,
+        int storeMembers,
         Duration allotmentWindow,
         Duration grace) {}
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RoleSettingsReader.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RoleSettingsReader.java
@@ -82,6 +82,7 @@
     private RoleSettings settings() {
         RoleKind role = required("role", text -> RoleKind.valueOf(text.toUpperCase(Locale.ROOT)));
         boolean entry = role == RoleKind.ENTRY;
+        int toleratedLosses = role == RoleKind.STORE ? toleratedLosses() : 0;
         return new RoleSettings(
                 role,
                 required("vm", Function.identity()),
@@ -95,7 +96,8 @@
                 required("outside", Function.identity()),
                 role == RoleKind.STORE ? Optional.ofNullable(required("data_folder", Path::of)) : Optional.empty(),
                 root.path("first_start").asBoolean(false),
-                role == RoleKind.STORE ? toleratedLosses() : 0,
+                toleratedLosses,
+                role == RoleKind.STORE ? storeMembers(2 * toleratedLosses + 1) : 0,
                 allotmentWindow(),
                 required("grace_s", text -> Duration.ofMillis((long) (Double.parseDouble(text) * 1000))));
     }
@@ -112,6 +114,18 @@
         return Duration.ofMillis((long) (value.asDouble() * 1000));
     }
 
+    /** Unless said otherwise the least number of which a majority is left when as many disks as may be are lost at once. */
+    private int storeMembers(int least) {
+        JsonNode value = root.path("store_members");
+        if (value.isMissingNode()) {
+            return least;
+        }
+        if (!value.isIntegralNumber() || value.asInt() < least) {
+            faults.add("/store_members is no whole number from " + least + ", which the tolerated losses want");
+        }
+        return value.asInt();
+    }
+
     private int toleratedLosses() {
         JsonNode value = root.path("tolerated_losses");
         if (value.isMissingNode()) {
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/StoreRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/StoreRole.java
@@ -46,7 +46,8 @@
                 settings.vm(),
                 settings.link().toString(),
                 settings.firstStart(),
-                settings.toleratedLosses());
+                settings.toleratedLosses(),
+                settings.storeMembers());
     }
 
     /** Made only for an empty disk: setting up the secure generator would lengthen each start. */
--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/RoleSettingsReaderTest.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/RoleSettingsReaderTest.java
@@ -17,6 +17,9 @@
             }
             """;
 
+    private static final String ENTRY = STORE.replace("\"store\"", "\"entry\"").replace("\"grace_s\"", """
+                    "callers": "10.0.0.1:80", "readiness": "10.0.0.1:81", "directory": "10.0.0.1:82", "grace_s\"""");
+
     @Test
     public void readsJsonWithCommentsAndPassesOverUnknownFields() {
         RoleSettings settings = RoleSettingsReader.parse("settings", STORE);
@@ -58,4 +61,26 @@
                 () -> RoleSettingsReader.parse("settings", two.replace("losses\": 2", "losses\": -1")));
         assertTrue(fault.getMessage().contains("/tolerated_losses is no whole number"), fault.getMessage());
     }
+
+    /** A set that is too small for the losses that it is to bear would be noticed only once they come. */
+    @Test
+    public void aSetSmallerThanItsLossesWantIsRefused() {
+        String two = STORE.replace("\"grace_s\"", "\"tolerated_losses\": 2, \"grace_s\"");
+        assertEquals(RoleSettingsReader.parse("settings", two).storeMembers(), 5);
+        String six = two.replace("\"grace_s\"", "\"store_members\": 6, \"grace_s\"");
+        assertEquals(RoleSettingsReader.parse("settings", six).storeMembers(), 6);
+        StepException fault = expectThrows(
+                StepException.class,
+                () -> RoleSettingsReader.parse("settings", six.replace("members\": 6", "members\": 4")));
+        assertTrue(fault.getMessage().contains("/store_members is no whole number from 5"), fault.getMessage());
+    }
+
+    @Test
+    public void theWindowOfAllotmentsIsALengthOfTime() {
+        String entry = ENTRY.replace("\"grace_s\"", "\"allotment_window_s\": 2.5, \"grace_s\"");
+        assertEquals(RoleSettingsReader.parse("settings", entry).allotmentWindow(), Duration.ofMillis(2500));
+        StepException fault = expectThrows(
+                StepException.class, () -> RoleSettingsReader.parse("settings", entry.replace("2.5", "0")));
+        assertTrue(fault.getMessage().contains("/allotment_window_s is no number above 0"), fault.getMessage());
+    }
 }
