Allotments on a model of fleets; callers are told of as many nodes as the load needs

Change: also counted over the later half of the window; free places are shared by all that ask where more ask than there are; half of the slack is given out; a share of the window that nobody has seen counts as used at the team's rate; reports of nodes that dropped out hold for half a window. Ruled out: places spread over 0.5 s (oscillates with the delay: 827 to 915), all that leaves the window given out at once (813 to 852), the whole tolerance given out (819). Change: in fleets of more than 16 ready nodes the answer names a third of them, or one for each four requests at runners, evenly by zone, hubs last; a greater load names more at once. Tests of the mesh at scale ask for the ready nodes that each node knows, as before.

--- /dev/null
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/AllotmentRule.java
@@ -0,0 +1,53 @@
+package org.parsleydrift.placement;
+
+import java.time.Duration;
+import org.parsleydrift.registry.Allotment;
+
+/**
+ * How requests are counted against an allotment, and by how much the count may be off. Nodes hear of each other late, so a
+ * fleet that aims at the limit itself is above it now and then; it aims inside the tolerance.
+ *
+ * @param window the span in which requests are counted
+ * @param slack requests beyond the limit that are borne
+ */
+public record AllotmentRule(Duration window, double slack) {
+    /** Share of the slack that is given out: without it a small team, at its limit, would be held to less by what is unheard. */
+    private static final double SLACK_GIVEN_OUT = 0.5;
+
+    /** Share of the slack for what others let pass that is not heard yet. */
+    private static final double SLACK_FOR_UNHEARD = 0.5;
+
+    /** The burst is taken as used up where one part in so many of the window is unseen. */
+    private static final double BURST_PER_UNSEEN = 4;
+
+    /** Requests that a team may run in the window. */
+    double whole(Allotment allotment) {
+        return allotment.most(seconds()) + SLACK_GIVEN_OUT * slack;
+    }
+
+    /**
+     * Requests that a team may run in the later half of the window. So it has little more than the burst beyond its rate at any
+     * time, and a fleet that forgets all it has counted can go on at the rate.
+     */
+    double late(Allotment allotment) {
+        return allotment.most(seconds() / 2) + slack;
+    }
+
+    /**
+     * Requests that a team may run in the window when part of it is unseen: there its rate counts as used up, and the burst as
+     * taken.
+     */
+    double seen(Allotment allotment, double unseen) {
+        double burst = allotment.burst() * Math.max(0, 1 - BURST_PER_UNSEEN * unseen);
+        return allotment.ratePerSecond() * seconds() * (1 - unseen) + burst;
+    }
+
+    /** Requests that may run beyond what is given out, for want of hearing of others in time. */
+    double unheard() {
+        return SLACK_FOR_UNHEARD * slack;
+    }
+
+    private double seconds() {
+        return window.toMillis() / 1000.0;
+    }
+}
--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/Allotments.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/Allotments.java
@@ -9,6 +9,7 @@
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
+import org.parsleydrift.registry.Allotment;
 import org.parsleydrift.registry.Team;
 
 /**
@@ -23,8 +24,12 @@
  * <p>Confined to one loop.
  */
 public final class Allotments {
-    /** Time over which free places are given out to newcomers, s: some times as long as use at other nodes takes to be heard. */
-    private static final double SPREAD_SECONDS = 1;
+    /** Time over which free places are given out where more ask, s: some times as long as use takes to be heard. */
+    private static final double SPREAD_SECONDS = 1.2;
+    /** Part of the span of asking for which others' asking is not heard yet. */
+    private static final double UNHEARD_SHARE = 0.6;
+    /** Share of what leaves the window next that is given out at once. */
+    private static final double LEAVING_SHARE = 0.4;
     /** Usual time to come back, before the demand is counted in: a turn or two of others end meanwhile. */
     private static final Duration COME_BACK = Duration.ofMillis(300);
     /** Longest time to come back: callers follow it up to a third of the time that they have left. */
@@ -34,7 +39,7 @@
 
     private final LongSupplier nanos;
     private final RandomGenerator random;
-    private final Duration window;
+    private final AllotmentRule rule;
     private final BooleanSupplier hearsPeers;
     private final long startNanos;
     private final Map<String, TeamCounts> own = new HashMap<>();
@@ -46,16 +51,16 @@
      *
      * @param nanos the loop's clock
      * @param random chooses among newcomers
-     * @param window the span in which requests are counted
+     * @param rule how requests are counted
      * @param hearsPeers whether this node hears other nodes, or knows that there is none
      */
-    public Allotments(LongSupplier nanos, RandomGenerator random, Duration window, BooleanSupplier hearsPeers) {
+    public Allotments(LongSupplier nanos, RandomGenerator random, AllotmentRule rule, BooleanSupplier hearsPeers) {
         this.nanos = nanos;
         this.random = random;
-        this.window = window;
+        this.rule = rule;
         this.hearsPeers = hearsPeers;
         this.startNanos = nanos.getAsLong();
-        this.peers = new PeerUse(window);
+        this.peers = new PeerUse(rule.window());
     }
 
     /**
@@ -97,7 +102,7 @@
      * @return true at its limit
      */
     public boolean full(Team team) {
-        return team.allotment().limited() && ran(team) + 1 > most(team);
+        return team.allotment().limited() && free(team, use(team).ran()) < 1;
     }
 
     /**
@@ -107,8 +112,8 @@
      * @return the time, not spread yet
      */
     public Duration comeBack(Team team) {
-        double over =
-                Math.max(1, use(team).asked() / Math.max(1, team.allotment().ratePerSecond()));
+        double over = Math.max(
+                1, perSecond(use(team).asked()) / Math.max(1, team.allotment().ratePerSecond()));
         long millis = (long) (COME_BACK.toMillis() * over);
         return Duration.ofMillis(Math.min(COME_BACK_MOST.toMillis(), millis));
     }
@@ -130,12 +135,15 @@
         if (!hearsPeers.getAsBoolean()) {
             return new AllotmentRuling.Unsure();
         }
-        TeamCounts counts = own.computeIfAbsent(team.name(), any -> new TeamCounts(nanos, window));
+        TeamCounts counts = own.computeIfAbsent(team.name(), any -> new TeamCounts(nanos, rule.window()));
         int needed = begins ? need.requests() : 1;
-        if (!underWay) {
+        if (underWay) {
+            counts.pressed();
+        } else {
             counts.asked(needed);
         }
-        if (full(team) || (!underWay && !newcomerMayPass(team))) {
+        boolean passes = !full(team) && (underWay ? maySpend(team) : mayBegin(team));
+        if (!passes) {
             return new AllotmentRuling.Over(comeBack(team));
         }
         need.let(begins);
@@ -147,37 +155,62 @@
         return new AllotmentRuling.Allowed(Optional.of(new AllottedPlace(counts, now)));
     }
 
-    /** The free places of the window go to all newcomers of the next second alike, at whichever node they ask. */
-    private boolean newcomerMayPass(Team team) {
+    /** For a request of a program under way. */
+    private boolean maySpend(Team team) {
         TeamUse use = use(team);
-        double free = most(team) - use.planned();
-        if (free <= 0) {
-            return false;
-        }
-        double passing = team.allotment().ratePerSecond() + free / SPREAD_SECONDS;
-        double asking = use.asked() / (TeamCounts.ASKED_SPAN.toMillis() / 1000.0);
-        return random.nextDouble() * asking < passing;
+        return drawn(
+                free(team, use.ran()), use.ran(), use.pressed(), others(team).pressed());
     }
 
-    private int ran(Team team) {
-        return use(team).ran();
+    /** For a program's first request, or one of none. */
+    private boolean mayBegin(Team team) {
+        TeamUse use = use(team);
+        double free = free(team, use.planned());
+        return free > 0 && drawn(free, use.planned(), use.asked(), others(team).asked());
+    }
+
+    /**
+     * Where more ask than there are free places, these go to all that ask in the next while alike, at whichever node: each
+     * node sees the same ones, and would fill them all before it hears of the others. What leaves the window is free, too. As
+     * many as others let ask are taken to have asked there since unheard.
+     */
+    private boolean drawn(double free, Windowed taken, int asking, int askingOthers) {
+        double leavingPerSecond =
+                LEAVING_SHARE * taken.leaving() * 5000.0 / rule.window().toMillis();
+        boolean allSeen = unseenShare() == 0;
+        return (allSeen && asking + UNHEARD_SHARE * askingOthers <= free + rule.unheard())
+                || random.nextDouble() * perSecond(asking) < free / SPREAD_SECONDS + leavingPerSecond;
+    }
+
+    private static double perSecond(int asking) {
+        return asking * 1000.0 / TeamCounts.ASKED_SPAN.toMillis();
     }
 
     private TeamUse use(Team team) {
         TeamCounts counts = own.get(team.name());
-        TeamUse others = peers.total().of(team.name());
-        return counts == null ? others : others.plus(counts.use());
+        return counts == null ? others(team) : others(team).plus(counts.use());
+    }
+
+    private TeamUse others(Team team) {
+        return peers.total().of(team.name());
+    }
+
+    private double free(Team team, Windowed taken) {
+        Allotment allotment = team.allotment();
+        double late = rule.late(allotment) - taken.late();
+        double unseen = unseenShare();
+        double whole = unseen == 0 ? rule.whole(allotment) : rule.seen(allotment, unseen);
+        return Math.min(late, whole - taken.whole());
     }
 
-    /** What may run in the window, less the share of it in which nobody knows what former lives of nodes let pass. */
-    private double most(Team team) {
+    private double unseenShare() {
         int unseen = peers.total().unseenMillis() + unseenMillis();
-        double spanMillis = (double) window.toMillis() * (peers.total().nodes() + 1);
-        return team.allotment().most(window.toMillis() / 1000.0) * (1 - Math.min(1, unseen / spanMillis));
+        double spanMillis = (double) rule.window().toMillis() * (peers.total().nodes() + 1);
+        return Math.min(1, unseen / spanMillis);
     }
 
     private int unseenMillis() {
         long seen = (nanos.getAsLong() - startNanos) / NANOS_PER_MILLI;
-        return (int) Math.max(0, window.toMillis() - seen);
+        return (int) Math.max(0, rule.window().toMillis() - seen);
     }
 }
--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/PeerUse.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/PeerUse.java
@@ -8,7 +8,7 @@
 /**
  * The use of allotments at other nodes, by who told it. When nodes drop out of a report, since they died, were cut off or
  * another hub sums up their zone, what they let pass still counts in the window; forgotten at once, a team at its limit could
- * have its allotment twice. So the fullest report holds on, falling over a window, until as many nodes are in it again.
+ * have its allotment twice. So the fullest report holds on, falling in the second half of a window, until as many nodes are in it again.
  */
 final class PeerUse {
     private final long windowNanos;
@@ -47,7 +47,9 @@
         if (each.newest().equals(each.fullest())) {
             return each.newest();
         }
-        double left = 1 - (double) (now - each.fullestNanos()) / windowNanos;
+        double age = (double) (now - each.fullestNanos()) / windowNanos;
+        // Much of it may be from the last moment; after a whole window none is left.
+        double left = Math.min(1, 2 * (1 - age));
         return left <= 0 ? each.newest() : each.newest().most(each.fullest().times(left));
     }
 }
--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/SlidingCount.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/SlidingCount.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Arrays;
+import java.util.stream.LongStream;
 
 /**
  * A count over the last span of time, kept in slots. A slot leaves as a whole, when all of it is older than the span: the
@@ -9,6 +10,8 @@
  */
 final class SlidingCount {
     private static final int SLOTS = 50;
+    /** Slots of this age and above are the oldest fifth. */
+    private static final int OLD_SLOTS = SLOTS - SLOTS / 5;
 
     private final long slotNanos;
     private final int[] counts = new int[SLOTS + 1];
@@ -36,6 +39,20 @@
         return sum;
     }
 
+    /** The sum, and those of its parts. */
+    Windowed windowed(long nowNanos) {
+        int whole = sum(nowNanos);
+        return whole == 0
+                ? Windowed.NONE
+                : new Windowed(whole, between(newest - SLOTS / 2, newest), between(newest - SLOTS, newest - OLD_SLOTS));
+    }
+
+    private int between(long first, long last) {
+        return LongStream.rangeClosed(first, last)
+                .mapToInt(slot -> counts[place(slot)])
+                .sum();
+    }
+
     private void advance(long slot) {
         if (newest == Long.MIN_VALUE || slot - newest >= counts.length) {
             Arrays.fill(counts, 0);
--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/TeamCounts.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/TeamCounts.java
@@ -5,19 +5,19 @@
 
 /** What one node has let pass of one team. */
 final class TeamCounts {
-    /** Span over which the rate at which newcomers ask is taken: some programs of a small team, and short beside a burst. */
-    static final Duration ASKED_SPAN = Duration.ofSeconds(1);
+    /** Span over which the rate of asking is taken: short beside a burst, and some requests of a small team. */
+    static final Duration ASKED_SPAN = Duration.ofMillis(500);
 
     private final LongSupplier nanos;
     private final SlidingCount ran;
     private final SlidingCount planned;
-    private final SlidingCount asked;
+    private final SlidingCount asked = new SlidingCount(ASKED_SPAN);
+    private final SlidingCount pressed = new SlidingCount(ASKED_SPAN);
 
     TeamCounts(LongSupplier nanos, Duration window) {
         this.nanos = nanos;
         ran = new SlidingCount(window);
         planned = new SlidingCount(window);
-        asked = new SlidingCount(ASKED_SPAN);
     }
 
     long now() {
@@ -36,8 +36,12 @@
         asked.add(now(), need);
     }
 
+    void pressed() {
+        pressed.add(now(), 1);
+    }
+
     TeamUse use() {
         long now = now();
-        return new TeamUse(ran.sum(now), planned.sum(now), asked.sum(now));
+        return new TeamUse(ran.windowed(now), planned.windowed(now), asked.sum(now), pressed.sum(now));
     }
 }
--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/TeamUse.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/TeamUse.java
@@ -3,13 +3,14 @@
 /**
  * What was let pass of a team, at one node or at several.
  *
- * @param ran requests that went to runners within the allotment's window
- * @param planned requests that the programs begun within the window need by what such programs usually need
- * @param asked requests that the programs need that asked to begin within the last second, whether they might or not
+ * @param ran requests that went to runners
+ * @param planned requests that the programs need that were let begin, by what such programs usually need
+ * @param asked requests that the programs need that asked to begin within the last while, whether they might or not
+ * @param pressed requests of programs under way that asked to run within the last while, whether they might or not
  */
-public record TeamUse(int ran, int planned, int asked) {
+public record TeamUse(Windowed ran, Windowed planned, int asked, int pressed) {
     /** Nothing. */
-    public static final TeamUse NONE = new TeamUse(0, 0, 0);
+    public static final TeamUse NONE = new TeamUse(Windowed.NONE, Windowed.NONE, 0, 0);
 
     /**
      * Both together.
@@ -18,7 +19,8 @@
      * @return the sum
      */
     public TeamUse plus(TeamUse other) {
-        return new TeamUse(ran + other.ran, planned + other.planned, asked + other.asked);
+        return new TeamUse(
+                ran.plus(other.ran), planned.plus(other.planned), asked + other.asked, pressed + other.pressed);
     }
 
     /**
@@ -29,21 +31,24 @@
      */
     public TeamUse minus(TeamUse part) {
         return new TeamUse(
-                Math.max(0, ran - part.ran), Math.max(0, planned - part.planned), Math.max(0, asked - part.asked));
+                ran.minus(part.ran),
+                planned.minus(part.planned),
+                Math.max(0, asked - part.asked),
+                Math.max(0, pressed - part.pressed));
     }
 
-    /**
-     * The larger of each.
-     *
-     * @param other another account of the same
-     * @return the larger of both
-     */
+    /** The larger of each. */
     TeamUse most(TeamUse other) {
-        return new TeamUse(Math.max(ran, other.ran), Math.max(planned, other.planned), Math.max(asked, other.asked));
+        return new TeamUse(
+                ran.most(other.ran),
+                planned.most(other.planned),
+                Math.max(asked, other.asked),
+                Math.max(pressed, other.pressed));
     }
 
     TeamUse times(double share) {
-        return new TeamUse((int) (ran * share), (int) (planned * share), (int) (asked * share));
+        return new TeamUse(
+                ran.times(share), planned.times(share), Windowed.scaled(asked, share), Windowed.scaled(pressed, share));
     }
 
     boolean isNone() {
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 import org.parsleydrift.placement.Candidate;
 import org.parsleydrift.placement.PromptMemory;
 import org.parsleydrift.placement.RetryBudget;
@@ -73,6 +74,17 @@
         return Map.copyOf(ownLoad);
     }
 
+    /**
+     * Requests that all nodes have at all runners.
+     *
+     * @return their number
+     */
+    public int fleetLoad() {
+        return Stream.concat(ownLoad.values().stream(), peerTotal.values().stream())
+                .mapToInt(Integer::intValue)
+                .sum();
+    }
+
     /**
      * Takes in what other nodes have at each runner.
      *
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/BrokenTurnTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/BrokenTurnTest.java
@@ -30,6 +30,7 @@
 import org.parsleydrift.conversation.StoreMember;
 import org.parsleydrift.conversation.StoreSet;
 import org.parsleydrift.kernel.SystemClock;
+import org.parsleydrift.placement.AllotmentRule;
 import org.parsleydrift.placement.Allotments;
 import org.parsleydrift.registry.CallKind;
 import org.parsleydrift.registry.CallerLimits;
@@ -91,7 +92,8 @@
                 registry,
                 new Dispatcher(registry, new Random(1), "z", loop.clock()::nanos),
                 new Conversations(client),
-                new Allotments(loop.clock()::nanos, new Random(3), Duration.ofSeconds(5), () -> true),
+                new Allotments(
+                        loop.clock()::nanos, new Random(3), new AllotmentRule(Duration.ofSeconds(5), 20), () -> true),
                 RelayDialect.own(),
                 new Random(2),
                 new SimpleMeterRegistry());
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RelayTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RelayTest.java
@@ -26,6 +26,7 @@
 import org.parsleydrift.conversation.FrameSender;
 import org.parsleydrift.conversation.ReplicaCalls;
 import org.parsleydrift.kernel.SystemClock;
+import org.parsleydrift.placement.AllotmentRule;
 import org.parsleydrift.placement.Allotments;
 import org.parsleydrift.registry.CallKind;
 import org.parsleydrift.registry.CallerLimits;
@@ -77,7 +78,8 @@
                 registry,
                 dispatcher,
                 new Conversations(new ConversationClient(loop, calls)),
-                new Allotments(loop.clock()::nanos, new Random(3), Duration.ofSeconds(5), () -> true),
+                new Allotments(
+                        loop.clock()::nanos, new Random(3), new AllotmentRule(Duration.ofSeconds(5), 20), () -> true),
                 RelayDialect.own(),
                 new Random(2),
                 new SimpleMeterRegistry());
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -83,8 +83,8 @@
                 request -> CompletableFuture.failedFuture(
                         new StepException(Step.FORWARD, self.name(), "an entry node keeps no conversations")));
         stores = new ConversationClient(parts.loop, calls);
-        allotments = new Allotments(
-                parts.loop.clock()::nanos, parts.random, settings.allotmentWindow(), this::knowsFleetsUse);
+        allotments =
+                new Allotments(parts.loop.clock()::nanos, parts.random, settings.allotmentRule(), this::knowsFleetsUse);
         dispatcher = new Dispatcher(registry, parts.random, settings.zone(), parts.loop.clock()::nanos);
         relay = new Relay(
                 parts.threads,
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/FleetUse.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/FleetUse.java
@@ -25,6 +25,11 @@
         return new NodeUse(keyed, allotments.report());
     }
 
+    /** Requests that all nodes have at runners. */
+    int requests() {
+        return dispatcher.fleetLoad();
+    }
+
     /** Nodes or zones told what they have in use; those that are gone have nothing. */
     void told(Map<String, NodeUse> uses) {
         Map<String, UseReport> reports = new HashMap<>();
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
@@ -85,6 +85,7 @@
     private final ZoneSummaries zones = new ZoneSummaries();
     private final ToldUse toldUse = new ToldUse();
     private final ZoneHub hub;
+    private final CallerSpread spread = new CallerSpread();
     private Said lastSaid = new Said(NodeUse.NONE, false, Map.of());
     private boolean actsAsHub;
     private int period;
@@ -141,13 +142,18 @@
         }
     }
 
-    /** Addresses for callers of all nodes that are ready, this one included. */
-    List<String> readyAddresses() {
+    /** All nodes that are ready, this one included. */
+    List<NodeIdentity> readyNodes() {
         Stream<NodeIdentity> others = peers.values().stream()
                 .filter(each -> alive(each) && each.state().orElseThrow().ready())
                 .map(each -> each.identity);
         Stream<NodeIdentity> own = ready.getAsBoolean() ? Stream.of(self) : Stream.empty();
-        return Stream.concat(own, others)
+        return Stream.concat(own, others).toList();
+    }
+
+    /** Addresses for callers: of the ready nodes, as many as the load needs. */
+    List<String> readyAddresses() {
+        return spread.named(readyNodes()).stream()
                 .sorted(Comparator.comparing((NodeIdentity each) -> !each.zone().equals(self.zone()))
                         .thenComparing(NodeIdentity::name))
                 .limit(MOST_ADDRESSES)
@@ -211,6 +217,7 @@
 
     private void tell() {
         forgetSilent();
+        spread.load(fleetUse.requests(), loop.clock().nanos());
         exchange.lookAtAge(checkAfter());
         boolean full = round % FULL_EVERY == 0;
         MeshPlan plan =
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeUse.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeUse.java
@@ -7,6 +7,7 @@
 import org.msgpack.core.MessageUnpacker;
 import org.parsleydrift.placement.TeamUse;
 import org.parsleydrift.placement.UseReport;
+import org.parsleydrift.placement.Windowed;
 
 /**
  * What an entry node, or several together, have in use.
@@ -45,10 +46,10 @@
         out.packMapHeader(teams.teams().size());
         for (Map.Entry<String, TeamUse> each : teams.teams().entrySet()) {
             TeamUse use = each.getValue();
-            out.packString(each.getKey())
-                    .packInt(use.ran())
-                    .packInt(use.planned())
-                    .packInt(use.asked());
+            out.packString(each.getKey());
+            writeCount(out, use.ran());
+            writeCount(out, use.planned());
+            out.packInt(use.asked()).packInt(use.pressed());
         }
     }
 
@@ -63,8 +64,17 @@
         Map<String, TeamUse> teams = new HashMap<>();
         int named = in.unpackMapHeader();
         for (int i = 0; i < named; i++) {
-            teams.put(in.unpackString(), new TeamUse(in.unpackInt(), in.unpackInt(), in.unpackInt()));
+            String team = in.unpackString();
+            teams.put(team, new TeamUse(readCount(in), readCount(in), in.unpackInt(), in.unpackInt()));
         }
         return new NodeUse(load, new UseReport(nodes, unseenMillis, teams));
     }
+
+    private static void writeCount(MessagePacker out, Windowed count) throws IOException {
+        out.packInt(count.whole()).packInt(count.late()).packInt(count.leaving());
+    }
+
+    private static Windowed readCount(MessageUnpacker in) throws IOException {
+        return new Windowed(in.unpackInt(), in.unpackInt(), in.unpackInt());
+    }
 }
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RoleSettings.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RoleSettings.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Optional;
+import org.parsleydrift.placement.AllotmentRule;
 
 /**
  * Settings of a process of the caller-driven deployment (docs/OPERATIONS.md).
@@ -21,7 +22,7 @@
  * @param firstStart whether the whole system starts for the first time, with empty disks
  * @param toleratedLosses disks of store VMs that may be lost at once; store only
  * @param storeMembers members of the set at most; store VMs beyond them stand by; store only
- * @param allotmentWindow span in which requests count against their team's allotment; entry only
+ * @param allotmentRule how requests count against their team's allotment; entry only
  * @param grace time between SIGTERM and the end by force
  */
 public record RoleSettings(
@@ -39,5 +40,5 @@
         boolean firstStart,
         int toleratedLosses,
         int storeMembers,
-        Duration allotmentWindow,
+        AllotmentRule allotmentRule,
         Duration grace) {}
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RoleSettingsReader.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RoleSettingsReader.java
@@ -15,6 +15,7 @@
 import java.util.function.Function;
 import org.parsleydrift.kernel.Step;
 import org.parsleydrift.kernel.StepException;
+import org.parsleydrift.placement.AllotmentRule;
 
 /**
  * Reads and checks settings: JSON with comments. All faults are told at once; fields that are not known are passed over.
@@ -28,7 +29,7 @@
     private static final int DEFAULT_TOLERATED_LOSSES = 1;
 
     /** Long beside the tenths of a second after which nodes know of each other's requests. */
-    private static final Duration DEFAULT_ALLOTMENT_WINDOW = Duration.ofSeconds(5);
+    private static final double DEFAULT_ALLOTMENT_WINDOW_SECONDS = 5;
 
     private final JsonNode root;
     private final List<String> faults = new ArrayList<>();
@@ -98,20 +99,28 @@
                 root.path("first_start").asBoolean(false),
                 toleratedLosses,
                 role == RoleKind.STORE ? storeMembers(2 * toleratedLosses + 1) : 0,
-                allotmentWindow(),
+                allotmentRule(),
                 required("grace_s", text -> Duration.ofMillis((long) (Double.parseDouble(text) * 1000))));
     }
 
-    private Duration allotmentWindow() {
-        JsonNode value = root.path("allotment_window_s");
+    private AllotmentRule allotmentRule() {
+        double window = number("allotment_window_s", DEFAULT_ALLOTMENT_WINDOW_SECONDS);
+        if (window == 0) {
+            faults.add("/allotment_window_s must be above 0");
+        }
+        return new AllotmentRule(Duration.ofMillis((long) (window * 1000)), number("allotment_slack", 0));
+    }
+
+    private double number(String field, double usual) {
+        JsonNode value = root.path(field);
         if (value.isMissingNode()) {
-            return DEFAULT_ALLOTMENT_WINDOW;
+            return usual;
         }
-        if (!value.isNumber() || value.asDouble() <= 0) {
-            faults.add("/allotment_window_s is no number above 0");
-            return DEFAULT_ALLOTMENT_WINDOW;
+        if (!value.isNumber() || value.asDouble() < 0) {
+            faults.add("/" + field + " is no number from 0");
+            return usual;
         }
-        return Duration.ofMillis((long) (value.asDouble() * 1000));
+        return value.asDouble();
     }
 
     /** Unless said otherwise the least number of which a majority is left when as many disks as may be are lost at once. */
--- /dev/null
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/CallerSpreadTest.java
@@ -0,0 +1,74 @@
+package org.parsleydrift.roles;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.testng.annotations.Test;
+
+/** Which nodes of a fleet callers are told of. */
+public class CallerSpreadTest {
+    private static final int FLEET = 66;
+    private static final int ZONES = 3;
+    /** A third of the fleet, and as many in each zone. */
+    private static final int LEAST = 24;
+
+    private final CallerSpread spread = new CallerSpread();
+
+    private static List<NodeIdentity> nodes(int count) {
+        return IntStream.range(0, count)
+                .mapToObj(each ->
+                        new NodeIdentity("n%02d".formatted(each), "z" + each % ZONES, each + ":80", each + ":90"))
+                .toList();
+    }
+
+    @Test
+    public void aSmallFleetIsNamedWhole() {
+        assertEquals(spread.named(nodes(16)), nodes(16));
+    }
+
+    /**
+     * Each of 66 nodes served some fifteen requests a second, opened a connection to a runner for every third of them, and
+     * spent several times the processor time of a warm node on each. The load needs a third of the nodes.
+     */
+    @Test
+    public void aLargeFleetIsNamedAsTheLoadNeeds() {
+        spread.load(60, 0);
+        List<NodeIdentity> named = spread.named(nodes(FLEET));
+        assertEquals(named.size(), LEAST);
+        assertTrue(
+                named.stream()
+                        .collect(Collectors.groupingBy(NodeIdentity::zone, Collectors.counting()))
+                        .values()
+                        .stream()
+                        .allMatch(each -> each == named.size() / ZONES));
+        assertFalse(named.stream().anyMatch(each -> each.name().equals("n00")), "a hub is named");
+    }
+
+    /** A burst of thrice the load, or nodes that have become slow: more nodes are named before the next list is asked for. */
+    @Test
+    public void moreAreNamedAtOnceAndFewerAfterAWhile() {
+        spread.load(60, 0);
+        spread.load(180, 1);
+        assertEquals(spread.named(nodes(FLEET)).size(), 45);
+        spread.load(60, Duration.ofSeconds(1).toNanos());
+        assertEquals(spread.named(nodes(FLEET)).size(), 45);
+        spread.load(60, CallerSpread.HELD.toNanos() + 2);
+        assertEquals(spread.named(nodes(FLEET)).size(), LEAST);
+        spread.load(10_000, CallerSpread.HELD.toNanos() + 3);
+        assertEquals(spread.named(nodes(FLEET)).size(), FLEET);
+    }
+
+    /** When a zone is lost, the others' nodes are named as far as there are any. */
+    @Test
+    public void aZoneWithFewNodesNamesWhatItHas() {
+        List<NodeIdentity> ready = nodes(FLEET).stream()
+                .filter(each -> !each.zone().equals("z0") || each.name().equals("n63"))
+                .toList();
+        assertTrue(spread.named(ready).stream().anyMatch(each -> each.name().equals("n63")));
+    }
+}
--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/MeshMember.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/MeshMember.java
@@ -13,6 +13,7 @@
 import org.parsleydrift.conversation.FrameSender;
 import org.parsleydrift.kernel.ManualEventLoop;
 import org.parsleydrift.kernel.ManualScheduler;
+import org.parsleydrift.placement.AllotmentRule;
 import org.parsleydrift.placement.Allotments;
 import org.parsleydrift.registry.ObjectChanges;
 import org.parsleydrift.registry.ObjectDecoder;
@@ -84,7 +85,7 @@
             }
         });
         Dispatcher dispatcher = new Dispatcher(registry, new Random(1), "z", time::nanos);
-        allotments = new Allotments(time::nanos, random, Duration.ofSeconds(5), () -> true);
+        allotments = new Allotments(time::nanos, random, new AllotmentRule(Duration.ofSeconds(5), 20), () -> true);
         mesh = new NodeMesh(
                 loop,
                 sender(),
--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/NodeMeshAtScaleTest.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/NodeMeshAtScaleTest.java
@@ -46,8 +46,8 @@
 
     @Test
     public void everyNodeNamesEveryReadyNode() {
-        members.values().forEach(each -> assertEquals(each.mesh.readyAddresses().size(), NODES));
-        assertTrue(members.get("z1-05").mesh.readyAddresses().getFirst().startsWith("z1-"));
+        members.values().forEach(each -> assertEquals(each.mesh.readyNodes().size(), NODES));
+        assertTrue(members.get("z1-05").mesh.readyNodes().getFirst().startsWith("z1-"));
     }
 
     /**
@@ -69,13 +69,13 @@
         members.get("z0-00").cut = true;
         IntStream.range(0, 40).forEach(step -> {
             time.advance(Duration.ofMillis(100));
-            int named = members.get("z1-07").mesh.readyAddresses().size();
+            int named = members.get("z1-07").mesh.readyNodes().size();
             assertTrue(named >= NODES - 1, "named " + named + " after " + step + " steps");
         });
-        assertFalse(members.get("z1-07").mesh.readyAddresses().contains("z0-00:80"));
+        assertFalse(members.get("z1-07").mesh.readyNodes().contains("z0-00:80"));
         members.get("z0-00").cut = false;
         time.advance(Duration.ofSeconds(3));
-        members.values().forEach(each -> assertEquals(each.mesh.readyAddresses().size(), NODES));
+        members.values().forEach(each -> assertEquals(each.mesh.readyNodes().size(), NODES));
         long frames = frames(Duration.ofMillis(3200));
         assertTrue(frames < 10 * 4 * NODES, "frames " + frames);
     }
@@ -87,7 +87,7 @@
         stopping.ready = false;
         stopping.mesh.tellNow();
         time.advance(Duration.ofMillis(330));
-        members.values().forEach(each -> assertFalse(each.mesh.readyAddresses().contains(stopping.identity.callers())));
+        members.values().forEach(each -> assertFalse(each.mesh.readyNodes().contains(stopping.identity.callers())));
     }
 
     /** The platform turns all nodes of two zones away; a change that the third learns reaches them all in time. */
@@ -108,6 +108,6 @@
         time.advance(Duration.ofSeconds(3));
         add(4 * ZONES + 1);
         time.advance(Duration.ofSeconds(6));
-        assertEquals(members.get("z1-04").mesh.readyAddresses().size(), NODES);
+        assertEquals(members.get("z1-04").mesh.readyNodes().size(), NODES);
     }
 }
--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/RoleSettingsReaderTest.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/RoleSettingsReaderTest.java
@@ -78,9 +78,9 @@
     @Test
     public void theWindowOfAllotmentsIsALengthOfTime() {
         String entry = ENTRY.replace("\"grace_s\"", "\"allotment_window_s\": 2.5, \"grace_s\"");
-        assertEquals(RoleSettingsReader.parse("settings", entry).allotmentWindow(), Duration.ofMillis(2500));
+        assertEquals(RoleSettingsReader.parse("settings", entry).allotmentRule().window(), Duration.ofMillis(2500));
         StepException fault = expectThrows(
                 StepException.class, () -> RoleSettingsReader.parse("settings", entry.replace("2.5", "0")));
-        assertTrue(fault.getMessage().contains("/allotment_window_s is no number above 0"), fault.getMessage());
+        assertTrue(fault.getMessage().contains("/allotment_window_s must be above 0"), fault.getMessage());
     }
 }
