--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/Route.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/Route.java
@@ -48,6 +48,24 @@
         return kind == CallKind.IDEMPOTENT;
     }
 
+    /**
+     * Whether answers are streams of events.
+     *
+     * @return true for streaming routes
+     */
+    public boolean streaming() {
+        return kind == CallKind.STREAMING;
+    }
+
+    /**
+     * Whether a request may go to another runner though one may have begun it.
+     *
+     * @return true for idempotent routes and streams that may be resumed
+     */
+    public boolean mayRunTwice() {
+        return repeatable() || (streaming() && resumable);
+    }
+
     /**
      * Chooses a destination.
      *
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -15,7 +15,6 @@
 import org.parsleydrift.placement.Candidate;
 import org.parsleydrift.placement.HeldPart;
 import org.parsleydrift.placement.PromptPart;
-import org.parsleydrift.registry.CallKind;
 import org.parsleydrift.registry.Route;
 import org.parsleydrift.registry.RoutingManifest;
 import org.parsleydrift.registry.Runner;
@@ -29,7 +28,6 @@
     private static final Logger LOG = System.getLogger(RelayedRequest.class.getName());
     private static final String ANSWERED = "answered";
     private static final String DENIED = "denied";
-    private static final String KEY_TAKEN_AWAY = "key_taken_away";
     private static final String OVER_ALLOTMENT = "over the team's allotment";
 
     private final Relay relay;
@@ -93,7 +91,7 @@
         Optional<Duration> full = claim.full();
         if (full.isPresent()) {
             refuse(429, OVER_ALLOTMENT, full.get());
-        } else if (isTurn()) {
+        } else if (facts.turnOn(route)) {
             begin();
         } else {
             admit();
@@ -114,7 +112,19 @@
         if (stage == RequestStage.WAITING
                 && claim.takenAway()
                 && relay.dispatcher().withdraw(this)) {
-            own(401, DENIED, KEY_TAKEN_AWAY);
+            keyTakenAway();
+        }
+    }
+
+    /** A key that is gone from a manifest that may be old may have been given back since. */
+    private void keyTakenAway() {
+        if (tries.mayHaveRun()) {
+            own(502, "unknown", "sent once; its key was taken away");
+        } else if (relay.registry().manifestCurrent()) {
+            claim.giveBack();
+            own(401, DENIED, "key_taken_away");
+        } else {
+            refuse("key gone from a manifest that may be old", RelayLimits.COME_BACK_MANIFEST);
         }
     }
 
@@ -184,7 +194,9 @@
 
     @Override
     public boolean underWay() {
-        return !heard.isEmpty() || chained || (!isTurn() && !facts.program().isEmpty());
+        return !heard.isEmpty()
+                || chained
+                || (!facts.turnOn(route) && !facts.program().isEmpty());
     }
 
     @Override
@@ -208,7 +220,7 @@
         if (tries.offers() == 1) {
             relay.dispatcher().retries(service).firstTry();
         }
-        exchange = new RunnerExchange(this, relay, runner, streaming(), route.keepsConversation());
+        exchange = new RunnerExchange(this, relay, runner, route.streaming(), route.keepsConversation());
         limitSilence(runner, exchange);
         // Last: a kept connection may turn out useless at once, and the request may then be offered anew from within.
         exchange.start();
@@ -220,7 +232,7 @@
      */
     private void limitSilence(Runner runner, RunnerExchange offered) {
         silenceTimer.cancel();
-        if (!streaming() && !route.targetLatency().isZero() && mayRunAgain()) {
+        if (!route.streaming() && !route.targetLatency().isZero() && mayRunAgain()) {
             silenceTimer = relay.loop().schedule(route.targetLatency(), () -> silent(runner, offered));
         }
     }
@@ -236,7 +248,7 @@
 
     RunnerRequest runnerRequest(Runner runner) {
         return RunnerRequest.of(
-                request, facts, claim.team(), relay.dialect(), runner, leftMillis(), body, repeatable());
+                request, facts, claim.team(), relay.dialect(), runner, leftMillis(), body, route.mayRunTwice());
     }
 
     /** The runner said, or it is certain, that the request was not begun there. */
@@ -280,7 +292,7 @@
     }
 
     private boolean mayRunAgain() {
-        return repeatable() && tries.anotherAllowed(route.maxAttempts()) && leftMillis() > 0 && hasOtherRunner();
+        return route.mayRunTwice() && tries.anotherAllowed(route.maxAttempts()) && leftMillis() > 0 && hasOtherRunner();
     }
 
     private boolean hasOtherRunner() {
@@ -375,7 +387,7 @@
 
     private void queue() {
         if (claim.takenAway()) {
-            own(401, DENIED, KEY_TAKEN_AWAY);
+            keyTakenAway();
             return;
         }
         stage = RequestStage.WAITING;
@@ -481,18 +493,4 @@
     private Duration elapsed() {
         return Duration.ofNanos(relay.loop().clock().nanos() - startNanos);
     }
-
-    private boolean streaming() {
-        return route.kind() == CallKind.STREAMING;
-    }
-
-    private boolean isTurn() {
-        return streaming()
-                && (route.keepsConversation()
-                        || (facts.budget().isPresent() && !facts.program().isEmpty()));
-    }
-
-    private boolean repeatable() {
-        return route.repeatable() || (streaming() && route.resumable());
-    }
 }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestFacts.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestFacts.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import java.util.regex.Pattern;
 import org.parsleydrift.placement.PromptPart;
+import org.parsleydrift.registry.Route;
 
 /**
  * What the headers of a request say.
@@ -35,6 +36,11 @@
     /** A part with up to eight digits of tokens: more than any engine holds, and no overflow. */
     private static final Pattern PART = Pattern.compile("\\s*[^,:\\s]+:\\d{1,8}\\s*");
 
+    /** Whether it is a turn, which the store VMs are told of: one that is kept, or that has a program's budget. */
+    boolean turnOn(Route route) {
+        return route.streaming() && (route.keepsConversation() || (budget.isPresent() && !program.isEmpty()));
+    }
+
     /** Tokens of all parts of the prompt. */
     int promptTokens() {
         return prompt.stream().mapToInt(PromptPart::tokens).sum();
