One start of a node takes little from its teams

Cause: as soon as one node of a fleet was younger than the window the slack was taken back and each request drawn by lot, for all teams and all nodes: in a fleet whose nodes are stopped and started in turn that is always so. Change: burst, slack and the pass for all that ask fall with the unseen share of the window, to nothing at a quarter of it.

--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/AllotmentRule.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/AllotmentRule.java
@@ -17,13 +17,8 @@
     /** Share of the slack for what others let pass that is not heard yet. */
     private static final double SLACK_FOR_UNHEARD = 0.5;
 
-    /** The burst is taken as used up where one part in so many of the window is unseen. */
-    private static final double BURST_PER_UNSEEN = 4;
-
-    /** Requests that a team may run in the window. */
-    double whole(Allotment allotment) {
-        return allotment.most(seconds()) + SLACK_GIVEN_OUT * slack;
-    }
+    /** Nothing beyond the rate is given out where one part in so many of the window is unseen. */
+    private static final double LOST_PER_UNSEEN = 4;
 
     /**
      * Requests that a team may run in the later half of the window. So it has little more than the burst beyond its rate at any
@@ -34,17 +29,29 @@
     }
 
     /**
-     * Requests that a team may run in the window when part of it is unseen: there its rate counts as used up, and the burst as
-     * taken.
+     * Requests that a team may run in the window. Of the part that nobody has seen its rate counts as used up; the burst and
+     * the slack are given out by how little is unseen.
+     *
+     * @param allotment the team's
+     * @param unseen share of the window that lies before the starts of nodes, 0 to 1
      */
-    double seen(Allotment allotment, double unseen) {
-        double burst = allotment.burst() * Math.max(0, 1 - BURST_PER_UNSEEN * unseen);
-        return allotment.ratePerSecond() * seconds() * (1 - unseen) + burst;
+    double whole(Allotment allotment, double unseen) {
+        double above = allotment.burst() + SLACK_GIVEN_OUT * slack;
+        return allotment.ratePerSecond() * seconds() * (1 - unseen) + above * known(unseen);
+    }
+
+    /** Requests that may run beyond what is given out, for want of hearing of others in time; none where much is unseen. */
+    double unheard(double unseen) {
+        return SLACK_FOR_UNHEARD * slack * known(unseen);
+    }
+
+    /** Whether so little of the window is unseen that requests may pass without being drawn. */
+    static boolean wellKnown(double unseen) {
+        return known(unseen) > 0;
     }
 
-    /** Requests that may run beyond what is given out, for want of hearing of others in time. */
-    double unheard() {
-        return SLACK_FOR_UNHEARD * slack;
+    private static double known(double unseen) {
+        return Math.max(0, 1 - LOST_PER_UNSEEN * unseen);
     }
 
     private double seconds() {
--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/Allotments.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/Allotments.java
@@ -9,7 +9,6 @@
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
-import org.parsleydrift.registry.Allotment;
 import org.parsleydrift.registry.Team;
 
 /**
@@ -175,11 +174,13 @@
      * many as others let ask are taken to have asked there since unheard.
      */
     private boolean drawn(double free, Windowed taken, int asking, int askingOthers) {
-        double leavingPerSecond =
-                LEAVING_SHARE * taken.leaving() * 5000.0 / rule.window().toMillis();
-        boolean allSeen = unseenShare() == 0;
-        return (allSeen && asking + UNHEARD_SHARE * askingOthers <= free + rule.unheard())
-                || random.nextDouble() * perSecond(asking) < free / SPREAD_SECONDS + leavingPerSecond;
+        double leavingPerSecond = LEAVING_SHARE
+                * taken.leaving()
+                / (Windowed.LEAVING_PART * rule.window().toMillis() / 1000.0);
+        double unseen = unseenShare();
+        boolean allMayPass =
+                AllotmentRule.wellKnown(unseen) && asking + UNHEARD_SHARE * askingOthers <= free + rule.unheard(unseen);
+        return allMayPass || random.nextDouble() * perSecond(asking) < free / SPREAD_SECONDS + leavingPerSecond;
     }
 
     private static double perSecond(int asking) {
@@ -196,11 +197,9 @@
     }
 
     private double free(Team team, Windowed taken) {
-        Allotment allotment = team.allotment();
-        double late = rule.late(allotment) - taken.late();
-        double unseen = unseenShare();
-        double whole = unseen == 0 ? rule.whole(allotment) : rule.seen(allotment, unseen);
-        return Math.min(late, whole - taken.whole());
+        double late = rule.late(team.allotment()) - taken.late();
+        double whole = rule.whole(team.allotment(), unseenShare()) - taken.whole();
+        return Math.min(late, whole);
     }
 
     private double unseenShare() {
--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/SlidingCount.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/SlidingCount.java
@@ -10,8 +10,8 @@
  */
 final class SlidingCount {
     private static final int SLOTS = 50;
-    /** Slots of this age and above are the oldest fifth. */
-    private static final int OLD_SLOTS = SLOTS - SLOTS / 5;
+    /** Slots of this age and above leave next. */
+    private static final int OLD_SLOTS = SLOTS - (int) (SLOTS * Windowed.LEAVING_PART);
 
     private final long slotNanos;
     private final int[] counts = new int[SLOTS + 1];
--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/Windowed.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/Windowed.java
@@ -8,6 +8,8 @@
  * @param leaving in the oldest fifth of it, which leaves next
  */
 public record Windowed(int whole, int late, int leaving) {
+    /** The part of the window that leaves next. */
+    static final double LEAVING_PART = 0.2;
     /** Nothing. */
     public static final Windowed NONE = new Windowed(0, 0, 0);
 
--- a/parsleydrift-placement/src/test/java/org/parsleydrift/placement/AllotmentFleet.java
+++ b/parsleydrift-placement/src/test/java/org/parsleydrift/placement/AllotmentFleet.java
@@ -115,12 +115,6 @@
         IntStream.range(0, (int) Math.round(share * nodes.length)).forEach(each -> nodes[each].cut = cut);
     }
 
-    /** What ran in the window that ends now. */
-    int ranNow() {
-        dropOld(ran);
-        return ran.size();
-    }
-
     /** What may run in any window before the rule is broken. */
     double bound() {
         return team.allotment().most(WINDOW.toMillis() / 1000.0) * 1.1 + 20;
