--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/CallerSpread.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/CallerSpread.java
@@ -15,8 +15,8 @@
  * are named at once, fewer only after the load was less for a while: callers leave nodes that are named no more.
  */
 final class CallerSpread {
-    /** Requests at runners for each named node: some 40 a second, of which a small VM serves twice as many. */
-    static final int REQUESTS_PER_NODE = 4;
+    /** Requests at runners for each named node: some 50 a second, of which a small VM serves twice as many. */
+    static final int REQUESTS_PER_NODE = 8;
     /** One part in so many of the ready nodes is named at least: as many as callers need that all come back at once. */
     static final int LEAST_SHARE = 3;
     /** A load counts for this long. */
--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/CallerSpreadTest.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/CallerSpreadTest.java
@@ -37,7 +37,7 @@
      */
     @Test
     public void aLargeFleetIsNamedAsTheLoadNeeds() {
-        spread.load(60, 0);
+        spread.load(120, 0);
         List<NodeIdentity> named = spread.named(nodes(FLEET));
         assertEquals(named.size(), LEAST);
         assertTrue(
@@ -52,12 +52,12 @@
     /** A burst of thrice the load, or nodes that have become slow: more nodes are named before the next list is asked for. */
     @Test
     public void moreAreNamedAtOnceAndFewerAfterAWhile() {
-        spread.load(60, 0);
-        spread.load(180, 1);
+        spread.load(120, 0);
+        spread.load(360, 1);
         assertEquals(spread.named(nodes(FLEET)).size(), 45);
-        spread.load(60, Duration.ofSeconds(1).toNanos());
+        spread.load(120, Duration.ofSeconds(1).toNanos());
         assertEquals(spread.named(nodes(FLEET)).size(), 45);
-        spread.load(60, CallerSpread.HELD.toNanos() + 2);
+        spread.load(120, CallerSpread.HELD.toNanos() + 2);
         assertEquals(spread.named(nodes(FLEET)).size(), LEAST);
         spread.load(10_000, CallerSpread.HELD.toNanos() + 3);
         assertEquals(spread.named(nodes(FLEET)).size(), FLEET);
