--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/TeamKeys.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/TeamKeys.java
@@ -23,7 +23,12 @@
      * @param keys its keys; none if all were taken away
      */
     public record Holder(Team team, List<String> keys) {
-        /** Copies the keys. */
+        /**
+         * Copies the keys.
+         *
+         * @param team the team
+         * @param keys its keys
+         */
         public Holder {
             keys = List.copyOf(keys);
         }
