Failing test: retries of all nodes in an outage of the platform

In an outage the platform answers no node, so each node counts as one of the first that it answers, and watches.

--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/PlatformCallsTest.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/PlatformCallsTest.java
@@ -20,6 +20,9 @@
     /** Maximum number of requests per node and second while one object changes per second. */
     private static final double MAX_CALLS_PER_NODE_SECOND = 0.2;
 
+    /** The same while the platform answers no node, including the retries of the watching nodes. */
+    private static final double MAX_OUTAGE_CALLS_PER_NODE_SECOND = 0.5;
+
     /** Guards against each change causing a request of every node to renew its watch. */
     @Test
     public void callsDoNotGrowWithTheNumberOfNodes() {
@@ -109,6 +112,21 @@
         });
     }
 
+    /** Guards against all nodes retrying their watches when the platform answers none of them. */
+    @Test
+    public void outageDoesNotMakeEveryNodeRetry() {
+        MeshFleet fleet = new MeshFleet(1, NODES);
+        fleet.time.advance(Duration.ofSeconds(20));
+        long before = fleet.platform.calls();
+        fleet.platform.down(true);
+        fleet.time.advance(Duration.ofSeconds(5));
+        double each = (double) (fleet.platform.calls() - before) / 5 / NODES;
+        assertTrue(each <= MAX_OUTAGE_CALLS_PER_NODE_SECOND, each + " requests per node and second");
+        fleet.platform.down(false);
+        fleet.change(ObjectKind.MANIFEST, 1, Duration.ofMillis(1));
+        assertFalse(fleet.isAnyNodeLate(ObjectKind.MANIFEST));
+    }
+
     private static List<String> firstOfZones(int each) {
         return IntStream.range(0, each * ZONES).mapToObj("n%02d"::formatted).toList();
     }
