Exchange reports on contention in an extension of the status frames

Cause: a node knows only its own waiting requests, so it can neither leave slots to better requests that wait elsewhere nor predict when the fleet's backlog is cleared. Change: FleetReport (waiting requests by service and rank, speed sums, return times) travels with NodeUsage and is written after the content of frames 14 and 16 as a map of keys 1 to 3. FleetUsage passes the total of the other reporters, aged and without those that timed out, to FleetReports at most every 20 ms; no implementation is plugged in yet. NodeMesh is split into MeshPeers, PlatformChecks and StatusReceiver. An empty report adds no byte, and changed speeds alone cause no frame. A malformed summary frame is now rejected before any of its summaries is applied.

--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeState.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeState.java
@@ -10,6 +10,7 @@
 import java.util.stream.Stream;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
+import org.parsleydrift.placement.fleet.FleetReport;
 import org.parsleydrift.registry.ObjectKind;
 
 /**
@@ -90,7 +91,7 @@
         return ready == other.ready
                 && reachesStores == other.reachesStores
                 && reachesPlatform == other.reachesPlatform
-                && usage.equals(other.usage)
+                && usage.isEquivalent(other.usage)
                 && latestRevisions(freshness).equals(latestRevisions(other.freshness));
     }
 
@@ -100,17 +101,24 @@
                         Map.Entry::getKey, each -> each.getValue().latestRevision()));
     }
 
+    private NodeState withReport(FleetReport report) {
+        return new NodeState(
+                name, identity, round, ready, reachesStores, reachesPlatform, freshness, usage.withReport(report));
+    }
+
+    /** Writes the state, followed by its report as the extension of the frame. */
     void write(MessagePacker out) throws IOException {
         out.packString(name);
         writeIdentity(out, identity);
         out.packInt(round).packBoolean(ready).packBoolean(reachesStores).packBoolean(reachesPlatform);
         writeFreshness(out, freshness);
         usage.write(out);
+        StatusExtension.write(out, usage.report());
     }
 
     static NodeState read(MessageUnpacker in) throws IOException {
         String name = in.unpackString();
-        return new NodeState(
+        NodeState state = new NodeState(
                 name,
                 readIdentity(in, name),
                 in.unpackInt(),
@@ -119,6 +127,7 @@
                 in.unpackBoolean(),
                 readFreshness(in),
                 NodeUsage.read(in));
+        return state.withReport(StatusExtension.read(in, name));
     }
 
     static void writeIdentity(MessagePacker out, Optional<NodeIdentity> identity) throws IOException {
--- /dev/null
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/PlatformChecks.java
@@ -0,0 +1,95 @@
+package org.parsleydrift.roles;
+
+import java.time.Duration;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.stream.Stream;
+
+/** Decides which nodes watch the platform for the whole fleet, and when a node checks it for changes itself. */
+final class PlatformChecks {
+    /**
+     * Staleness at which the first node checks for changes. Together with the status period, the next status frame and
+     * the lag allowed before a fetch, this lets all nodes apply a change within
+     * {@link org.parsleydrift.registry.StalenessTracker#MAX_STALENESS} even if every watch is dead.
+     */
+    private static final Duration CHECK_STALENESS = Duration.ofMillis(900);
+    /**
+     * Additional staleness for each further node. Exceeds the interval at which staleness is exchanged, so that usually
+     * a single node checks.
+     */
+    private static final Duration CHECK_STEP = Duration.ofMillis(500);
+    /**
+     * Minimum number of nodes that watch the platform for the whole fleet; two remain while the failure of one goes
+     * undetected.
+     */
+    private static final int MIN_WATCHING_NODES = 3;
+    /** Time until a started node knows from its peers whether it has to watch; it does not watch before. */
+    private static final Duration WATCH_START_DELAY = Duration.ofMillis(1200);
+
+    private final NodeIdentity self;
+    private final MeshPeers peers;
+    private final ObjectSync objectSync;
+    private final Consumer<Boolean> watchingListener;
+    private final LongSupplier nanos;
+    private final long startNanos;
+
+    PlatformChecks(
+            NodeIdentity self,
+            MeshPeers peers,
+            ObjectSync objectSync,
+            Consumer<Boolean> watchingListener,
+            LongSupplier nanos) {
+        this.self = self;
+        this.peers = peers;
+        this.objectSync = objectSync;
+        this.watchingListener = watchingListener;
+        this.nanos = nanos;
+        this.startNanos = nanos.getAsLong();
+    }
+
+    /**
+     * Decides whether this node watches the platform. The watching nodes are the first ones, by name, that the platform
+     * answers: of each zone in fleets with hubs, otherwise of the whole fleet.
+     */
+    boolean updateWatching() {
+        boolean starting = nanos.getAsLong() - startNanos < WATCH_START_DELAY.toNanos();
+        long preceding = peers.stream()
+                .filter(each -> !peers.usesHubs() || each.identity.zone().equals(self.zone()))
+                .filter(each -> each.name().compareTo(self.name()) < 0
+                        && peers.isAlive(each)
+                        && each.state().orElseThrow().reachesPlatform())
+                .count();
+        boolean watches = preceding < (peers.usesHubs() ? watchingNodesPerZone() : MIN_WATCHING_NODES);
+        objectSync.setWatching(watches && !starting);
+        watchingListener.accept(watches && !starting);
+        return watches && !starting;
+    }
+
+    private long watchingNodesPerZone() {
+        long zoneCount = Stream.concat(Stream.of(self.zone()), peers.stream().map(each -> each.identity.zone()))
+                .distinct()
+                .count();
+        return (MIN_WATCHING_NODES + zoneCount - 1) / zoneCount;
+    }
+
+    /** Checks for changes if this node's copies are stale. */
+    void checkIfStale() {
+        objectSync.checkIfStale(checkStaleness());
+    }
+
+    /**
+     * Returns the staleness at which this node checks for changes. Peers that the platform answers come before those
+     * that it rejects, then the order is by name.
+     */
+    private Duration checkStaleness() {
+        long preceding = peers.stream()
+                .filter(each -> peers.isAlive(each) && checksBefore(each))
+                .count();
+        return CHECK_STALENESS.plus(CHECK_STEP.multipliedBy(preceding));
+    }
+
+    private boolean checksBefore(MeshPeer peer) {
+        boolean answered = peer.state().orElseThrow().reachesPlatform();
+        return answered == objectSync.reachesPlatform() ? peer.identity.name().compareTo(self.name()) < 0 : answered;
+    }
+}
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/ZoneHub.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/ZoneHub.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.parsleydrift.conversation.FrameSender;
 import org.parsleydrift.kernel.codec.MessagePackFrames;
@@ -88,7 +89,18 @@
                 Optional.of(members),
                 states.stream().map(NodeState::round).toList(),
                 zoneFreshness(own, zonePeers, now),
-                states.stream().map(NodeState::usage).reduce(NodeUsage.NONE, NodeUsage::plus));
+                zoneUsage(own, zonePeers, now));
+    }
+
+    private static NodeUsage zoneUsage(NodeState own, List<MeshPeer> zonePeers, long now) {
+        return Stream.concat(
+                        Stream.of(own.usage()),
+                        zonePeers.stream()
+                                .map(each -> each.state()
+                                        .orElseThrow()
+                                        .usage()
+                                        .agedBy((now - each.stateNanos()) / NANOS_PER_MILLI)))
+                .reduce(NodeUsage.NONE, NodeUsage::plus);
     }
 
     private static ZoneSummary.Member member(NodeIdentity identity, NodeState state) {
@@ -120,6 +132,11 @@
             for (ZoneSummary each : summaries) {
                 each.write(out);
             }
+            StatusExtension.writeZones(
+                    out,
+                    summaries.stream()
+                            .collect(Collectors.toMap(
+                                    ZoneSummary::zone, each -> each.usage().report())));
         });
         receivers.forEach(each -> frames.send(each.link(), frame));
     }
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/ZoneSummary.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/ZoneSummary.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
+import org.parsleydrift.placement.fleet.FleetReport;
 import org.parsleydrift.registry.ObjectKind;
 
 /**
@@ -20,7 +21,7 @@
  * @param members nodes that the hub hears; empty if unchanged since the last list
  * @param rounds round of each member's latest state, in the order of the members
  * @param freshness latest revision and lowest staleness in the zone, by kind
- * @param usage sum of the usage of all members
+ * @param usage sum of the usage of all members; the return times of its report count from the creation of the summary
  */
 record ZoneSummary(
         String zone,
@@ -103,10 +104,15 @@
     boolean isEquivalent(ZoneSummary other) {
         return hub.equals(other.hub)
                 && version == other.version
-                && usage.equals(other.usage)
+                && usage.isEquivalent(other.usage)
                 && NodeState.latestRevisions(freshness).equals(NodeState.latestRevisions(other.freshness));
     }
 
+    /** Returns the summary with a report, which its frame carries apart from it. */
+    ZoneSummary withReport(FleetReport report) {
+        return new ZoneSummary(zone, hub, ageMillis, version, members, rounds, freshness, usage.withReport(report));
+    }
+
     private static Optional<List<Member>> membersWithDetail(Optional<List<Member>> members, Detail detail) {
         return switch (detail) {
             case NONE -> Optional.empty();
@@ -116,6 +122,7 @@
         };
     }
 
+    /** Writes the summary without its report. */
     void write(MessagePacker out) throws IOException {
         out.packString(zone).packString(hub).packLong(ageMillis).packLong(version);
         out.packBoolean(members.isPresent());
@@ -133,6 +140,7 @@
         usage.write(out);
     }
 
+    /** Reads a summary without its report. */
     static ZoneSummary read(MessageUnpacker in) throws IOException {
         String zone = in.unpackString();
         String hub = in.unpackString();
--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/MeshMember.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/MeshMember.java
@@ -15,6 +15,8 @@
 import org.parsleydrift.kernel.ManualScheduler;
 import org.parsleydrift.placement.QuotaPolicy;
 import org.parsleydrift.placement.QuotaTracker;
+import org.parsleydrift.placement.fleet.FleetReport;
+import org.parsleydrift.placement.fleet.FleetReports;
 import org.parsleydrift.registry.ObjectChanges;
 import org.parsleydrift.registry.ObjectDecoder;
 import org.parsleydrift.registry.ObjectKind;
@@ -42,6 +44,9 @@
     boolean disconnected;
     int sentFrames;
     long receivedBytes;
+    FleetReport ownReport = FleetReport.NONE;
+    FleetReport othersReport = FleetReport.NONE;
+    int reportUpdates;
     private final Map<String, MeshMember> members;
     private final ManualEventLoop loop;
     private final Random random;
@@ -90,7 +95,7 @@
                 loop,
                 sender(),
                 identity,
-                new FleetUsage(dispatcher, quotas),
+                new FleetUsage(dispatcher, quotas, fleetReports()),
                 () -> ready,
                 () -> reachesStores,
                 random,
@@ -145,6 +150,21 @@
         };
     }
 
+    private FleetReports fleetReports() {
+        return new FleetReports() {
+            @Override
+            public FleetReport own() {
+                return ownReport;
+            }
+
+            @Override
+            public void update(FleetReport othersTotal, Duration age) {
+                othersReport = othersTotal;
+                reportUpdates++;
+            }
+        };
+    }
+
     private WatchedKind peersOnly() {
         return new WatchedKind() {
             @Override
--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/NodeMeshAtScaleTest.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/NodeMeshAtScaleTest.java
@@ -10,6 +10,8 @@
 import java.util.TreeMap;
 import java.util.stream.IntStream;
 import org.parsleydrift.kernel.ManualScheduler;
+import org.parsleydrift.placement.fleet.FleetReport;
+import org.parsleydrift.placement.speed.SpeedSum;
 import org.parsleydrift.registry.ObjectChanges;
 import org.parsleydrift.registry.SharedObject;
 import org.testng.annotations.BeforeMethod;
@@ -109,4 +111,68 @@
         time.advance(Duration.ofSeconds(6));
         assertEquals(members.get("z1-04").mesh.readyNodes().size(), NODES);
     }
+
+    private static FleetReport waiting(int count) {
+        return new FleetReport(Map.of("engines", Map.of(0, count)), Map.of(), Map.of((long) count, 500));
+    }
+
+    /** Guards against a backlog that nodes of other zones, the own zone or the hub itself count twice or not at all. */
+    @Test
+    public void everyNodeSeesTheBacklogOfAllOthers() {
+        int[] total = {0};
+        members.values().forEach(each -> each.ownReport = waiting(++total[0]));
+        int sum = NODES * (NODES + 1) / 2;
+        time.advance(Duration.ofMillis(700));
+        members.values().forEach(each -> {
+            int own = each.ownReport.waitingUpTo("engines", 0);
+            assertEquals(each.othersReport.waitingUpTo("engines", 0), sum - own, each.identity.name());
+            assertTrue(each.othersReport.returnMillis().size() >= NODES - 1, each.identity.name());
+            each.othersReport.returnMillis().values().forEach(left -> assertTrue(left <= 500 && left >= 0));
+        });
+    }
+
+    /** Guards against a backlog that stays in the total after its node or the whole zone is gone. */
+    @Test
+    public void backlogOfSilentNodesIsDropped() {
+        members.values().forEach(each -> each.ownReport = waiting(1));
+        time.advance(Duration.ofMillis(700));
+        members.get("z1-07").kill();
+        members.values().stream()
+                .filter(each -> each.identity.zone().equals("z2"))
+                .forEach(MeshMember::kill);
+        time.advance(Duration.ofSeconds(4));
+        members.values().stream()
+                .filter(each -> !each.disconnected)
+                .forEach(each -> assertEquals(
+                        each.othersReport.waitingUpTo("engines", 0), 2 * NODES / ZONES - 2, each.identity.name()));
+    }
+
+    /** Guards against additional frames caused by changing counts, beyond one per node and period. */
+    @Test
+    public void changingBacklogCausesNoFramesBeyondThePeriod() {
+        long[] changes = {0};
+        long before =
+                members.values().stream().mapToLong(each -> each.sentFrames).sum();
+        IntStream.range(0, 320).forEach(step -> {
+            members.values().forEach(each -> each.ownReport = waiting((int) (++changes[0] % 9 + 1)));
+            time.advance(Duration.ofMillis(10));
+        });
+        long frames =
+                members.values().stream().mapToLong(each -> each.sentFrames).sum() - before;
+        // 20 periods of 160 ms: one frame to the hub and one from it for each node, and those between the zones.
+        assertTrue(frames < 20 * 2.5 * NODES, "frames " + frames);
+    }
+
+    /** Guards against frames and updates that only deployments with contention control need. */
+    @Test
+    public void emptyReportsCauseNoUpdates() {
+        // Until the window of the quotas has passed, each state differs from the last one.
+        time.advance(Duration.ofSeconds(6));
+        members.values().forEach(each -> assertEquals(each.reportUpdates, 0));
+        FleetReport speeds = new FleetReport(Map.of(), Map.of(1L, new SpeedSum(1, 1)), Map.of());
+        long idle = countFrames(Duration.ofMillis(3200));
+        members.values().forEach(each -> each.ownReport = speeds);
+        long withSpeeds = countFrames(Duration.ofMillis(3200));
+        assertTrue(Math.abs(withSpeeds - idle) <= NODES, withSpeeds + " against " + idle);
+    }
 }
