Few nodes retry their watches while the platform answers none

In an outage each node counted as one of the first nodes that the platform answers and retried its watches of four kinds twice per second. WatchPolicy lets only the first nodes retry all the time, and of the others one per second and zone drawn at random.

--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
@@ -78,7 +78,8 @@
         ZoneSummaries zones = new ZoneSummaries();
         this.hub = new ZoneHub(self, frames, zones);
         this.receiver = new StatusReceiver(loop, self, peers, zones, sentUsage, fleetUsage, objectSync);
-        this.platformChecks = new PlatformChecks(self, peers, objectSync, watchingListener, loop.clock()::nanos);
+        this.platformChecks =
+                new PlatformChecks(self, peers, objectSync, watchingListener, random, loop.clock()::nanos);
     }
 
     void start() {
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/PlatformChecks.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/PlatformChecks.java
@@ -1,8 +1,10 @@
 package org.parsleydrift.roles;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
 
 /** Decides which nodes watch the platform for the whole fleet, and when a node checks it for changes itself. */
@@ -30,39 +32,50 @@
     private final MeshPeers peers;
     private final ObjectSync objectSync;
     private final Consumer<Boolean> watchingListener;
+    private final RandomGenerator random;
     private final LongSupplier nanos;
     private final long startNanos;
+    private long decisionNanos;
 
     PlatformChecks(
             NodeIdentity self,
             MeshPeers peers,
             ObjectSync objectSync,
             Consumer<Boolean> watchingListener,
+            RandomGenerator random,
             LongSupplier nanos) {
         this.self = self;
         this.peers = peers;
         this.objectSync = objectSync;
         this.watchingListener = watchingListener;
+        this.random = random;
         this.nanos = nanos;
         this.startNanos = nanos.getAsLong();
+        this.decisionNanos = startNanos;
     }
 
-    /**
-     * Decides whether this node watches the platform. The watching nodes are the first ones, by name, that the platform
-     * answers: of each zone in fleets with hubs, otherwise of the whole fleet.
-     */
+    /** Decides by {@link WatchPolicy} whether this node watches, among the nodes of its zone in fleets with hubs. */
     boolean updateWatching() {
         boolean starting = nanos.getAsLong() - startNanos < WATCH_START_DELAY.toNanos();
-        long preceding = peers.stream()
+        List<MeshPeer> live = peers.stream()
                 .filter(each -> !peers.usesHubs() || each.identity.zone().equals(self.zone()))
-                .filter(each -> each.name().compareTo(self.name()) < 0
-                        && peers.isAlive(each)
-                        && each.state().orElseThrow().reachesPlatform())
+                .filter(peers::isAlive)
+                .toList();
+        List<MeshPeer> preceding = live.stream()
+                .filter(each -> each.name().compareTo(self.name()) < 0)
+                .toList();
+        long answered = preceding.stream()
+                .filter(each -> each.state().orElseThrow().reachesPlatform())
                 .count();
-        boolean watches = preceding < (peers.usesHubs() ? watchingNodesPerZone() : MIN_WATCHING_NODES);
-        objectSync.setWatching(watches && !starting);
-        watchingListener.accept(watches && !starting);
-        return watches && !starting;
+        WatchPolicy policy = new WatchPolicy(peers.usesHubs() ? watchingNodesPerZone() : MIN_WATCHING_NODES);
+        Duration sinceDecision = Duration.ofNanos(nanos.getAsLong() - decisionNanos);
+        decisionNanos = nanos.getAsLong();
+        WatchPolicy.View view =
+                new WatchPolicy.View(preceding.size(), answered, live.size() + 1, objectSync.reachesPlatform());
+        boolean watches = !starting && policy.watches(view, sinceDecision, random);
+        objectSync.setWatching(watches);
+        watchingListener.accept(watches);
+        return watches;
     }
 
     private long watchingNodesPerZone() {
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/WatchPolicy.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/WatchPolicy.java
@@ -1,5 +1,6 @@
 package org.parsleydrift.roles;
 
+import java.time.Duration;
 import java.util.random.RandomGenerator;
 
 /**
@@ -10,11 +11,10 @@
  * second, drawn at random, retry as well, since the platform may reject the first ones only.
  *
  * @param watchingNodes number of nodes that watch, of the nodes that share the work
- * @param roundsPerSecond how often the decision is made, 1/s
  */
-record WatchPolicy(long watchingNodes, double roundsPerSecond) {
+record WatchPolicy(long watchingNodes) {
     /** Retries per second of all rejected nodes that are not among the first ones. */
-    private static final double OTHER_RETRIES_PER_SECOND = 4;
+    private static final double OTHER_RETRIES_PER_SECOND = 1;
 
     /**
      * Nodes that share the work, as this node sees them.
@@ -30,9 +30,10 @@
      * Returns whether this node watches until the next decision.
      *
      * @param view nodes that share the work
+     * @param sinceDecision time since the previous decision
      * @param random source of randomness for the retries of rejected nodes
      */
-    boolean watches(View view, RandomGenerator random) {
+    boolean watches(View view, Duration sinceDecision, RandomGenerator random) {
         if (view.precedingAnswered() >= watchingNodes) {
             return false;
         }
@@ -40,6 +41,6 @@
             return true;
         }
         double others = Math.max(1, view.live() - watchingNodes);
-        return random.nextDouble() < OTHER_RETRIES_PER_SECOND / (others * roundsPerSecond);
+        return random.nextDouble() < OTHER_RETRIES_PER_SECOND * sinceDecision.toMillis() / 1000.0 / others;
     }
 }
