Split the lifecycle of a request from its I/O

Cause: RelayedRequest (498 lines) held the state machine of a request together with its timers, connections and responses, so that its decisions could only be tested over sockets, and admission control had no place to attach.

Change: RequestLifecycle takes events (RequestEvent) and returns the actions to do next (RequestAction); it has no I/O, no time, no randomness and no Netty types. RelayedRequest executes the actions and has 407 lines. RequestParameters parses the remaining time of the program; a malformed or negative one counts as absent.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/ForwardedHeaders.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/ForwardedHeaders.java
@@ -41,7 +41,15 @@
 
     /** Returns a {@code Retry-After} header with random jitter, which keeps rejected callers from retrying in step. */
     static HttpHeaders retryAfter(Duration delay, RandomGenerator random) {
-        double seconds = delay.toMillis() / 1000.0 * (1 + RelayLimits.RETRY_JITTER * random.nextDouble());
+        return retryAfter(delay.toMillis() / 1000.0 * (1 + RelayLimits.RETRY_JITTER * random.nextDouble()));
+    }
+
+    /** Returns a {@code Retry-After} header with exactly the given delay, for callers that come back at set times. */
+    static HttpHeaders retryAfter(Duration delay) {
+        return retryAfter(delay.toMillis() / 1000.0);
+    }
+
+    private static HttpHeaders retryAfter(double seconds) {
         return DefaultHttpHeadersFactory.headersFactory()
                 .newHeaders()
                 .set("Retry-After", String.format(Locale.ROOT, "%.2f", seconds));
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -14,20 +14,16 @@
 import org.parsleydrift.placement.CachedPart;
 import org.parsleydrift.placement.Candidate;
 import org.parsleydrift.placement.PromptPart;
-import org.parsleydrift.placement.QuotaDecision;
 import org.parsleydrift.registry.Route;
 import org.parsleydrift.registry.RoutingManifest;
 import org.parsleydrift.registry.Runner;
 
 /**
- * State machine of one request; its states are the values of {@link RequestStage}. A request has one of three outcomes:
- * <i>not run</i>, reported only if no runner can have started it; the response of a runner; else <i>unknown</i>.
+ * I/O of one request: matches it, asks the store VMs and the quotas, queues it, sends it to runners and responds to the
+ * caller. What to do after an event is decided by its {@link RequestLifecycle}.
  */
 final class RelayedRequest implements QueuedRequest {
     private static final Logger LOG = System.getLogger(RelayedRequest.class.getName());
-    private static final String ANSWERED = "answered";
-    private static final String DENIED = "denied";
-    private static final String QUOTA_EXHAUSTED = "team quota exhausted";
 
     private final Relay relay;
     private final CallerRequest request;
@@ -35,8 +31,7 @@
     private final RequestParameters params;
     private final long startNanos;
     private final QueueWait queueWait;
-    private final Attempts attempts = new Attempts();
-    private RequestStage stage = RequestStage.MATCHING;
+    private final RequestLifecycle lifecycle = new RequestLifecycle();
     private long manifestVersion;
     private Route route;
     private RequestTeam team;
@@ -65,15 +60,15 @@
     void start() {
         Optional<RoutingManifest> manifest = relay.registry().manifest();
         if (manifest.isEmpty()) {
-            waitForManifest();
+            apply(new RequestEvent.ManifestMissing());
             return;
         }
-        stage = RequestStage.MATCHING;
+        apply(new RequestEvent.MatchingBegun());
         manifestVersion = manifest.get().version();
         boolean current = relay.registry().isManifestCurrent();
         switch (RequestMatch.of(manifest.get(), current, request, params != null, relay.headerNames())) {
-            case RequestMatch.Denied denied -> respond(denied.status(), DENIED, denied.reason());
-            case RequestMatch.Undetermined result -> refuse(result.reason(), RelayLimits.RETRY_DELAY_OLD_MANIFEST);
+            case RequestMatch.Denied denied -> apply(new RequestEvent.MatchDenied(denied.status(), denied.reason()));
+            case RequestMatch.Undetermined result -> apply(new RequestEvent.MatchUndetermined(result.reason()));
             case RequestMatch.Found found -> handleMatch(found);
         }
     }
@@ -87,79 +82,73 @@
                 params.deadlineMillis().orElse(route.timeout().toMillis()));
         deadlineNanos = startNanos + Duration.ofMillis(timeoutMillis).toNanos();
         deadlineTimer = relay.loop().schedule(Duration.ofMillis(leftMillis()), this::handleDeadline);
-        Optional<Duration> retryDelay = team.quotaRetryDelay();
-        if (retryDelay.isPresent()) {
-            refuse(429, QUOTA_EXHAUSTED, retryDelay.get());
-        } else if (params.isTurn(route)) {
-            beginTurn();
-        } else {
-            admit();
-        }
-    }
-
-    private void admit() {
-        switch (team.acquireQuota(isInProgress(), !params.program().isEmpty())) {
-            case QuotaDecision.Allowed ignored -> enqueue();
-            case QuotaDecision.Exceeded exceeded -> refuse(429, QUOTA_EXHAUSTED, exceeded.retryAfter());
-            case QuotaDecision.Undetermined ignored ->
-                refuse("no usage reports from peers", RelayLimits.RETRY_DELAY_NO_PEERS);
+        apply(new RequestEvent.Matched(params.isTurn(route), team.quotaRetryDelay()));
+    }
+
+    private void apply(RequestEvent event) {
+        lifecycle.apply(event).forEach(this::execute);
+    }
+
+    private void execute(RequestAction action) {
+        switch (action) {
+            case RequestAction.AwaitManifest ignored -> waitForManifest();
+            case RequestAction.BeginTurn ignored -> beginTurn();
+            case RequestAction.AdoptHistory history -> adoptHistory(history.granted());
+            case RequestAction.AcquireQuota ignored ->
+                apply(new RequestEvent.QuotaDecided(
+                        team.acquireQuota(isInProgress(), !params.program().isEmpty())));
+            case RequestAction.Queue ignored -> enqueue();
+            case RequestAction.Withdraw ignored -> relay.dispatcher().withdraw(this);
+            case RequestAction.CancelAttempt ignored -> exchange.cancel();
+            case RequestAction.ChargeQuotaAgain ignored -> team.chargeQuotaAgain();
+            case RequestAction.RefundQuota ignored -> team.refundQuota();
+            case RequestAction.ReleaseReservation ignored -> turn.ifPresent(TurnRecord::release);
+            case RequestAction.Respond respond ->
+                response.sendFull(
+                        respond.status(),
+                        DefaultHttpHeadersFactory.headersFactory().newHeaders(),
+                        new byte[0]);
+            case RequestAction.RespondRetryLater later ->
+                response.sendFull(
+                        later.status(),
+                        later.jitter()
+                                ? ForwardedHeaders.retryAfter(later.retryDelay(), relay.random())
+                                : ForwardedHeaders.retryAfter(later.retryDelay()),
+                        new byte[0]);
+            case RequestAction.EndStream ignored -> response.endStream();
+            case RequestAction.AbortStream ignored -> response.abort();
+            case RequestAction.End end -> finish(end.outcome(), end.cause());
         }
     }
 
     @Override
     public void manifestChanged() {
-        if (stage == RequestStage.QUEUED
-                && team.isKeyRevoked()
-                && relay.dispatcher().withdraw(this)) {
-            rejectRevokedKey();
+        if (lifecycle.stage() == RequestStage.QUEUED && team.isKeyRevoked()) {
+            apply(keyRevoked());
         }
     }
 
-    /** Ends a queued request whose key was revoked; a manifest that may be outdated does not prove the revocation. */
-    private void rejectRevokedKey() {
-        if (attempts.mayHaveRun()) {
-            respond(502, "unknown", "an earlier attempt may have run; key revoked");
-        } else if (relay.registry().isManifestCurrent()) {
-            team.refundQuota();
-            respond(401, DENIED, "key_taken_away");
-        } else {
-            refuse("key missing in a manifest that may be outdated", RelayLimits.RETRY_DELAY_OLD_MANIFEST);
-        }
+    private RequestEvent keyRevoked() {
+        return new RequestEvent.KeyRevoked(relay.registry().isManifestCurrent());
     }
 
     /** Returns whether the request waits for the node's first manifest. */
     boolean isAwaitingManifest() {
-        return stage == RequestStage.AWAITING_MANIFEST;
+        return lifecycle.stage() == RequestStage.AWAITING_MANIFEST;
     }
 
     private void waitForManifest() {
-        stage = RequestStage.AWAITING_MANIFEST;
         long remaining = params == null ? 0 : params.deadlineMillis().orElse(RelayLimits.MAX_MANIFEST_WAIT.toMillis());
         long waitMillis =
                 Math.min((long) (remaining * RelayLimits.MAX_MANIFEST_SHARE), RelayLimits.MAX_MANIFEST_WAIT.toMillis());
-        manifestTimer = relay.loop().schedule(Duration.ofMillis(waitMillis), () -> {
-            if (isAwaitingManifest()) {
-                refuse("no manifest received yet", RelayLimits.RETRY_DELAY_NO_MANIFEST);
-            }
-        });
+        manifestTimer =
+                relay.loop().schedule(Duration.ofMillis(waitMillis), () -> apply(new RequestEvent.ManifestTimedOut()));
         relay.awaitManifest(this);
     }
 
     /** Cancels the request after its caller has disconnected; a turn that is being committed is completed. */
     void handleDisconnect() {
-        if (stage == RequestStage.ENDED || stage == RequestStage.COMMITTING) {
-            return;
-        }
-        boolean neverAssigned = exchange == null;
-        if (exchange != null) {
-            exchange.cancel();
-        }
-        relay.dispatcher().withdraw(this);
-        if (neverAssigned) {
-            releaseReservation();
-            team.refundQuota();
-        }
-        finish("caller_left", neverAssigned ? "before_offer" : "after_offer");
+        apply(new RequestEvent.CallerLeft());
     }
 
     @Override
@@ -179,7 +168,7 @@
 
     @Override
     public Set<String> excludedRunners() {
-        return attempts.excludedRunners();
+        return lifecycle.attempts().excludedRunners();
     }
 
     @Override
@@ -203,8 +192,8 @@
     public void assign(Candidate chosen) {
         Runner runner = chosen.runner();
         queueWait.cancel();
-        stage = RequestStage.ASSIGNED;
-        attempts.recordAttempt();
+        apply(new RequestEvent.Assigned());
+        int attempt = lifecycle.attempts().count();
         LOG.log(
                 Logger.Level.INFO,
                 () -> logLine("request_placed")
@@ -213,11 +202,11 @@
                         .with("slots", runner.slots())
                         .with("prompt", params.promptTokens())
                         .with("missing", chosen.uncachedTokens())
-                        .with("offer", attempts.count())
+                        .with("offer", attempt)
                         .with("manifest", manifestVersion)
                         .toString());
         relay.metrics().recordPhase("wait", elapsed());
-        if (attempts.count() == 1) {
+        if (attempt == 1) {
             relay.dispatcher().retryBudget(service).recordFirstAttempt();
         }
         exchange = new RunnerExchange(this, relay, runner, route.isStreaming(), route.stateful());
@@ -251,25 +240,18 @@
     /** Handles an attempt that certainly did not start the request at the runner. */
     void handleNotRun(Runner runner, String reason) {
         exchange = null;
-        attempts.recordNotRun(runner.incarnation());
         LOG.log(
                 Logger.Level.INFO,
                 () -> logLine("not_run_at_runner")
                         .with("runner", runner.incarnation())
                         .with("reason", reason)
                         .toString());
-        if (attempts.canTryAnother(relay.dispatcher().runners(service))) {
-            enqueue();
-        } else if (attempts.mayHaveRun()) {
-            // "Not executed" by this runner says nothing about an earlier one, which may have run the request.
-            respond(502, "unknown", "an earlier attempt may have run; " + reason);
-        } else {
-            refuse(reason, RelayLimits.RETRY_DELAY_NO_SLOT);
-        }
+        apply(new RequestEvent.AttemptNotRun(
+                runner.incarnation(), reason, relay.dispatcher().runners(service)));
     }
 
     private void handleLatencyTimeout(Runner runner, RunnerExchange attempt) {
-        if (stage == RequestStage.ASSIGNED
+        if (lifecycle.stage() == RequestStage.ASSIGNED
                 && exchange == attempt
                 && relay.dispatcher().retryBudget(service).tryAcquire()) {
             attempt.cancel();
@@ -285,50 +267,45 @@
         if (canRetry() && relay.dispatcher().retryBudget(service).tryAcquire()) {
             retry(runner, reason);
         } else {
-            attempts.recordPossibleRun(runner.incarnation());
-            respond(502, "unknown", reason);
+            apply(new RequestEvent.AttemptUnknown(runner.incarnation(), reason, false));
         }
     }
 
     private boolean canRetry() {
-        return route.isRetriable() && attempts.allowsRetry(route.maxAttempts()) && leftMillis() > 0 && hasOtherRunner();
-    }
-
-    private boolean hasOtherRunner() {
-        return attempts.hasUntried(relay.dispatcher().runners(service).stream()
-                .filter(each -> !exchange.incarnation().equals(each.incarnation()))
-                .toList());
+        return route.isRetriable()
+                && leftMillis() > 0
+                && lifecycle.allowsRetry(
+                        route.maxAttempts(),
+                        exchange.incarnation(),
+                        relay.dispatcher().runners(service));
     }
 
     private void retry(Runner runner, String reason) {
         exchange = null;
-        team.chargeQuotaAgain();
-        attempts.recordPossibleRun(runner.incarnation());
         LOG.log(
                 Logger.Level.INFO,
                 () -> logLine("sent_again")
                         .with("runner", runner.incarnation())
                         .with("reason", reason)
                         .toString());
-        enqueue();
+        apply(new RequestEvent.AttemptUnknown(runner.incarnation(), reason, true));
     }
 
     /** Aborts a stream after its start, so that the caller recognizes it as incomplete. */
     void abortStream(String reason) {
-        response.abort();
-        finish("stream_cut", reason);
+        apply(new RequestEvent.StreamFailed(reason));
     }
 
     /** Forwards a complete response that is not a stream. */
     void completeResponse(Runner runner, int status, HttpHeaders headers, byte[] bytes) {
         response.sendFull(status, ForwardedHeaders.toCaller(headers), bytes);
         turn.ifPresent(each -> each.settle(runner.incarnation(), 0));
-        finish(ANSWERED, String.valueOf(status));
+        apply(new RequestEvent.ResponseForwarded(status));
     }
 
     /** Commits the turn of a complete stream and forwards the end of the stream once the turn is durable. */
     void commitStream(Runner runner, EventStreamReader events) {
-        stage = RequestStage.COMMITTING;
+        apply(new RequestEvent.StreamCompleted());
         long commitStartNanos = relay.loop().clock().nanos();
         turn.map(each -> each.complete(runner.incarnation(), service, request.body(), events, leftMillis()))
                 .orElseGet(() -> CompletableFuture.completedFuture(null))
@@ -336,28 +313,22 @@
     }
 
     private void handleCommit(long commitStartNanos, Throwable failure) {
+        if (lifecycle.stage() == RequestStage.ENDED) {
+            return;
+        }
         if (failure == null) {
-            endStream(commitStartNanos);
-        } else if (stage != RequestStage.ENDED) {
+            relay.metrics()
+                    .recordPhase("commit", Duration.ofNanos(relay.loop().clock().nanos() - commitStartNanos));
+            apply(new RequestEvent.TurnCommitted());
+        } else {
             LOG.log(
                     Logger.Level.WARNING,
                     () -> logLine("commit_failed").failure(failure).toString());
-            abortStream("commit_failed");
+            apply(new RequestEvent.CommitFailed());
         }
     }
 
-    private void endStream(long commitStartNanos) {
-        if (stage == RequestStage.ENDED) {
-            return;
-        }
-        relay.metrics()
-                .recordPhase("commit", Duration.ofNanos(relay.loop().clock().nanos() - commitStartNanos));
-        response.endStream();
-        finish(ANSWERED, "stream");
-    }
-
     private void beginTurn() {
-        stage = RequestStage.BEGINNING;
         TurnRecord record = new TurnRecord(relay, params, route, team.owner());
         turn = Optional.of(record);
         record.begin(boundedShare(RelayLimits.MAX_BEGIN_SHARE, RelayLimits.MAX_BEGIN_TIME))
@@ -365,101 +336,38 @@
     }
 
     private void handleBegin(BeginResult result) {
-        if (stage != RequestStage.BEGINNING) {
-            releaseReservation();
-            return;
-        }
-        relay.metrics().recordPhase("begin", elapsed());
-        switch (result) {
-            case BeginResult.Granted granted -> {
-                reportedParts = granted.settled().stream()
-                        .map(each -> new CachedPart(each.runner(), each.promptPart(), each.cachedTokens()))
-                        .toList();
-                hasHistory = !granted.chain().isEmpty();
-                body = ConversationInput.assemble(granted.chain(), request.body());
-                admit();
-            }
-            case BeginResult.BudgetSpent ignored -> respond(402, DENIED, "budget_spent");
-            case BeginResult.NoSuchTurn ignored -> respond(404, DENIED, "no_such_turn");
-            case BeginResult.Unavailable unavailable ->
-                refuse("store VMs unavailable: " + unavailable.reason(), RelayLimits.RETRY_DELAY_NO_STORES);
+        if (lifecycle.stage() == RequestStage.BEGINNING) {
+            relay.metrics().recordPhase("begin", elapsed());
         }
+        apply(new RequestEvent.TurnBegun(result));
+    }
+
+    private void adoptHistory(BeginResult.Granted granted) {
+        reportedParts = granted.settled().stream()
+                .map(each -> new CachedPart(each.runner(), each.promptPart(), each.cachedTokens()))
+                .toList();
+        hasHistory = !granted.chain().isEmpty();
+        body = ConversationInput.assemble(granted.chain(), request.body());
     }
 
     private void enqueue() {
         if (team.isKeyRevoked()) {
-            rejectRevokedKey();
+            apply(keyRevoked());
             return;
         }
-        stage = RequestStage.QUEUED;
+        apply(new RequestEvent.Admitted());
         queueWait.start(
-                boundedShare(RelayLimits.MAX_QUEUE_SHARE, RelayLimits.MAX_QUEUE_WAIT), this::handleQueueTimeout);
+                boundedShare(RelayLimits.MAX_QUEUE_SHARE, RelayLimits.MAX_QUEUE_WAIT),
+                () -> apply(new RequestEvent.QueueTimedOut()));
         relay.dispatcher().submit(this);
     }
 
-    private void handleQueueTimeout() {
-        if (stage == RequestStage.QUEUED && relay.dispatcher().withdraw(this)) {
-            if (attempts.mayHaveRun()) {
-                respond(502, "unknown", "an earlier attempt may have run; no other runner had a free slot");
-            } else {
-                refuse("no runner had a free slot", RelayLimits.RETRY_DELAY_NO_SLOT);
-            }
-        }
-    }
-
     private void handleDeadline() {
-        switch (stage) {
-            case ENDED, AWAITING_MANIFEST, MATCHING -> {}
-            case BEGINNING -> refuse("deadline passed before the turn began", RelayLimits.RETRY_DELAY_NO_STORES);
-            case QUEUED -> {
-                relay.dispatcher().withdraw(this);
-                if (attempts.mayHaveRun()) {
-                    respond(504, "timeout", "after an unknown try");
-                } else {
-                    refuse("deadline passed while waiting for a runner", RelayLimits.RETRY_DELAY_NO_SLOT);
-                }
-            }
-            case ASSIGNED -> {
-                boolean streamBegun = exchange.streamBegun();
-                exchange.cancel();
-                if (streamBegun) {
-                    abortStream("timeout");
-                } else {
-                    respond(504, "timeout", "at the runner");
-                }
-            }
-            case COMMITTING -> abortStream("timeout");
-        }
-    }
-
-    /** Rejects the request as not run; only if no runner can have started it or will. */
-    private void refuse(String reason, Duration retryDelay) {
-        refuse(503, reason, retryDelay);
-    }
-
-    private void refuse(int status, String reason, Duration retryDelay) {
-        HttpHeaders headers = ForwardedHeaders.retryAfter(retryDelay, relay.random());
-        response.sendFull(status, headers, new byte[0]);
-        releaseReservation();
-        team.refundQuota();
-        finish("refused", reason);
-    }
-
-    private void respond(int status, String outcome, String reason) {
-        response.sendFull(status, DefaultHttpHeadersFactory.headersFactory().newHeaders(), new byte[0]);
-        finish(outcome, reason);
-    }
-
-    private void releaseReservation() {
-        turn.ifPresent(TurnRecord::release);
+        apply(new RequestEvent.DeadlinePassed(exchange != null && exchange.streamBegun()));
     }
 
     private void finish(String outcome, String cause) {
-        if (stage == RequestStage.ENDED) {
-            return;
-        }
-        stage = RequestStage.ENDED;
-        if (!outcome.equals(ANSWERED)) {
+        if (!outcome.equals(RequestLifecycle.ANSWERED)) {
             int forwardedEvents = exchange == null ? 0 : exchange.forwardedEvents();
             turn.ifPresent(each -> each.settleAborted(forwardedEvents, service));
         }
@@ -468,7 +376,8 @@
         queueWait.cancel();
         latencyTimer.cancel();
         relay.requestEnded();
-        relay.metrics().recordOutcome(outcome, outcome.equals("refused") || outcome.equals("unknown") ? "-" : cause);
+        boolean causeUnbounded = outcome.equals(RequestLifecycle.REFUSED) || outcome.equals(RequestLifecycle.UNKNOWN);
+        relay.metrics().recordOutcome(outcome, causeUnbounded ? "-" : cause);
         relay.metrics().recordPhase("whole", elapsed());
         LOG.log(
                 Logger.Level.INFO,
@@ -476,7 +385,7 @@
                         .with("outcome", outcome)
                         .with("cause", cause)
                         .with("ms", elapsed().toMillis())
-                        .with("offers", attempts.count())
+                        .with("offers", lifecycle.attempts().count())
                         .with("manifest", manifestVersion)
                         .toString());
     }
--- /dev/null
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestLifecycle.java
@@ -0,0 +1,265 @@
+package org.parsleydrift.relay;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.stream.Stream;
+import org.parsleydrift.conversation.BeginResult;
+import org.parsleydrift.placement.QuotaDecision;
+import org.parsleydrift.registry.Runner;
+
+/**
+ * State machine of one request, without I/O, time and randomness: takes events and returns the actions to do next, in
+ * order. Its states are the values of {@link RequestStage}. A request has one of three outcomes: <i>not run</i>,
+ * reported only if no runner can have started it; the response of a runner; else <i>unknown</i>.
+ *
+ * <p>An event that does not apply to the present state, such as a timeout of a wait that has ended, has no effect.
+ */
+final class RequestLifecycle {
+    /** Outcome of a request whose response is complete. */
+    static final String ANSWERED = "answered";
+    /** Outcome of a request that was rejected as not run and can be sent again. */
+    static final String REFUSED = "refused";
+    /** Outcome of a request that may have run. */
+    static final String UNKNOWN = "unknown";
+
+    private static final String DENIED = "denied";
+    private static final String TIMEOUT = "timeout";
+    private static final String QUOTA_EXHAUSTED = "team quota exhausted";
+
+    private final Attempts attempts = new Attempts();
+    private RequestStage stage = RequestStage.MATCHING;
+
+    RequestStage stage() {
+        return stage;
+    }
+
+    /** Returns the attempts so far; recorded by this class only. */
+    Attempts attempts() {
+        return attempts;
+    }
+
+    /**
+     * Returns whether the request, which is at a runner, may be sent to another one even if the first has run it.
+     *
+     * @param maxAttempts limit of the route
+     * @param incarnation id of the present runner's incarnation
+     * @param runners runners of the service that accept new requests
+     */
+    boolean allowsRetry(int maxAttempts, String incarnation, List<Runner> runners) {
+        return attempts.allowsRetry(maxAttempts)
+                && attempts.hasUntried(runners.stream()
+                        .filter(each -> !incarnation.equals(each.incarnation()))
+                        .toList());
+    }
+
+    /** Applies an event and returns the actions to do next, in order. */
+    List<RequestAction> apply(RequestEvent event) {
+        return switch (event) {
+            case RequestEvent.ManifestMissing ignored -> {
+                stage = RequestStage.AWAITING_MANIFEST;
+                yield List.of(new RequestAction.AwaitManifest());
+            }
+            case RequestEvent.ManifestTimedOut ignored ->
+                in(RequestStage.AWAITING_MANIFEST)
+                        ? refuse("no manifest received yet", RelayLimits.RETRY_DELAY_NO_MANIFEST)
+                        : List.of();
+            case RequestEvent.MatchingBegun ignored -> {
+                stage = RequestStage.MATCHING;
+                yield List.of();
+            }
+            case RequestEvent.MatchDenied denied -> respond(denied.status(), DENIED, denied.reason());
+            case RequestEvent.MatchUndetermined result -> refuse(result.reason(), RelayLimits.RETRY_DELAY_OLD_MANIFEST);
+            case RequestEvent.Matched matched -> handleMatch(matched);
+            case RequestEvent.TurnBegun begun -> handleBegin(begun.result());
+            case RequestEvent.QuotaDecided decided -> handleQuota(decided.decision());
+            case RequestEvent.Admitted ignored -> {
+                stage = RequestStage.QUEUED;
+                yield List.of();
+            }
+            case RequestEvent.AdmissionRefused refused -> handleRefusal(refused);
+            case RequestEvent.KeyRevoked revoked -> handleRevokedKey(revoked.manifestCurrent());
+            case RequestEvent.QueueTimedOut ignored -> handleQueueTimeout();
+            case RequestEvent.Assigned ignored -> {
+                stage = RequestStage.ASSIGNED;
+                attempts.recordAttempt();
+                yield List.of();
+            }
+            case RequestEvent.AttemptNotRun notRun -> handleNotRun(notRun);
+            case RequestEvent.AttemptUnknown unknown -> handleUnknown(unknown);
+            case RequestEvent.ResponseForwarded response ->
+                in(RequestStage.ASSIGNED) ? end(ANSWERED, String.valueOf(response.status())) : List.of();
+            case RequestEvent.StreamFailed failed ->
+                in(RequestStage.ASSIGNED) ? abortStream(failed.reason()) : List.of();
+            case RequestEvent.StreamCompleted ignored -> {
+                stage = RequestStage.COMMITTING;
+                yield List.of();
+            }
+            case RequestEvent.TurnCommitted ignored ->
+                in(RequestStage.COMMITTING) ? end(ANSWERED, "stream", new RequestAction.EndStream()) : List.of();
+            case RequestEvent.CommitFailed ignored ->
+                in(RequestStage.COMMITTING) ? abortStream("commit_failed") : List.of();
+            case RequestEvent.DeadlinePassed passed -> handleDeadline(passed.streamBegun());
+            case RequestEvent.CallerLeft ignored -> handleDisconnect();
+        };
+    }
+
+    private boolean in(RequestStage expected) {
+        return stage == expected;
+    }
+
+    private List<RequestAction> handleMatch(RequestEvent.Matched matched) {
+        if (matched.quotaRetryDelay().isPresent()) {
+            return refuse(429, QUOTA_EXHAUSTED, matched.quotaRetryDelay().get(), true);
+        }
+        if (matched.turn()) {
+            stage = RequestStage.BEGINNING;
+            return List.of(new RequestAction.BeginTurn());
+        }
+        return List.of(new RequestAction.AcquireQuota());
+    }
+
+    private List<RequestAction> handleBegin(BeginResult result) {
+        if (stage != RequestStage.BEGINNING) {
+            return List.of(new RequestAction.ReleaseReservation());
+        }
+        return switch (result) {
+            case BeginResult.Granted granted ->
+                List.of(new RequestAction.AdoptHistory(granted), new RequestAction.AcquireQuota());
+            case BeginResult.BudgetSpent ignored -> respond(402, DENIED, "budget_spent");
+            case BeginResult.NoSuchTurn ignored -> respond(404, DENIED, "no_such_turn");
+            case BeginResult.Unavailable unavailable ->
+                refuse("store VMs unavailable: " + unavailable.reason(), RelayLimits.RETRY_DELAY_NO_STORES);
+        };
+    }
+
+    private List<RequestAction> handleQuota(QuotaDecision decision) {
+        return switch (decision) {
+            case QuotaDecision.Allowed ignored -> List.of(new RequestAction.Queue());
+            case QuotaDecision.Exceeded exceeded -> refuse(429, QUOTA_EXHAUSTED, exceeded.retryAfter(), true);
+            case QuotaDecision.Undetermined ignored ->
+                refuse("no usage reports from peers", RelayLimits.RETRY_DELAY_NO_PEERS);
+        };
+    }
+
+    private List<RequestAction> handleRefusal(RequestEvent.AdmissionRefused refused) {
+        return attempts.mayHaveRun()
+                ? respond(502, UNKNOWN, "an earlier attempt may have run; " + refused.reason())
+                : refuse(503, refused.reason(), refused.retryDelay(), false);
+    }
+
+    /** Ends a request whose key was revoked; a manifest that may be outdated does not prove the revocation. */
+    private List<RequestAction> handleRevokedKey(boolean manifestCurrent) {
+        Stream<RequestAction> withdrawal =
+                in(RequestStage.QUEUED) ? Stream.of(new RequestAction.Withdraw()) : Stream.empty();
+        List<RequestAction> ending;
+        if (attempts.mayHaveRun()) {
+            ending = respond(502, UNKNOWN, "an earlier attempt may have run; key revoked");
+        } else if (manifestCurrent) {
+            ending = end(DENIED, "key_taken_away", new RequestAction.RefundQuota(), new RequestAction.Respond(401));
+        } else {
+            ending = refuse("key missing in a manifest that may be outdated", RelayLimits.RETRY_DELAY_OLD_MANIFEST);
+        }
+        return Stream.concat(withdrawal, ending.stream()).toList();
+    }
+
+    private List<RequestAction> handleQueueTimeout() {
+        if (stage != RequestStage.QUEUED) {
+            return List.of();
+        }
+        return after(
+                new RequestAction.Withdraw(),
+                attempts.mayHaveRun()
+                        ? respond(502, UNKNOWN, "an earlier attempt may have run; no other runner had a free slot")
+                        : refuse("no runner had a free slot", RelayLimits.RETRY_DELAY_NO_SLOT));
+    }
+
+    private List<RequestAction> handleNotRun(RequestEvent.AttemptNotRun notRun) {
+        if (stage != RequestStage.ASSIGNED) {
+            return List.of();
+        }
+        attempts.recordNotRun(notRun.incarnation());
+        if (attempts.canTryAnother(notRun.runners())) {
+            return List.of(new RequestAction.Queue());
+        }
+        // "Not executed" by this runner says nothing about an earlier one, which may have run the request.
+        return attempts.mayHaveRun()
+                ? respond(502, UNKNOWN, "an earlier attempt may have run; " + notRun.reason())
+                : refuse(notRun.reason(), RelayLimits.RETRY_DELAY_NO_SLOT);
+    }
+
+    private List<RequestAction> handleUnknown(RequestEvent.AttemptUnknown unknown) {
+        if (stage != RequestStage.ASSIGNED) {
+            return List.of();
+        }
+        attempts.recordPossibleRun(unknown.incarnation());
+        return unknown.retryGranted()
+                ? List.of(new RequestAction.ChargeQuotaAgain(), new RequestAction.Queue())
+                : respond(502, UNKNOWN, unknown.reason());
+    }
+
+    private List<RequestAction> handleDeadline(boolean streamBegun) {
+        return switch (stage) {
+            case ENDED, AWAITING_MANIFEST, MATCHING -> List.of();
+            case BEGINNING -> refuse("deadline passed before the turn began", RelayLimits.RETRY_DELAY_NO_STORES);
+            case QUEUED ->
+                after(
+                        new RequestAction.Withdraw(),
+                        attempts.mayHaveRun()
+                                ? respond(504, TIMEOUT, "after an unknown try")
+                                : refuse(
+                                        "deadline passed while waiting for a runner", RelayLimits.RETRY_DELAY_NO_SLOT));
+            case ASSIGNED ->
+                after(
+                        new RequestAction.CancelAttempt(),
+                        streamBegun ? abortStream(TIMEOUT) : respond(504, TIMEOUT, "at the runner"));
+            case COMMITTING -> abortStream(TIMEOUT);
+        };
+    }
+
+    /** Cancels the request after its caller has disconnected; a turn that is being committed is completed. */
+    private List<RequestAction> handleDisconnect() {
+        return switch (stage) {
+            case ENDED, COMMITTING -> List.of();
+            case ASSIGNED -> end("caller_left", "after_offer", new RequestAction.CancelAttempt());
+            case AWAITING_MANIFEST, MATCHING, BEGINNING, QUEUED ->
+                end(
+                        "caller_left",
+                        "before_offer",
+                        new RequestAction.Withdraw(),
+                        new RequestAction.ReleaseReservation(),
+                        new RequestAction.RefundQuota());
+        };
+    }
+
+    /** Rejects the request as not run; only if no runner can have started it or will. */
+    private List<RequestAction> refuse(String reason, Duration retryDelay) {
+        return refuse(503, reason, retryDelay, true);
+    }
+
+    private List<RequestAction> refuse(int status, String reason, Duration retryDelay, boolean jitter) {
+        return end(
+                REFUSED,
+                reason,
+                new RequestAction.RespondRetryLater(status, retryDelay, jitter),
+                new RequestAction.ReleaseReservation(),
+                new RequestAction.RefundQuota());
+    }
+
+    private List<RequestAction> respond(int status, String outcome, String reason) {
+        return end(outcome, reason, new RequestAction.Respond(status));
+    }
+
+    private List<RequestAction> abortStream(String reason) {
+        return end("stream_cut", reason, new RequestAction.AbortStream());
+    }
+
+    private List<RequestAction> end(String outcome, String cause, RequestAction... before) {
+        stage = RequestStage.ENDED;
+        return Stream.concat(Stream.of(before), Stream.of(new RequestAction.End(outcome, cause)))
+                .toList();
+    }
+
+    private static List<RequestAction> after(RequestAction first, List<RequestAction> others) {
+        return Stream.concat(Stream.of(first), others.stream()).toList();
+    }
+}
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestParameters.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestParameters.java
@@ -15,6 +15,7 @@
  *
  * @param id id of this attempt of the caller
  * @param deadlineMillis time that the caller waits, ms; empty if not specified
+ * @param programDeadlineMillis time left until the program should be finished, ms; empty if not specified or malformed
  * @param program id of the program; the empty string for none
  * @param budget token budget of the program; empty if not specified
  * @param maxTokens maximum number of tokens that the turn generates; 0 if not specified
@@ -24,6 +25,7 @@
 record RequestParameters(
         String id,
         OptionalLong deadlineMillis,
+        OptionalLong programDeadlineMillis,
         String program,
         OptionalInt budget,
         int maxTokens,
@@ -33,6 +35,8 @@
     private static final int DEFAULT_PROMPT_TOKENS = 1000;
 
     private static final Pattern COMMA = Pattern.compile(",");
+    /** A non-negative time of at most 18 digits, which cannot overflow a long. */
+    private static final Pattern MILLIS = Pattern.compile("\\d{1,18}");
     /** A part with a token count of at most eight digits, which cannot overflow an int. */
     private static final Pattern PART = Pattern.compile("\\s*[^,:\\s]+:\\d{1,8}\\s*");
 
@@ -64,6 +68,7 @@
             return Optional.of(new RequestParameters(
                     id,
                     deadline == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(deadline.trim())),
+                    parseProgramDeadline(headers.get(headerNames.programDeadlineMillis(), "")),
                     headers.get(headerNames.program(), ""),
                     budget == null ? OptionalInt.empty() : OptionalInt.of(Integer.parseInt(budget.trim())),
                     parseMaxTokens(headers.get(headerNames.tokenCount())),
@@ -95,6 +100,12 @@
                 Integer.parseInt(text.substring(colon + 1).trim()));
     }
 
+    /** Parses the remaining time of the program, which only affects the order of requests. */
+    private static OptionalLong parseProgramDeadline(String millis) {
+        String text = millis.trim();
+        return MILLIS.matcher(text).matches() ? OptionalLong.of(Long.parseLong(text)) : OptionalLong.empty();
+    }
+
     private static int parseMaxTokens(String counts) {
         if (counts == null) {
             return 0;
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestStage.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestStage.java
@@ -1,6 +1,6 @@
 package org.parsleydrift.relay;
 
-/** States of a {@link RelayedRequest}. */
+/** States of a {@link RequestLifecycle}. */
 enum RequestStage {
     /** Waiting for the first manifest of the node. */
     AWAITING_MANIFEST,
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RequestParametersTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RequestParametersTest.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.List;
+import java.util.OptionalLong;
 import org.parsleydrift.placement.PromptPart;
 import org.testng.annotations.Test;
 
@@ -45,4 +46,20 @@
         assertEquals(prompt.stream().map(PromptPart::id).toList(), List.of("p1"));
         assertTrue(prompt.getFirst().tokens() > 0);
     }
+
+    /** A malformed or negative time of the program only affects the order of requests, so it counts as absent. */
+    @Test
+    public void malformedProgramDeadlineIsAbsent() {
+        assertEquals(programDeadline("1500"), OptionalLong.of(1500));
+        List.of("", "-1", "x", "1.5", "9999999999999999999999")
+                .forEach(text -> assertEquals(programDeadline(text), OptionalLong.empty(), text));
+    }
+
+    private static OptionalLong programDeadline(String text) {
+        HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
+        headers.set("Parsleydrift-Request", "q1").set("Parsleydrift-Program-Deadline-Ms", text);
+        return RequestParameters.parse(headers, HeaderNames.defaults())
+                .orElseThrow()
+                .programDeadlineMillis();
+    }
 }
