--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RoleSettings.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RoleSettings.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Optional;
+import org.parsleydrift.placement.ContentionSettings;
 import org.parsleydrift.placement.QuotaPolicy;
 
 /**
@@ -23,6 +24,7 @@
  * @param toleratedLosses number of store VMs whose disks may be lost at once; store only
  * @param storeMembers maximum number of members of the store set; further store VMs are standbys; store only
  * @param quotaPolicy how requests are counted against the quota of their team; entry only
+ * @param contention control of contended services; empty if it is switched off; entry only
  * @param grace time between SIGTERM and forced termination
  */
 public record RoleSettings(
@@ -41,4 +43,5 @@
         int toleratedLosses,
         int storeMembers,
         QuotaPolicy quotaPolicy,
+        Optional<ContentionSettings> contention,
         Duration grace) {}
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RoleSettingsReader.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RoleSettingsReader.java
@@ -15,6 +15,7 @@
 import java.util.function.Function;
 import org.parsleydrift.kernel.Step;
 import org.parsleydrift.kernel.StepException;
+import org.parsleydrift.placement.ContentionSettings;
 import org.parsleydrift.placement.QuotaPolicy;
 
 /**
@@ -100,6 +101,7 @@
                 toleratedLosses,
                 role == RoleKind.STORE ? storeMembers(2 * toleratedLosses + 1) : 0,
                 quotaPolicy(),
+                entry ? contention() : Optional.empty(),
                 required("grace_s", text -> Duration.ofMillis((long) (Double.parseDouble(text) * 1000))));
     }
 
@@ -111,6 +113,36 @@
         return new QuotaPolicy(Duration.ofMillis((long) (window * 1000)), nonNegative("allotment_slack", 0));
     }
 
+    private Optional<ContentionSettings> contention() {
+        JsonNode block = root.path("contention");
+        if (block.isMissingNode()) {
+            return Optional.empty();
+        }
+        if (!block.isObject()) {
+            errors.add("/contention must be an object, got " + block);
+            return Optional.empty();
+        }
+        ContentionSettings defaults = ContentionSettings.DEFAULTS;
+        return Optional.of(new ContentionSettings(
+                contentionValue(block, "reserved_share", 0, 0.5, defaults.reservedShare()),
+                contentionValue(block, "admit_share", 0.1, 2, defaults.admitShare()),
+                contentionValue(block, "floor_share", 0, 0.5, defaults.floorShare()),
+                contentionValue(block, "wait_share", 0.1, 0.9, defaults.waitShare()),
+                contentionValue(block, "max_retry_after_s", 0.1, 1.3, defaults.maxRetryAfterSeconds())));
+    }
+
+    private double contentionValue(JsonNode block, String field, double min, double max, double defaultValue) {
+        JsonNode value = block.path(field);
+        if (value.isMissingNode()) {
+            return defaultValue;
+        }
+        if (!value.isNumber() || value.asDouble() < min || value.asDouble() > max) {
+            errors.add("/contention/" + field + " must be a number from " + min + " to " + max + ", got " + value);
+            return defaultValue;
+        }
+        return value.asDouble();
+    }
+
     private double nonNegative(String field, double defaultValue) {
         JsonNode value = root.path(field);
         if (value.isMissingNode()) {
--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/RoleSettingsReaderTest.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/RoleSettingsReaderTest.java
@@ -5,7 +5,9 @@
 import static org.testng.Assert.expectThrows;
 
 import java.time.Duration;
+import java.util.stream.Stream;
 import org.parsleydrift.kernel.StepException;
+import org.parsleydrift.placement.ContentionSettings;
 import org.testng.annotations.Test;
 
 public class RoleSettingsReaderTest {
@@ -89,4 +91,41 @@
                 StepException.class, () -> RoleSettingsReader.parse("settings", entry.replace("2.5", "0")));
         assertTrue(fault.getMessage().contains("/allotment_window_s must be greater than 0"), fault.getMessage());
     }
+
+    /** Guards against contention control in deployments that do not ask for it, and in store processes. */
+    @Test
+    public void contentionIsOffWithoutItsBlock() {
+        String block = "\"contention\": {\"floor_share\": 0.2}, \"grace_s\"";
+        assertTrue(RoleSettingsReader.parse("settings", ENTRY).contention().isEmpty());
+        assertTrue(RoleSettingsReader.parse("settings", STORE.replace("\"grace_s\"", block))
+                .contention()
+                .isEmpty());
+        assertEquals(
+                RoleSettingsReader.parse("settings", ENTRY.replace("\"grace_s\"", block))
+                        .contention()
+                        .orElseThrow(),
+                new ContentionSettings(0.05, 0.95, 0.2, 0.6, 1));
+    }
+
+    /** Guards against a partial report of wrong values, and against values outside their range. */
+    @Test
+    public void contentionValuesOutsideTheirRangesAreAllReported() {
+        String block = """
+                "contention": {"reserved_share": 0.51, "admit_share": 0.05, "floor_share": -0.1, "wait_share": "high",
+                               "max_retry_after_s": 1.4}, "grace_s\"""";
+        StepException fault = expectThrows(
+                StepException.class, () -> RoleSettingsReader.parse("settings", ENTRY.replace("\"grace_s\"", block)));
+        Stream.of(
+                        "/contention/reserved_share must be a number from 0.0 to 0.5, got 0.51",
+                        "/contention/admit_share must be a number from 0.1 to 2.0, got 0.05",
+                        "/contention/floor_share must be a number from 0.0 to 0.5, got -0.1",
+                        "/contention/wait_share must be a number from 0.1 to 0.9, got \"high\"",
+                        "/contention/max_retry_after_s must be a number from 0.1 to 1.3, got 1.4")
+                .forEach(each -> assertTrue(fault.getMessage().contains(each), fault.getMessage()));
+        StepException noObject = expectThrows(
+                StepException.class,
+                () -> RoleSettingsReader.parse(
+                        "settings", ENTRY.replace("\"grace_s\"", "\"contention\": true, \"grace_s\"")));
+        assertTrue(noObject.getMessage().contains("/contention must be an object, got true"), noObject.getMessage());
+    }
 }
