--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/SlidingWindowCounter.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/SlidingWindowCounter.java
@@ -8,7 +8,7 @@
  * A counter over a sliding window, divided into slots. A slot expires as a whole once all of it is older than the
  * window, so the sum is never too low, and too high by at most the count of one slot.
  */
-final class SlidingWindowCounter {
+public final class SlidingWindowCounter {
     private static final int SLOTS = 50;
     /** Age, in slots, from which on a slot counts as expiring. */
     private static final int EXPIRING_SLOT_AGE = SLOTS - (int) (SLOTS * WindowCounts.EXPIRING_FRACTION);
@@ -18,12 +18,22 @@
     private long newest = Long.MIN_VALUE;
     private int sum;
 
-    SlidingWindowCounter(Duration window) {
+    /**
+     * Creates a counter with a sum of 0.
+     *
+     * @param window length of the window
+     */
+    public SlidingWindowCounter(Duration window) {
         slotNanos = Math.max(1, window.toNanos() / SLOTS);
     }
 
-    /** Adds a count, which may be negative, at a point in time; ignored if that slot has expired. */
-    void add(long atNanos, int count) {
+    /**
+     * Adds a count at a point in time; ignored if that slot has expired.
+     *
+     * @param atNanos monotonic time, ns
+     * @param count the count, which may be negative
+     */
+    public void add(long atNanos, int count) {
         long slot = Math.floorDiv(atNanos, slotNanos);
         if (slot > newest) {
             advance(slot);
@@ -34,7 +44,13 @@
         }
     }
 
-    int sum(long nowNanos) {
+    /**
+     * Returns the sum of the counts in the window.
+     *
+     * @param nowNanos monotonic time, ns
+     * @return the sum
+     */
+    public int sum(long nowNanos) {
         advance(Math.floorDiv(nowNanos, slotNanos));
         return sum;
     }
--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/queue/QueueOrder.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/queue/QueueOrder.java
@@ -1,7 +1,14 @@
 package org.parsleydrift.placement.queue;
 
+import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * Order in which a node's waiting requests are assigned to runners: by rank, requests that can still end in time before
@@ -9,11 +16,25 @@
  * Requests of lower ranks that are due by {@link RankFloors} are placed in between.
  */
 public final class QueueOrder {
+    /** Upper bound of the time left until a deadline; a later one is misstated. */
+    static final long MAX_LEFT_NANOS = TimeUnit.HOURS.toNanos(1);
+
+    private static final Comparator<Position<?>> ORDER = Comparator.<Position<?>>comparingInt(
+                    each -> each.request().rank())
+            .thenComparing(Position::late)
+            // A program that is begun and then lost wastes all that it has used, so it precedes new ones.
+            .thenComparing(each -> !each.request().started())
+            .thenComparing(each -> !each.request().returned())
+            .thenComparing(each -> !each.belowShare())
+            .thenComparingLong(Position::leftNanos)
+            .thenComparingLong(each -> each.request().arrival());
+
     private QueueOrder() {}
 
     /**
      * Returns the entries of a queue in order of assignment.
      *
+     * @param <T> type of the entries
      * @param entries entries of the queue, of any services
      * @param view returns the request of an entry
      * @param nowNanos current time, ns
@@ -27,7 +48,21 @@
             long nowNanos,
             TeamShares shares,
             RankFloors floors) {
-        return List.copyOf(entries);
+        Map<String, Set<String>> favored = teamsBelowShare(entries.stream().map(view), nowNanos, shares);
+        Map<String, List<Position<T>>> byService = entries.stream()
+                .map(each -> position(each, view.apply(each), nowNanos, favored))
+                .sorted(ORDER)
+                .collect(Collectors.groupingBy(each -> each.request().service()));
+        return byService.entrySet().stream()
+                .flatMap(each ->
+                        floors
+                                .interleave(
+                                        each.getKey(),
+                                        each.getValue(),
+                                        position -> position.request().rank())
+                                .stream())
+                .map(Position::entry)
+                .toList();
     }
 
     /**
@@ -41,6 +76,36 @@
      */
     public static int countAhead(
             List<WaitingRequest> waiting, WaitingRequest request, long nowNanos, TeamShares shares) {
-        return 0;
+        List<WaitingRequest> others = waiting.stream()
+                .filter(each -> each.service().equals(request.service()))
+                .filter(each -> each.arrival() != request.arrival())
+                .toList();
+        Map<String, Set<String>> favored =
+                teamsBelowShare(Stream.concat(others.stream(), Stream.of(request)), nowNanos, shares);
+        Position<?> own = position(request, request, nowNanos, favored);
+        return (int) others.stream()
+                .filter(each -> ORDER.compare(position(each, each, nowNanos, favored), own) < 0)
+                .count();
+    }
+
+    private static Map<String, Set<String>> teamsBelowShare(
+            Stream<WaitingRequest> requests, long nowNanos, TeamShares shares) {
+        Map<String, Set<String>> waitingTeams = requests.collect(Collectors.groupingBy(
+                WaitingRequest::service, Collectors.mapping(WaitingRequest::team, Collectors.toSet())));
+        waitingTeams.replaceAll((service, teams) -> shares.belowShare(service, teams, nowNanos));
+        return waitingTeams;
     }
+
+    private static <T> Position<T> position(
+            T entry, WaitingRequest request, long nowNanos, Map<String, Set<String>> favored) {
+        OptionalLong programDeadline = request.programDeadlineNanos();
+        long leftNanos = Math.clamp(programDeadline.orElse(request.deadlineNanos()) - nowNanos, 0, MAX_LEFT_NANOS);
+        boolean late = programDeadline.isPresent()
+                && (programDeadline.getAsLong() - nowNanos <= 0 || leftNanos < request.neededNanos());
+        return new Position<>(
+                entry, request, late, favored.get(request.service()).contains(request.team()), leftNanos);
+    }
+
+    /** An entry with what its position depends on; the time left is bounded. */
+    private record Position<T>(T entry, WaitingRequest request, boolean late, boolean belowShare, long leftNanos) {}
 }
