Queue order, slot limits and admission through interfaces

Cause: the dispatcher held the order of the queue and the loads of all runners, and every request waited for the same share of its time, so that other decisions could not be plugged in.

Change: DispatchPolicy orders the queue and limits the load of the runners that a request may use; AdmissionPolicy is asked before a request is queued and returns a maximum wait or a rejection with a retry delay; DispatchListener is told what enters and leaves the queue and how each attempt ends. The defaults are the previous rules. A rejection by the policy of a request that may have run is answered 502, as before. The wait for the runner that has cached the prompt is bounded by the default wait, also if the wait for any slot is longer. The fixture of DispatcherTest is now a class of its own; its assertions are unchanged.

--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/Candidate.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/Candidate.java
@@ -14,6 +14,17 @@
 public record Candidate(Runner runner, int load, boolean suspended, boolean sameZone, int uncachedTokens) {
     /** Returns the maximum load, in requests; with prompts it exceeds the slots, so that a freed slot is refilled. */
     int maxLoad(boolean hasPrompt) {
+        return maxLoad(runner, hasPrompt);
+    }
+
+    /**
+     * Returns the maximum load of a runner.
+     *
+     * @param runner the runner
+     * @param hasPrompt whether the requests of its service have prompts
+     * @return number of requests; with prompts it exceeds the slots, so that a freed slot is refilled
+     */
+    public static int maxLoad(Runner runner, boolean hasPrompt) {
         return runner.slots() + (hasPrompt ? Math.max(1, runner.slots() / RunnerChoice.SLOTS_PER_QUEUED_REQUEST) : 0);
     }
 }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
@@ -1,7 +1,6 @@
 package org.parsleydrift.relay;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -9,9 +8,7 @@
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
-import java.util.stream.Stream;
 import org.parsleydrift.placement.Candidate;
-import org.parsleydrift.placement.PromptCacheIndex;
 import org.parsleydrift.placement.RetryBudget;
 import org.parsleydrift.placement.RunnerChoice;
 import org.parsleydrift.placement.RunnerHealth;
@@ -21,35 +18,23 @@
 
 /**
  * Queues requests and assigns them to runners. Runners process requests in order of arrival and slow down under load,
- * so they receive no more than {@link RunnerChoice} permits; further requests wait here, ordered by priority, and can
- * be withdrawn.
+ * so they receive no more than {@link RunnerChoice} and the {@link DispatchPolicy} permit; further requests wait here,
+ * in the order of the policy, and can be withdrawn.
  *
  * <p>Not thread-safe; confined to one event loop.
  */
 public final class Dispatcher {
-    private static final Comparator<QueueEntry> ORDER = Comparator.<QueueEntry, Boolean>comparing(
-                    each -> !each.request().isInProgress())
-            .thenComparingInt(each -> each.request().priority())
-            .thenComparingLong(QueueEntry::arrival);
-
-    /** Initial average of uncached prompt tokens per request. */
-    private static final double INITIAL_UNCACHED_TOKENS = 500;
-    /** Weight of the latest placement in the moving average of uncached prompt tokens. */
-    private static final double AVERAGE_WEIGHT = 0.05;
-
     private final Registry registry;
     private final RandomGenerator random;
     private final String zone;
     private final LongSupplier nanos;
     private final List<QueueEntry> queue = new ArrayList<>();
-    private final Map<String, Integer> ownLoad = new HashMap<>();
-    private final Map<String, Map<Long, Integer>> peerLoad = new HashMap<>();
-    private final Map<Long, Integer> peerLoadTotals = new HashMap<>();
-    private final Map<String, Long> runnerKeys = new HashMap<>();
+    private final RunnerLoads loads = new RunnerLoads();
+    private final PromptPlacements prompts = new PromptPlacements();
     private final Map<String, RunnerHealth> health = new HashMap<>();
     private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
-    private final Map<String, Double> averageUncached = new HashMap<>();
-    private final PromptCacheIndex promptCache = new PromptCacheIndex();
+    private DispatchPolicy policy = DispatchPolicy.DEFAULT;
+    private DispatchListener listener = DispatchListener.NONE;
     private long arrivals;
 
     /**
@@ -73,7 +58,7 @@
      * @return requests by the id of the runner's incarnation; runners without requests are omitted
      */
     public Map<String, Integer> ownLoad() {
-        return Map.copyOf(ownLoad);
+        return loads.own();
     }
 
     /**
@@ -82,25 +67,17 @@
      * @return number of requests
      */
     public int totalLoad() {
-        return Stream.concat(ownLoad.values().stream(), peerLoadTotals.values().stream())
-                .mapToInt(Integer::intValue)
-                .sum();
+        return loads.total();
     }
 
     /**
      * Updates the loads reported by peers and assigns queued requests that have become assignable.
      *
-     * @param loads requests by {@link RunnerKey} of the runner's incarnation, for each node or zone; empty for one that
+     * @param peerLoads requests by {@link RunnerKey} of the runner's incarnation, for each node or zone; empty for one that
      *     is gone
      */
-    public void updatePeerLoads(Map<String, Map<Long, Integer>> loads) {
-        loads.forEach((node, load) -> {
-            Map<Long, Integer> previous = peerLoad.put(node, Map.copyOf(load));
-            if (previous != null) {
-                previous.forEach((runner, count) -> peerLoadTotals.merge(runner, -count, Integer::sum));
-            }
-            load.forEach((runner, count) -> peerLoadTotals.merge(runner, count, Integer::sum));
-        });
+    public void updatePeerLoads(Map<String, Map<Long, Integer>> peerLoads) {
+        loads.updatePeers(peerLoads);
         dispatch();
     }
 
@@ -116,9 +93,9 @@
     /** Drops the state of runners that are gone and assigns queued requests to new ones. */
     void runnersChanged() {
         Set<String> incarnations = registry.incarnations();
-        promptCache.retainRunners(incarnations);
+        prompts.retainRunners(incarnations);
         health.keySet().retainAll(incarnations);
-        runnerKeys.keySet().retainAll(incarnations);
+        loads.retainRunners(incarnations);
         dispatch();
     }
 
@@ -132,15 +109,13 @@
         if (queue.isEmpty()) {
             return;
         }
-        queue.sort(ORDER);
-        for (QueueEntry entry : List.copyOf(queue)) {
-            tryAssign(entry);
-        }
+        policy.order(List.copyOf(queue)).forEach(this::tryAssign);
     }
 
     void submit(QueuedRequest request) {
         QueueEntry entry = new QueueEntry(request, arrivals++);
         queue.add(entry);
+        listener.onQueued(entry, nanos.getAsLong());
         if (queue.size() == 1) {
             tryAssign(entry);
         } else {
@@ -149,12 +124,21 @@
     }
 
     boolean withdraw(QueuedRequest request) {
-        return queue.removeIf(each -> each.request().equals(request));
+        boolean withdrawn = queue.removeIf(each -> each.request().equals(request));
+        if (withdrawn) {
+            listener.onWithdrawn(request);
+        }
+        return withdrawn;
+    }
+
+    /** Reports that a request no longer uses the slot of its runner; the slot itself is released separately. */
+    void reportAttemptEnd(QueuedRequest request, AttemptEnd end) {
+        listener.onAttemptEnded(request, end, nanos.getAsLong());
     }
 
     /** Releases a slot of a runner and assigns queued requests. */
     void releaseSlot(String incarnation) {
-        ownLoad.computeIfPresent(incarnation, (same, load) -> load <= 1 ? null : load - 1);
+        loads.remove(incarnation);
         dispatch();
     }
 
@@ -166,6 +150,16 @@
         return retryBudgets.computeIfAbsent(service, any -> new RetryBudget());
     }
 
+    RunnerLoads loads() {
+        return loads;
+    }
+
+    /** Replaces the default policy. */
+    void usePolicy(DispatchPolicy newPolicy, DispatchListener newListener) {
+        policy = newPolicy;
+        listener = newListener;
+    }
+
     /** Returns the runners of a service that accept new requests. */
     List<Runner> runners(String service) {
         return registry.runners(service);
@@ -174,44 +168,40 @@
     private void tryAssign(QueueEntry entry) {
         QueuedRequest request = entry.request();
         long now = nanos.getAsLong();
+        SlotLimit limit = policy.slotLimit(request);
         List<Candidate> candidates = registry.runners(request.service()).stream()
                 .filter(each -> !request.excludedRunners().contains(each.incarnation()))
-                .map(each -> candidate(each, request, now))
+                .map(each -> candidate(each, request, limit, now))
                 .toList();
-        double average = request.prompt().isEmpty()
-                ? 0
-                : averageUncached.getOrDefault(request.service(), INITIAL_UNCACHED_TOKENS);
-        Optional<Candidate> chosen = RunnerChoice.choose(candidates, average, request.acceptsAnyRunner(), random);
+        Optional<Candidate> chosen =
+                RunnerChoice.choose(candidates, prompts.typicalUncached(request), request.acceptsAnyRunner(), random);
         if (chosen.isPresent() && queue.remove(entry)) {
-            assign(request, chosen.get(), average, now);
+            assign(request, chosen.get(), now);
         }
     }
 
-    private void assign(QueuedRequest request, Candidate chosen, double average, long now) {
+    private void assign(QueuedRequest request, Candidate chosen, long now) {
         String incarnation = chosen.runner().incarnation();
-        ownLoad.merge(incarnation, 1, Integer::sum);
-        if (!request.prompt().isEmpty()) {
-            promptCache.recordSent(incarnation, request.prompt(), now);
-            double updated = average + AVERAGE_WEIGHT * (chosen.uncachedTokens() - average);
-            averageUncached.put(request.service(), Math.max(1, updated));
-        }
+        loads.add(incarnation);
+        prompts.recordSent(incarnation, request, chosen.uncachedTokens(), now);
+        listener.onAssigned(request, now);
         request.assign(chosen);
     }
 
-    private Long runnerKey(String incarnation) {
-        return runnerKeys.computeIfAbsent(incarnation, RunnerKey::of);
-    }
-
-    private Candidate candidate(Runner runner, QueuedRequest request, long now) {
+    private Candidate candidate(Runner runner, QueuedRequest request, SlotLimit limit, long now) {
         RunnerHealth runnerHealth = health.get(runner.incarnation());
         return new Candidate(
                 runner,
-                ownLoad.getOrDefault(runner.incarnation(), 0)
-                        + peerLoadTotals.getOrDefault(runnerKey(runner.incarnation()), 0),
+                countedLoad(runner, request, limit),
                 runnerHealth != null && runnerHealth.isSuspended(now),
                 runner.zone().equals(zone),
-                promptCache.uncachedTokens(runner.incarnation(), request.prompt(), request.reportedParts(), now));
+                prompts.uncachedTokens(runner.incarnation(), request, now));
     }
 
-    private record QueueEntry(QueuedRequest request, long arrival) {}
+    /** Returns the load of a runner; one whose free slots are reserved for other requests counts as full. */
+    private int countedLoad(Runner runner, QueuedRequest request, SlotLimit limit) {
+        int load = loads.at(runner.incarnation());
+        int usualLimit = Candidate.maxLoad(runner, !request.prompt().isEmpty());
+        return load < limit.highestLoad(runner.slots(), usualLimit) ? load : Math.max(load, usualLimit);
+    }
 }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/QueueWait.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/QueueWait.java
@@ -25,11 +25,12 @@
     void start(Duration timeout, Runnable onTimeout) {
         cancel();
         nearTimeout = false;
-        affinityTimer =
-                loop.schedule(Duration.ofMillis((long) (timeout.toMillis() * RelayLimits.AFFINITY_SHARE)), () -> {
-                    nearTimeout = true;
-                    retryPlacement.run();
-                });
+        // A longer wait for a free slot is not a longer wait for the cached prompt, which can be computed again.
+        long affinityMillis = Math.min(timeout.toMillis(), RelayLimits.MAX_QUEUE_WAIT.toMillis());
+        affinityTimer = loop.schedule(Duration.ofMillis((long) (affinityMillis * RelayLimits.AFFINITY_SHARE)), () -> {
+            nearTimeout = true;
+            retryPlacement.run();
+        });
         timeoutTimer = loop.schedule(timeout, onTimeout);
     }
 
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/QueuedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/QueuedRequest.java
@@ -29,6 +29,9 @@
     /** Returns whether the request's program has already used runner time, which is wasted if the request fails. */
     boolean isInProgress();
 
+    /** Returns what the order and the admission of the request depend on besides. */
+    RequestFacts facts();
+
     /** Called after a change of the manifest; the request withdraws if its key was revoked. */
     void manifestChanged();
 
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Relay.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Relay.java
@@ -25,6 +25,7 @@
     private final RandomGenerator random;
     private final RelayMetrics metrics;
     private final List<RelayedRequest> awaitingManifest = new ArrayList<>();
+    private AdmissionPolicy admission = AdmissionPolicy.DEFAULT;
     private int openRequests;
 
     /**
@@ -102,6 +103,10 @@
         return loop;
     }
 
+    AdmissionPolicy admission() {
+        return admission;
+    }
+
     Registry registry() {
         return registry;
     }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayLimits.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayLimits.java
@@ -10,6 +10,9 @@
     /** Maximum queue wait. */
     static final Duration MAX_QUEUE_WAIT = Duration.ofMillis(900);
 
+    /** Maximum remaining time of a program that is believed; a longer one stems from a wrong clock of the caller. */
+    static final Duration MAX_PROGRAM_TIME = Duration.ofHours(1);
+
     /** Share of the queue wait after which any free runner is acceptable, also one without the cached prompt. */
     static final double AFFINITY_SHARE = 0.8;
 
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -17,6 +17,7 @@
 import org.parsleydrift.registry.Route;
 import org.parsleydrift.registry.RoutingManifest;
 import org.parsleydrift.registry.Runner;
+import org.parsleydrift.registry.Team;
 
 /**
  * I/O of one request: matches it, asks the store VMs and the quotas, queues it, sends it to runners and responds to the
@@ -100,6 +101,7 @@
             case RequestAction.Queue ignored -> enqueue();
             case RequestAction.Withdraw ignored -> relay.dispatcher().withdraw(this);
             case RequestAction.CancelAttempt ignored -> exchange.cancel();
+            case RequestAction.ReportAttemptEnd report -> relay.dispatcher().reportAttemptEnd(this, report.end());
             case RequestAction.ChargeQuotaAgain ignored -> team.chargeQuotaAgain();
             case RequestAction.RefundQuota ignored -> team.refundQuota();
             case RequestAction.ReleaseReservation ignored -> turn.ifPresent(TurnRecord::release);
@@ -188,6 +190,23 @@
                 || (!params.isTurn(route) && !params.program().isEmpty());
     }
 
+    @Override
+    public RequestFacts facts() {
+        return new RequestFacts(
+                params.id(),
+                params.program().isEmpty() ? "" : team.owner() + params.program(),
+                route.name(),
+                team.team().map(Team::name).orElse(""),
+                route.isStreaming(),
+                params.programDeadlineMillis().stream()
+                        .map(each -> Math.min(each, RelayLimits.MAX_PROGRAM_TIME.toMillis()))
+                        .map(each -> startNanos + Duration.ofMillis(each).toNanos())
+                        .findAny(),
+                deadlineNanos,
+                lifecycle.attempts().count(),
+                lifecycle.attempts().mayHaveRun());
+    }
+
     @Override
     public void assign(Candidate chosen) {
         Runner runner = chosen.runner();
@@ -355,11 +374,18 @@
             apply(keyRevoked());
             return;
         }
-        apply(new RequestEvent.Admitted());
-        queueWait.start(
-                boundedShare(RelayLimits.MAX_QUEUE_SHARE, RelayLimits.MAX_QUEUE_WAIT),
-                () -> apply(new RequestEvent.QueueTimedOut()));
-        relay.dispatcher().submit(this);
+        switch (relay.admission().decide(this, leftMillis())) {
+            case AdmissionDecision.Wait wait -> {
+                apply(new RequestEvent.Admitted());
+                queueWait.start(
+                        wait.maxWait(),
+                        () -> apply(
+                                new RequestEvent.QueueTimedOut(relay.admission().retryDelayAfterWait(this))));
+                relay.dispatcher().submit(this);
+            }
+            case AdmissionDecision.Refuse refused ->
+                apply(new RequestEvent.AdmissionRefused(refused.reason(), refused.retryDelay()));
+        }
     }
 
     private void handleDeadline() {
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestAction.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestAction.java
@@ -30,6 +30,13 @@
     /** Cancel the attempt at the runner. */
     record CancelAttempt() implements RequestAction {}
 
+    /**
+     * Report how the attempt at the runner has ended.
+     *
+     * @param end how it has ended
+     */
+    record ReportAttemptEnd(AttemptEnd end) implements RequestAction {}
+
     /** Charge the quota again, since the first attempt may have run as well. */
     record ChargeQuotaAgain() implements RequestAction {}
 
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestEvent.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestEvent.java
@@ -73,8 +73,12 @@
      */
     record KeyRevoked(boolean manifestCurrent) implements RequestEvent {}
 
-    /** The maximum wait in the queue is over. */
-    record QueueTimedOut() implements RequestEvent {}
+    /**
+     * The maximum wait in the queue is over.
+     *
+     * @param retryDelay time after which the caller should come back, sent without jitter; empty for the default
+     */
+    record QueueTimedOut(Optional<Duration> retryDelay) implements RequestEvent {}
 
     /** A runner was chosen, to which the request is being sent. */
     record Assigned() implements RequestEvent {}
--- /dev/null
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestFacts.java
@@ -0,0 +1,27 @@
+package org.parsleydrift.relay;
+
+import java.util.OptionalLong;
+
+/**
+ * What the order and the admission of a request depend on, besides its {@link QueuedRequest}.
+ *
+ * @param id id of this attempt of the caller
+ * @param program id of the program, unique over teams; the empty string for none
+ * @param route name of the route
+ * @param team name of the caller's team; the empty string for none
+ * @param streaming whether the response is an event stream
+ * @param programDeadlineNanos time at which the program should be finished, ns; empty if unknown
+ * @param deadlineNanos time at which the caller gives up the request, ns
+ * @param attempts number of runners that the request was sent to
+ * @param mayHaveRun whether one of them may have run it
+ */
+record RequestFacts(
+        String id,
+        String program,
+        String route,
+        String team,
+        boolean streaming,
+        OptionalLong programDeadlineNanos,
+        long deadlineNanos,
+        int attempts,
+        boolean mayHaveRun) {}
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestLifecycle.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestLifecycle.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.Stream;
 import org.parsleydrift.conversation.BeginResult;
 import org.parsleydrift.placement.QuotaDecision;
@@ -78,7 +79,7 @@
             }
             case RequestEvent.AdmissionRefused refused -> handleRefusal(refused);
             case RequestEvent.KeyRevoked revoked -> handleRevokedKey(revoked.manifestCurrent());
-            case RequestEvent.QueueTimedOut ignored -> handleQueueTimeout();
+            case RequestEvent.QueueTimedOut timedOut -> handleQueueTimeout(timedOut.retryDelay());
             case RequestEvent.Assigned ignored -> {
                 stage = RequestStage.ASSIGNED;
                 attempts.recordAttempt();
@@ -87,12 +88,18 @@
             case RequestEvent.AttemptNotRun notRun -> handleNotRun(notRun);
             case RequestEvent.AttemptUnknown unknown -> handleUnknown(unknown);
             case RequestEvent.ResponseForwarded response ->
-                in(RequestStage.ASSIGNED) ? end(ANSWERED, String.valueOf(response.status())) : List.of();
+                in(RequestStage.ASSIGNED)
+                        ? after(
+                                new RequestAction.ReportAttemptEnd(AttemptEnd.COMPLETE),
+                                end(ANSWERED, String.valueOf(response.status())))
+                        : List.of();
             case RequestEvent.StreamFailed failed ->
-                in(RequestStage.ASSIGNED) ? abortStream(failed.reason()) : List.of();
+                in(RequestStage.ASSIGNED)
+                        ? after(new RequestAction.ReportAttemptEnd(AttemptEnd.INCOMPLETE), abortStream(failed.reason()))
+                        : List.of();
             case RequestEvent.StreamCompleted ignored -> {
                 stage = RequestStage.COMMITTING;
-                yield List.of();
+                yield List.of(new RequestAction.ReportAttemptEnd(AttemptEnd.COMPLETE));
             }
             case RequestEvent.TurnCommitted ignored ->
                 in(RequestStage.COMMITTING) ? end(ANSWERED, "stream", new RequestAction.EndStream()) : List.of();
@@ -162,7 +169,7 @@
         return Stream.concat(withdrawal, ending.stream()).toList();
     }
 
-    private List<RequestAction> handleQueueTimeout() {
+    private List<RequestAction> handleQueueTimeout(Optional<Duration> retryDelay) {
         if (stage != RequestStage.QUEUED) {
             return List.of();
         }
@@ -170,7 +177,11 @@
                 new RequestAction.Withdraw(),
                 attempts.mayHaveRun()
                         ? respond(502, UNKNOWN, "an earlier attempt may have run; no other runner had a free slot")
-                        : refuse("no runner had a free slot", RelayLimits.RETRY_DELAY_NO_SLOT));
+                        : refuse(
+                                503,
+                                "no runner had a free slot",
+                                retryDelay.orElse(RelayLimits.RETRY_DELAY_NO_SLOT),
+                                retryDelay.isEmpty()));
     }
 
     private List<RequestAction> handleNotRun(RequestEvent.AttemptNotRun notRun) {
@@ -178,13 +189,16 @@
             return List.of();
         }
         attempts.recordNotRun(notRun.incarnation());
+        RequestAction report = new RequestAction.ReportAttemptEnd(AttemptEnd.NOT_RUN);
         if (attempts.canTryAnother(notRun.runners())) {
-            return List.of(new RequestAction.Queue());
+            return List.of(report, new RequestAction.Queue());
         }
         // "Not executed" by this runner says nothing about an earlier one, which may have run the request.
-        return attempts.mayHaveRun()
-                ? respond(502, UNKNOWN, "an earlier attempt may have run; " + notRun.reason())
-                : refuse(notRun.reason(), RelayLimits.RETRY_DELAY_NO_SLOT);
+        return after(
+                report,
+                attempts.mayHaveRun()
+                        ? respond(502, UNKNOWN, "an earlier attempt may have run; " + notRun.reason())
+                        : refuse(notRun.reason(), RelayLimits.RETRY_DELAY_NO_SLOT));
     }
 
     private List<RequestAction> handleUnknown(RequestEvent.AttemptUnknown unknown) {
@@ -192,9 +206,11 @@
             return List.of();
         }
         attempts.recordPossibleRun(unknown.incarnation());
-        return unknown.retryGranted()
-                ? List.of(new RequestAction.ChargeQuotaAgain(), new RequestAction.Queue())
-                : respond(502, UNKNOWN, unknown.reason());
+        return after(
+                new RequestAction.ReportAttemptEnd(AttemptEnd.INCOMPLETE),
+                unknown.retryGranted()
+                        ? List.of(new RequestAction.ChargeQuotaAgain(), new RequestAction.Queue())
+                        : respond(502, UNKNOWN, unknown.reason()));
     }
 
     private List<RequestAction> handleDeadline(boolean streamBegun) {
@@ -211,7 +227,9 @@
             case ASSIGNED ->
                 after(
                         new RequestAction.CancelAttempt(),
-                        streamBegun ? abortStream(TIMEOUT) : respond(504, TIMEOUT, "at the runner"));
+                        after(
+                                new RequestAction.ReportAttemptEnd(AttemptEnd.INCOMPLETE),
+                                streamBegun ? abortStream(TIMEOUT) : respond(504, TIMEOUT, "at the runner")));
             case COMMITTING -> abortStream(TIMEOUT);
         };
     }
@@ -220,7 +238,12 @@
     private List<RequestAction> handleDisconnect() {
         return switch (stage) {
             case ENDED, COMMITTING -> List.of();
-            case ASSIGNED -> end("caller_left", "after_offer", new RequestAction.CancelAttempt());
+            case ASSIGNED ->
+                end(
+                        "caller_left",
+                        "after_offer",
+                        new RequestAction.CancelAttempt(),
+                        new RequestAction.ReportAttemptEnd(AttemptEnd.INCOMPLETE));
             case AWAITING_MANIFEST, MATCHING, BEGINNING, QUEUED ->
                 end(
                         "caller_left",
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DispatcherTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DispatcherTest.java
@@ -5,15 +5,10 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.Set;
 import org.parsleydrift.kernel.ManualScheduler;
-import org.parsleydrift.placement.CachedPart;
-import org.parsleydrift.placement.Candidate;
-import org.parsleydrift.placement.PromptPart;
 import org.parsleydrift.registry.ObjectDecoder;
 import org.parsleydrift.registry.Registry;
 import org.parsleydrift.registry.RoutingManifest;
@@ -32,62 +27,8 @@
     private Dispatcher dispatcher;
     private long revision;
 
-    private final class Request implements QueuedRequest {
-        private final String name;
-        private final int priority;
-        private final boolean inProgress;
-        private final Set<String> excludedRunners = new HashSet<>();
-        private Runner runner;
-
-        private Request(String name, int priority, boolean inProgress) {
-            this.name = name;
-            this.priority = priority;
-            this.inProgress = inProgress;
-        }
-
-        @Override
-        public void manifestChanged() {}
-
-        @Override
-        public String service() {
-            return "s";
-        }
-
-        @Override
-        public List<PromptPart> prompt() {
-            return List.of();
-        }
-
-        @Override
-        public List<CachedPart> reportedParts() {
-            return List.of();
-        }
-
-        @Override
-        public Set<String> excludedRunners() {
-            return excludedRunners;
-        }
-
-        @Override
-        public boolean acceptsAnyRunner() {
-            return false;
-        }
-
-        @Override
-        public int priority() {
-            return priority;
-        }
-
-        @Override
-        public boolean isInProgress() {
-            return inProgress;
-        }
-
-        @Override
-        public void assign(Candidate chosen) {
-            runner = chosen.runner();
-            assigned.add(name);
-        }
+    private QueuedRequestFixture request(String name, int priority, boolean inProgress) {
+        return new QueuedRequestFixture(name, priority, inProgress, assigned);
     }
 
     @BeforeMethod
@@ -118,11 +59,11 @@
     @Test
     public void programsInProgressPrecedeNewOnes() {
         runner("r1", false);
-        List<Request> first = List.of(new Request("a", 0, false), new Request("b", 0, false));
+        List<QueuedRequestFixture> first = List.of(request("a", 0, false), request("b", 0, false));
         first.forEach(dispatcher::submit);
-        dispatcher.submit(new Request("new-urgent", 0, false));
-        dispatcher.submit(new Request("new", 1, false));
-        dispatcher.submit(new Request("going", 1, true));
+        dispatcher.submit(request("new-urgent", 0, false));
+        dispatcher.submit(request("new", 1, false));
+        dispatcher.submit(request("going", 1, true));
         assertEquals(assigned, List.of("a", "b"));
         dispatcher.releaseSlot("r1");
         dispatcher.releaseSlot("r1");
@@ -135,16 +76,16 @@
         runner("r1", false);
         runner("r2", false);
         dispatcher.updatePeerLoads(Map.of("peer", loadAt("r1", SLOTS)));
-        Request request = new Request("a", 0, false);
+        QueuedRequestFixture request = request("a", 0, false);
         dispatcher.submit(request);
-        assertEquals(request.runner.id(), "r2");
+        assertEquals(request.runner().id(), "r2");
     }
 
     /** A draining runner receives no requests; queued ones are assigned as soon as another runner appears. */
     @Test
     public void drainingRunnerReceivesNoRequests() {
         runner("r1", true);
-        dispatcher.submit(new Request("a", 0, false));
+        dispatcher.submit(request("a", 0, false));
         assertTrue(assigned.isEmpty());
         runner("r2", false);
         assertEquals(assigned, List.of("a"));
@@ -156,7 +97,7 @@
         assertEquals("Aa".hashCode(), "BB".hashCode());
         List.of("Aa", "BB").forEach(id -> runner(id, false));
         dispatcher.updatePeerLoads(Map.of("peer", loadAt("Aa", SLOTS + 1)));
-        dispatcher.submit(new Request("one", 1, false));
+        dispatcher.submit(request("one", 1, false));
         assertEquals(assigned.size(), 1);
     }
 
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RequestLifecycleTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RequestLifecycleTest.java
@@ -38,7 +38,7 @@
     @DataProvider
     public Object[][] endings() {
         return new Object[][] {
-            {new RequestEvent.QueueTimedOut(), 502},
+            {new RequestEvent.QueueTimedOut(Optional.empty()), 502},
             {new RequestEvent.DeadlinePassed(false), 504},
             {new RequestEvent.KeyRevoked(true), 502},
             {new RequestEvent.KeyRevoked(false), 502},
@@ -84,7 +84,7 @@
         RequestLifecycle lifecycle = queued(new RequestEvent.Assigned());
         assertEquals(
                 lifecycle.apply(new RequestEvent.AttemptNotRun("r1", "full", RUNNERS)),
-                List.of(new RequestAction.Queue()));
+                List.of(new RequestAction.ReportAttemptEnd(AttemptEnd.NOT_RUN), new RequestAction.Queue()));
         assertTrue(lifecycle.attempts().excludedRunners().contains("r1"));
     }
 
@@ -113,7 +113,7 @@
     public void endedRequestIgnoresTimers() {
         RequestLifecycle lifecycle = queued(new RequestEvent.Assigned(), new RequestEvent.ResponseForwarded(200));
         Stream.of(
-                        new RequestEvent.QueueTimedOut(),
+                        new RequestEvent.QueueTimedOut(Optional.empty()),
                         new RequestEvent.DeadlinePassed(false),
                         new RequestEvent.ManifestTimedOut(),
                         new RequestEvent.CallerLeft())
