Contention control at entry nodes

Cause: under hard load urgent programs waited behind the sub-agents of less urgent ones, and requests that could not be served were held until their wait was over.

Change: ContentionControl attaches queue order, slot reservation and admission control of parsleydrift-placement to the dispatcher and the relay. It is installed if the settings have a contention block and applies while every streaming route of the manifest in force is stateful; otherwise the defaults apply.

--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/RoutingManifest.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/RoutingManifest.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 
@@ -18,6 +19,8 @@
     private final Map<String, UpstreamService> services;
     private final CallerLimits limits;
     private final Optional<TeamKeys> teams;
+    private final boolean streamsStateful;
+    private final Map<String, Integer> bestPriorities;
 
     /**
      * Creates a manifest without teams: callers need no API keys.
@@ -55,6 +58,14 @@
         routes.forEach(route -> byHost.computeIfAbsent(route.host().toLowerCase(Locale.ROOT), any -> new HashMap<>())
                 .put(route.pathPrefix(), route));
         this.routesByHost = byHost;
+        this.streamsStateful = routes.stream().anyMatch(Route::isStreaming)
+                && routes.stream().filter(Route::isStreaming).allMatch(Route::stateful);
+        OptionalInt bestOfTeams = teams.map(TeamKeys::bestPriority).orElse(OptionalInt.empty());
+        this.bestPriorities = routes.stream()
+                .flatMap(route -> route.destinations().stream()
+                        .map(each -> Map.entry(
+                                each.service(), Math.min(route.priority(), bestOfTeams.orElse(route.priority())))))
+                .collect(Collectors.toUnmodifiableMap(Map.Entry::getKey, Map.Entry::getValue, Math::min));
     }
 
     /**
@@ -84,6 +95,26 @@
         return teams;
     }
 
+    /**
+     * Whether the turns of all event streams are stored, so that any node can tell the programs in progress from new
+     * ones.
+     *
+     * @return true if there is a streaming route and all of them are stateful
+     */
+    public boolean areStreamsStateful() {
+        return streamsStateful;
+    }
+
+    /**
+     * Returns the best priority that a request of a service can have, by its route or its team.
+     *
+     * @param service name of the service
+     * @return the priority; 0 is the highest, also if no route leads to the service
+     */
+    public int bestPriority(String service) {
+        return bestPriorities.getOrDefault(service, 0);
+    }
+
     /**
      * Finds the route with the longest matching prefix.
      *
--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/TeamKeys.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/TeamKeys.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.parsleydrift.kernel.Step;
 import org.parsleydrift.kernel.StepException;
@@ -66,6 +67,17 @@
         return key.length() > MAX_KEY_LENGTH ? Optional.empty() : Optional.ofNullable(byKey.get(key));
     }
 
+    /**
+     * Returns the best priority of a team that holds a key.
+     *
+     * @return the priority; empty if no such team has one
+     */
+    OptionalInt bestPriority() {
+        return byKey.values().stream()
+                .flatMapToInt(each -> each.priority().stream())
+                .min();
+    }
+
     private static void check(boolean valid, String message) {
         if (!valid) {
             throw new StepException(Step.PARSE, "manifest", message);
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Relay.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Relay.java
@@ -7,6 +7,7 @@
 import java.util.random.RandomGenerator;
 import org.parsleydrift.conversation.Conversations;
 import org.parsleydrift.kernel.EventLoop;
+import org.parsleydrift.placement.ContentionSettings;
 import org.parsleydrift.placement.QuotaTracker;
 import org.parsleydrift.registry.Registry;
 import org.parsleydrift.wire.NetworkThreads;
@@ -72,6 +73,22 @@
         return relayed::handleDisconnect;
     }
 
+    /**
+     * Puts the services under contention control, which applies only while the manifest permits it. To be called before
+     * the first request.
+     *
+     * @param settings settings of the deployment
+     * @param meters registry for the control's metrics
+     * @return the control
+     */
+    public ContentionControl enableContentionControl(ContentionSettings settings, MeterRegistry meters) {
+        ContentionControl control = new ContentionControl(
+                settings, registry, dispatcher, loop.clock()::nanos, new ContentionReports(meters));
+        dispatcher.usePolicy(control, control);
+        admission = control;
+        return control;
+    }
+
     /**
      * Returns the number of requests that have not ended.
      *
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -105,6 +105,7 @@
                 context.plugin.headerNames(),
                 context.random,
                 context.meters);
+        settings.contention().ifPresent(each -> relay.enableContentionControl(each, context.meters));
         runners = watch(ObjectKind.RUNNERS, listener(registry::applyRunnerChanges, registry::setPlatformReachable));
         manifests = watch(ObjectKind.MANIFEST, listener(registry::applyManifestChanges, registry::setManifestCurrent));
         storeSets = watch(ObjectKind.STORE_SET, listener(this::applyStoreSetChanges, reachable -> {}));
