Lease slots of engines from a coordinator per runner

Cause: nodes see each other's loads 250 to 480 ms late, longer than a turn lasts, so that several nodes send to one engine at once and it rejects turns as full.

Change: before a request is sent to an engine under contention control, the dispatcher asks a SlotGate. Off without the contention block, without zone hubs, and for services that are no engines.

Result: parsleydrift-roles and the modules below it compile with all checks; DispatcherTest and RelayTest pass.

--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/Candidate.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/Candidate.java
@@ -12,8 +12,18 @@
  * @param uncachedTokens tokens of the request's prompt that the runner has not cached; 0 without a prompt
  */
 public record Candidate(Runner runner, int load, boolean suspended, boolean sameZone, int uncachedTokens) {
-    /** Returns the maximum load, in requests; with prompts it exceeds the slots, so that a freed slot is refilled. */
+    /**
+     * Returns the maximum load of a runner; with prompts it exceeds the slots, so that a freed slot is refilled.
+     *
+     * @param slots slots of the runner
+     * @param hasPrompt whether the service has prompts
+     * @return maximum load, requests
+     */
+    public static int maxLoad(int slots, boolean hasPrompt) {
+        return slots + (hasPrompt ? Math.max(1, slots / RunnerChoice.SLOTS_PER_QUEUED_REQUEST) : 0);
+    }
+
     int maxLoad(boolean hasPrompt) {
-        return runner.slots() + (hasPrompt ? Math.max(1, runner.slots() / RunnerChoice.SLOTS_PER_QUEUED_REQUEST) : 0);
+        return maxLoad(runner.slots(), hasPrompt);
     }
 }
--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/Registry.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/Registry.java
@@ -76,6 +76,16 @@
                 .toList();
     }
 
+    /**
+     * Returns all known runners, including those that are draining and those whose entries have expired.
+     *
+     * @return the runners of all services
+     */
+    public List<Runner> allRunners() {
+        return Stream.concat(runners.values().stream(), expired.values().stream())
+                .toList();
+    }
+
     /**
      * Returns the incarnations of all known runners, including those that are draining and those whose entries have
      * expired.
@@ -83,9 +93,7 @@
      * @return ids of the incarnations
      */
     public Set<String> incarnations() {
-        return Stream.concat(runners.values().stream(), expired.values().stream())
-                .map(Runner::incarnation)
-                .collect(Collectors.toSet());
+        return allRunners().stream().map(Runner::incarnation).collect(Collectors.toSet());
     }
 
     /**
--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/RoutingManifest.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/RoutingManifest.java
@@ -57,6 +57,18 @@
         this.routesByHost = byHost;
     }
 
+    /**
+     * Whether every streaming route is stateful, so that any node can tell programs in progress from new ones.
+     *
+     * @return true also without streaming routes
+     */
+    public boolean isEveryStreamStateful() {
+        return routesByHost.values().stream()
+                .flatMap(each -> each.values().stream())
+                .filter(Route::isStreaming)
+                .allMatch(Route::stateful);
+    }
+
     /**
      * Returns the version of the manifest.
      *
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
@@ -50,6 +50,7 @@
     private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
     private final Map<String, Double> averageUncached = new HashMap<>();
     private final PromptCacheIndex promptCache = new PromptCacheIndex();
+    private final LeasedSlots slots;
     private long arrivals;
 
     /**
@@ -61,10 +62,24 @@
      * @param nanos monotonic clock of the loop, ns
      */
     public Dispatcher(Registry registry, RandomGenerator random, String zone, LongSupplier nanos) {
+        this(registry, random, zone, nanos, SlotGate.OPEN);
+    }
+
+    /**
+     * Creates a dispatcher with an empty queue that asks for slots of runners.
+     *
+     * @param registry source of the runners
+     * @param random source of randomness for the choice of runners
+     * @param zone this node's availability zone
+     * @param nanos monotonic clock of the loop, ns
+     * @param gate grants the slots
+     */
+    public Dispatcher(Registry registry, RandomGenerator random, String zone, LongSupplier nanos, SlotGate gate) {
         this.registry = registry;
         this.random = random;
         this.zone = zone;
         this.nanos = nanos;
+        this.slots = new LeasedSlots(gate, nanos);
     }
 
     /**
@@ -105,12 +120,22 @@
     }
 
     /**
-     * Returns the number of queued requests.
+     * Returns the number of queued requests, including those that wait for a slot to be granted.
      *
      * @return number of requests
      */
     public int queueLength() {
-        return queue.size();
+        return queue.size() + slots.pending().size();
+    }
+
+    /**
+     * Returns the load of a runner, by own requests and the last reports of peers.
+     *
+     * @param incarnation id of the runner's incarnation
+     * @return number of requests
+     */
+    public int reportedLoad(String incarnation) {
+        return ownLoad.getOrDefault(incarnation, 0) + peerLoadTotals.getOrDefault(runnerKey(incarnation), 0);
     }
 
     /** Drops the state of runners that are gone and assigns queued requests to new ones. */
@@ -118,13 +143,16 @@
         Set<String> incarnations = registry.incarnations();
         promptCache.retainRunners(incarnations);
         health.keySet().retainAll(incarnations);
+        slots.retainRunners(incarnations);
         runnerKeys.keySet().retainAll(incarnations);
         dispatch();
     }
 
     /** Notifies the queued requests of a new manifest, so that those it no longer permits withdraw. */
     void manifestChanged() {
-        List.copyOf(queue).forEach(each -> each.request().manifestChanged());
+        Stream.concat(queue.stream().map(QueueEntry::request), slots.pending().stream())
+                .toList()
+                .forEach(QueuedRequest::manifestChanged);
     }
 
     /** Assigns queued requests to runners, in order of precedence. */
@@ -149,7 +177,20 @@
     }
 
     boolean withdraw(QueuedRequest request) {
-        return queue.removeIf(each -> each.request().equals(request));
+        Optional<String> assigning = slots.withdraw(request);
+        assigning.ifPresent(this::releaseSlot);
+        return assigning.isPresent() || queue.removeIf(each -> each.request().equals(request));
+    }
+
+    /** Releases the slot that a request had at a runner, with its lease, and assigns queued requests. */
+    void releaseSlot(QueuedRequest request, String incarnation) {
+        slots.release(request, incarnation);
+        releaseSlot(incarnation);
+    }
+
+    /** Records that a runner rejected a request as full. */
+    void recordRejection(Runner runner) {
+        slots.recordRejection(runner, this::dispatch);
     }
 
     /** Releases a slot of a runner and assigns queued requests. */
@@ -183,13 +224,25 @@
                 : averageUncached.getOrDefault(request.service(), INITIAL_UNCACHED_TOKENS);
         Optional<Candidate> chosen = RunnerChoice.choose(candidates, average, request.acceptsAnyRunner(), random);
         if (chosen.isPresent() && queue.remove(entry)) {
-            assign(request, chosen.get(), average, now);
+            ownLoad.merge(chosen.get().runner().incarnation(), 1, Integer::sum);
+            slots.request(
+                    request,
+                    chosen.get(),
+                    each -> ownLoad.getOrDefault(each, 0),
+                    () -> assign(request, chosen.get(), average, nanos.getAsLong()),
+                    () -> requeue(entry, chosen.get()));
         }
     }
 
+    /** Puts a request that got no slot back to its position, and assigns queued requests elsewhere. */
+    private void requeue(QueueEntry entry, Candidate chosen) {
+        queue.add(entry);
+        slots.retryLater(this::dispatch);
+        releaseSlot(chosen.runner().incarnation());
+    }
+
     private void assign(QueuedRequest request, Candidate chosen, double average, long now) {
         String incarnation = chosen.runner().incarnation();
-        ownLoad.merge(incarnation, 1, Integer::sum);
         if (!request.prompt().isEmpty()) {
             promptCache.recordSent(incarnation, request.prompt(), now);
             double updated = average + AVERAGE_WEIGHT * (chosen.uncachedTokens() - average);
@@ -204,10 +257,11 @@
 
     private Candidate candidate(Runner runner, QueuedRequest request, long now) {
         RunnerHealth runnerHealth = health.get(runner.incarnation());
+        int own = ownLoad.getOrDefault(runner.incarnation(), 0);
+        int reported = peerLoadTotals.getOrDefault(runnerKey(runner.incarnation()), 0);
         return new Candidate(
                 runner,
-                ownLoad.getOrDefault(runner.incarnation(), 0)
-                        + peerLoadTotals.getOrDefault(runnerKey(runner.incarnation()), 0),
+                slots.load(runner, own, reported, now),
                 runnerHealth != null && runnerHealth.isSuspended(now),
                 runner.zone().equals(zone),
                 promptCache.uncachedTokens(runner.incarnation(), request.prompt(), request.reportedParts(), now));
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/QueuedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/QueuedRequest.java
@@ -29,6 +29,11 @@
     /** Returns whether the request's program has already used runner time, which is wasted if the request fails. */
     boolean isInProgress();
 
+    /** Returns the time until the deadline of the request, ms; 0 once it has passed. */
+    default long leftMillis() {
+        return Long.MAX_VALUE;
+    }
+
     /** Called after a change of the manifest; the request withdraws if its key was revoked. */
     void manifestChanged();
 
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -223,8 +223,8 @@
         }
     }
 
-    /** Returns the time until the deadline of the request, ms; 0 once it has passed. */
-    long leftMillis() {
+    @Override
+    public long leftMillis() {
         return Math.max(0, (deadlineNanos - relay.loop().clock().nanos()) / 1_000_000);
     }
 
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerExchange.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerExchange.java
@@ -7,6 +7,7 @@
 /** One attempt to run a request at one runner, from acquiring a connection to the end of the response. */
 final class RunnerExchange implements RunnerResponseListener {
     private static final int MISDIRECTED = 421;
+    private static final int UNAVAILABLE = 503;
 
     private final RelayedRequest request;
     private final Relay relay;
@@ -117,7 +118,7 @@
         }
         ended = true;
         deliver();
-        relay.dispatcher().releaseSlot(runner.incarnation());
+        relay.dispatcher().releaseSlot(request, runner.incarnation());
     }
 
     @Override
@@ -134,19 +135,22 @@
         } else {
             request.handleNotRun(runner, reason);
         }
-        relay.dispatcher().releaseSlot(runner.incarnation());
+        relay.dispatcher().releaseSlot(request, runner.incarnation());
     }
 
     private void releaseSlot() {
         if (!ended) {
             ended = true;
-            relay.dispatcher().releaseSlot(runner.incarnation());
+            relay.dispatcher().releaseSlot(request, runner.incarnation());
         }
     }
 
     private void deliver() {
         boolean notExecuted = headers.contains(relay.headerNames().notExecuted()) || status == MISDIRECTED;
         if (notExecuted) {
+            if (status == UNAVAILABLE) {
+                relay.dispatcher().recordRejection(runner);
+            }
             request.handleNotRun(runner, "runner reported not executed, status " + status);
             return;
         }
@@ -166,7 +170,7 @@
     }
 
     private boolean impliesNotRun() {
-        return status == 503 || status == 429 || status == 408;
+        return status == UNAVAILABLE || status == 429 || status == 408;
     }
 
     private long nowNanos() {
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -18,12 +18,15 @@
 import org.parsleydrift.kernel.Step;
 import org.parsleydrift.kernel.StepException;
 import org.parsleydrift.placement.QuotaTracker;
+import org.parsleydrift.placement.lease.LeaseLimit;
 import org.parsleydrift.registry.CallerLimits;
 import org.parsleydrift.registry.ObjectKind;
 import org.parsleydrift.registry.ObjectWatcher;
 import org.parsleydrift.registry.Registry;
 import org.parsleydrift.registry.RoutingManifest;
+import org.parsleydrift.registry.Runner;
 import org.parsleydrift.registry.SharedObject;
+import org.parsleydrift.registry.UpstreamService;
 import org.parsleydrift.registry.VersionedTable;
 import org.parsleydrift.relay.CallerServer;
 import org.parsleydrift.relay.Dispatcher;
@@ -59,11 +62,13 @@
     private static final Duration ENTRY_RETRY_DELAY = Duration.ofMillis(700);
 
     private final ProcessContext context;
+    private final boolean contentionControl;
     private final NodeIdentity self;
     private final Registry registry;
     private final ConversationClient stores;
     private final ReplicaCalls calls;
     private final QuotaTracker quotas;
+    private final SlotLeaseExchange leases;
     private final Dispatcher dispatcher;
     private final Relay relay;
     private final NodeMesh mesh;
@@ -76,7 +81,17 @@
     private boolean nodesListed;
 
     EntryRole(ProcessContext context) {
+        this(context, context.settings.contention().isPresent());
+    }
+
+    /**
+     * Creates the role.
+     *
+     * @param contentionControl whether services are under contention control, if the manifest permits it
+     */
+    EntryRole(ProcessContext context, boolean contentionControl) {
         this.context = context;
+        this.contentionControl = contentionControl;
         RoleSettings settings = context.settings;
         self = new NodeIdentity(
                 settings.vm(),
@@ -94,7 +109,9 @@
         stores = new ConversationClient(context.loop, calls);
         quotas = new QuotaTracker(
                 context.loop.clock()::nanos, context.random, settings.quotaPolicy(), this::hasFleetUsage);
-        dispatcher = new Dispatcher(registry, context.random, settings.zone(), context.loop.clock()::nanos);
+        leases = new SlotLeaseExchange(
+                context.loop, frames, self, context.random.nextLong(), leaseFleet(), LeaseLimit.USUAL, context.meters);
+        dispatcher = new Dispatcher(registry, context.random, settings.zone(), context.loop.clock()::nanos, leases);
         relay = new Relay(
                 context.threads,
                 context.loop,
@@ -143,6 +160,7 @@
             storeSets.start();
             nodes.start();
             mesh.start();
+            leases.start();
         });
     }
 
@@ -220,11 +238,43 @@
     }
 
     private void receive(byte[] frame) {
-        if (!mesh.receive(frame)) {
+        if (!leases.receive(frame) && !mesh.receive(frame)) {
             calls.receive(frame);
         }
     }
 
+    private SlotLeaseExchange.Fleet leaseFleet() {
+        return new SlotLeaseExchange.Fleet() {
+            @Override
+            public boolean isControlled(String service) {
+                return contentionControl && mesh.usesHubs() && isControlledEngine(service);
+            }
+
+            @Override
+            public List<NodeIdentity> readyNodes() {
+                return mesh.readyNodes();
+            }
+
+            @Override
+            public List<Runner> runners() {
+                return registry.allRunners();
+            }
+
+            @Override
+            public int reportedLoad(String incarnation) {
+                return dispatcher.reportedLoad(incarnation);
+            }
+        };
+    }
+
+    private boolean isControlledEngine(String service) {
+        return registry.manifest()
+                .filter(RoutingManifest::isEveryStreamStateful)
+                .flatMap(each -> each.service(service))
+                .filter(UpstreamService::engine)
+                .isPresent();
+    }
+
     private void applyStoreSetChanges(List<SharedObject> changes) {
         forEachReadable(changes, each -> stores.adopt(StoreSetJson.read(each.content())));
     }
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
@@ -214,7 +214,7 @@
     }
 
     /** Whether the fleet is too large for a full mesh. */
-    private boolean usesHubs() {
+    boolean usesHubs() {
         return peers.size() > MeshPlan.MAX_FULL_MESH_PEERS;
     }
 
