--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/Candidate.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/Candidate.java
@@ -12,19 +12,18 @@
  * @param uncachedTokens tokens of the request's prompt that the runner has not cached; 0 without a prompt
  */
 public record Candidate(Runner runner, int load, boolean suspended, boolean sameZone, int uncachedTokens) {
-    /** Returns the maximum load, in requests; with prompts it exceeds the slots, so that a freed slot is refilled. */
-    int maxLoad(boolean hasPrompt) {
-        return maxLoad(runner, hasPrompt);
-    }
-
     /**
-     * Returns the maximum load of a runner.
+     * Returns the maximum load of a runner; with prompts it exceeds the slots, so that a freed slot is refilled.
      *
-     * @param runner the runner
-     * @param hasPrompt whether the requests of its service have prompts
-     * @return number of requests; with prompts it exceeds the slots, so that a freed slot is refilled
+     * @param slots slots of the runner
+     * @param hasPrompt whether the service has prompts
+     * @return maximum load, requests
      */
-    public static int maxLoad(Runner runner, boolean hasPrompt) {
-        return runner.slots() + (hasPrompt ? Math.max(1, runner.slots() / RunnerChoice.SLOTS_PER_QUEUED_REQUEST) : 0);
+    public static int maxLoad(int slots, boolean hasPrompt) {
+        return slots + (hasPrompt ? Math.max(1, slots / RunnerChoice.SLOTS_PER_QUEUED_REQUEST) : 0);
+    }
+
+    int maxLoad(boolean hasPrompt) {
+        return maxLoad(runner.slots(), hasPrompt);
     }
 }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 import org.parsleydrift.placement.Candidate;
 import org.parsleydrift.placement.RetryBudget;
 import org.parsleydrift.placement.RunnerChoice;
@@ -35,6 +36,7 @@
     private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
     private DispatchPolicy policy = DispatchPolicy.DEFAULT;
     private DispatchListener listener = DispatchListener.NONE;
+    private final LeasedSlots slots;
     private long arrivals;
 
     /**
@@ -46,10 +48,24 @@
      * @param nanos monotonic clock of the loop, ns
      */
     public Dispatcher(Registry registry, RandomGenerator random, String zone, LongSupplier nanos) {
+        this(registry, random, zone, nanos, SlotGate.OPEN);
+    }
+
+    /**
+     * Creates a dispatcher with an empty queue that asks for slots of runners.
+     *
+     * @param registry source of the runners
+     * @param random source of randomness for the choice of runners
+     * @param zone this node's availability zone
+     * @param nanos monotonic clock of the loop, ns
+     * @param gate grants the slots
+     */
+    public Dispatcher(Registry registry, RandomGenerator random, String zone, LongSupplier nanos, SlotGate gate) {
         this.registry = registry;
         this.random = random;
         this.zone = zone;
         this.nanos = nanos;
+        this.slots = new LeasedSlots(gate, nanos);
     }
 
     /**
@@ -82,12 +98,22 @@
     }
 
     /**
-     * Returns the number of queued requests.
+     * Returns the number of queued requests, including those that wait for a slot to be granted.
      *
      * @return number of requests
      */
     public int queueLength() {
-        return queue.size();
+        return queue.size() + slots.pending().size();
+    }
+
+    /**
+     * Returns the load of a runner, by own requests and the last reports of peers.
+     *
+     * @param incarnation id of the runner's incarnation
+     * @return number of requests
+     */
+    public int reportedLoad(String incarnation) {
+        return loads.at(incarnation);
     }
 
     /** Drops the state of runners that are gone and assigns queued requests to new ones. */
@@ -96,12 +122,15 @@
         prompts.retainRunners(incarnations);
         health.keySet().retainAll(incarnations);
         loads.retainRunners(incarnations);
+        slots.retainRunners(incarnations);
         dispatch();
     }
 
     /** Notifies the queued requests of a new manifest, so that those it no longer permits withdraw. */
     void manifestChanged() {
-        List.copyOf(queue).forEach(each -> each.request().manifestChanged());
+        Stream.concat(queue.stream().map(QueueEntry::request), slots.pending().stream())
+                .toList()
+                .forEach(QueuedRequest::manifestChanged);
     }
 
     /** Assigns queued requests to runners, in order of precedence. */
@@ -124,10 +153,13 @@
     }
 
     boolean withdraw(QueuedRequest request) {
-        boolean withdrawn = queue.removeIf(each -> each.request().equals(request));
+        Optional<String> assigning = slots.withdraw(request);
+        boolean withdrawn =
+                assigning.isPresent() || queue.removeIf(each -> each.request().equals(request));
         if (withdrawn) {
             listener.onWithdrawn(request);
         }
+        assigning.ifPresent(this::releaseSlot);
         return withdrawn;
     }
 
@@ -136,6 +168,17 @@
         listener.onAttemptEnded(request, end, nanos.getAsLong());
     }
 
+    /** Releases the slot that a request had at a runner, with its lease, and assigns queued requests. */
+    void releaseSlot(QueuedRequest request, String incarnation) {
+        slots.release(request, incarnation);
+        releaseSlot(incarnation);
+    }
+
+    /** Records that a runner rejected a request as full. */
+    void recordRejection(Runner runner) {
+        slots.recordRejection(runner, this::dispatch);
+    }
+
     /** Releases a slot of a runner and assigns queued requests. */
     void releaseSlot(String incarnation) {
         loads.remove(incarnation);
@@ -176,14 +219,25 @@
         Optional<Candidate> chosen =
                 RunnerChoice.choose(candidates, prompts.typicalUncached(request), request.acceptsAnyRunner(), random);
         if (chosen.isPresent() && queue.remove(entry)) {
-            assign(request, chosen.get(), now);
+            loads.add(chosen.get().runner().incarnation());
+            slots.request(
+                    request,
+                    chosen.get(),
+                    loads::ownAt,
+                    () -> assign(request, chosen.get(), nanos.getAsLong()),
+                    () -> requeue(entry, chosen.get()));
         }
     }
 
+    /** Puts a request that got no slot back to its position, and assigns queued requests elsewhere. */
+    private void requeue(QueueEntry entry, Candidate chosen) {
+        queue.add(entry);
+        slots.retryLater(this::dispatch);
+        releaseSlot(chosen.runner().incarnation());
+    }
+
     private void assign(QueuedRequest request, Candidate chosen, long now) {
-        String incarnation = chosen.runner().incarnation();
-        loads.add(incarnation);
-        prompts.recordSent(incarnation, request, chosen.uncachedTokens(), now);
+        prompts.recordSent(chosen.runner().incarnation(), request, chosen.uncachedTokens(), now);
         listener.onAssigned(request, now);
         request.assign(chosen);
     }
@@ -192,16 +246,17 @@
         RunnerHealth runnerHealth = health.get(runner.incarnation());
         return new Candidate(
                 runner,
-                countedLoad(runner, request, limit),
+                countedLoad(runner, request, limit, now),
                 runnerHealth != null && runnerHealth.isSuspended(now),
                 runner.zone().equals(zone),
                 prompts.uncachedTokens(runner.incarnation(), request, now));
     }
 
     /** Returns the load of a runner; one whose free slots are reserved for other requests counts as full. */
-    private int countedLoad(Runner runner, QueuedRequest request, SlotLimit limit) {
-        int load = loads.at(runner.incarnation());
-        int usualLimit = Candidate.maxLoad(runner, !request.prompt().isEmpty());
+    private int countedLoad(Runner runner, QueuedRequest request, SlotLimit limit, long now) {
+        int own = loads.ownAt(runner.incarnation());
+        int load = slots.load(runner, own, loads.at(runner.incarnation()) - own, now);
+        int usualLimit = Candidate.maxLoad(runner.slots(), !request.prompt().isEmpty());
         return load < limit.highestLoad(runner.slots(), usualLimit) ? load : Math.max(load, usualLimit);
     }
 }
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
@@ -168,6 +168,11 @@
         }
     }
 
+    /** Whether the fleet is too large for a full mesh. */
+    boolean usesHubs() {
+        return peers.usesHubs();
+    }
+
     private void sendStatus() {
         receiver.dropTimedOut().forEach(each -> frames.reset(each.identity.link()));
         selector.recordLoad(fleetUsage.totalRequests(), loop.clock().nanos());
