--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/MeshMember.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/MeshMember.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -38,12 +39,15 @@
     final NodeMesh mesh;
     final QuotaTracker quotas;
     boolean ready = true;
-    boolean reachesStores = true;
+    BooleanSupplier reachesStores = () -> true;
     boolean disconnected;
     int sentFrames;
     long receivedBytes;
     private final Map<String, MeshMember> members;
-    private final ManualEventLoop loop;
+    final ManualEventLoop loop;
+    final FrameSender frames = sender();
+    /** Receives the frames that are not of the mesh. */
+    Consumer<byte[]> otherFrames = frame -> {};
     private final Random random;
 
     /** A member that receives runners from its peers only. */
@@ -88,11 +92,11 @@
         quotas = new QuotaTracker(time::nanos, random, new QuotaPolicy(Duration.ofSeconds(5), 20), () -> true);
         mesh = new NodeMesh(
                 loop,
-                sender(),
+                frames,
                 identity,
                 new FleetUsage(dispatcher, quotas),
                 () -> ready,
-                () -> reachesStores,
+                () -> reachesStores.getAsBoolean(),
                 random,
                 platform.map(this::watchAll).orElseGet(() -> Map.of(ObjectKind.RUNNERS, peersOnly())),
                 enabled -> {});
@@ -128,6 +132,12 @@
         return objects;
     }
 
+    private void receive(byte[] frame) {
+        if (!mesh.receive(frame)) {
+            otherFrames.accept(frame);
+        }
+    }
+
     private FrameSender sender() {
         return new FrameSender() {
             @Override
@@ -136,7 +146,7 @@
                 sentFrames++;
                 if (to != null && !disconnected && !to.disconnected) {
                     to.receivedBytes += frame.length;
-                    to.loop.schedule(Duration.ofMillis(1), () -> to.mesh.receive(frame));
+                    to.loop.schedule(Duration.ofMillis(1), () -> to.receive(frame));
                 }
             }
 
--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/NodeMeshTest.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/NodeMeshTest.java
@@ -77,7 +77,7 @@
     public void findsAPeerThatReachesTheStores() {
         MeshMember a = members.get("a");
         assertEquals(a.mesh.findPeerReachingStores(), Optional.of("b"));
-        members.get("b").reachesStores = false;
+        members.get("b").reachesStores = () -> false;
         time.advance(Duration.ofMillis(500));
         assertEquals(a.mesh.findPeerReachingStores(), Optional.empty());
     }
