Store requests of partitioned nodes go through peers that answer

Cause: in fleets with hubs the only peer heard directly is the hub, which was preferred as forwarder; a partitioned hub without callers still reported that it reaches the store VMs, and a forwarder that did not answer was not remembered.

A reply of a peer that overtakes the direct one marks the path as broken. Frame types 1 to 6 are unchanged; each copy has its own correlation ID.

NodeMeshTest.findsAPeerThatReachesTheStores becomes knowsWhichPeersReachTheStores, which also checks a peer that has timed out: the mesh now lists the live peers and the selector chooses. StoreCluster uses setForwarders.

--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationClient.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationClient.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
 import org.parsleydrift.kernel.EventLoop;
 import org.parsleydrift.kernel.LogLine;
 import org.parsleydrift.kernel.Step;
@@ -24,6 +25,11 @@
     private static final Duration HEDGE_DELAY = Duration.ofMillis(15);
     /** Delay before a request is retried at a member. */
     private static final Duration RETRY_DELAY = Duration.ofMillis(20);
+    /**
+     * Time since the last direct reply for which a store VM counts as proven to be reachable. Longer than the gaps between
+     * the turns of a node in use, since each change of the proof is distributed to the whole fleet.
+     */
+    static final Duration PROOF_AGE = Duration.ofSeconds(10);
 
     private final EventLoop loop;
     private final ReplicaCalls calls;
@@ -72,10 +78,21 @@
      * @return false if the paths to too many members are broken, or if no set is known
      */
     public boolean hasReachableQuorum() {
-        return set.filter(known -> known.members().stream()
-                                .filter(each -> calls.isReachable(each.address()))
-                                .count()
-                        >= known.writeQuorum())
+        return hasQuorum(each -> calls.isReachable(each.address()));
+    }
+
+    /**
+     * Whether a write quorum is proven to be directly reachable: its members have answered recently. A node that has sent
+     * no request for a while has no proof, since it would not notice a partition.
+     *
+     * @return false if too few members have answered within {@link #PROOF_AGE}, or if no set is known
+     */
+    public boolean hasProvenQuorum() {
+        return hasQuorum(each -> calls.isProvenReachable(each.address(), PROOF_AGE));
+    }
+
+    private boolean hasQuorum(Predicate<StoreMember> reachable) {
+        return set.filter(known -> known.members().stream().filter(reachable).count() >= known.writeQuorum())
                 .isPresent();
     }
 
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaCalls.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaCalls.java
@@ -3,11 +3,12 @@
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Supplier;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 import org.parsleydrift.kernel.Cancellable;
@@ -21,17 +22,19 @@
  * Exchanges requests and replies with store VMs over frames. Confined to one event loop. A request that times out resets
  * the connection, since an established connection may be dead while new ones can be opened.
  *
- * <p>After a direct request has timed out, further requests to the same address are relayed through a peer, so that an entry
- * node that is partitioned from the store VMs can still serve turns. Periodic probes are sent directly as well, to detect
- * when the path is restored.
+ * <p>A request that is not answered soon is sent again through a peer, within a budget per store VM. Once the peer has
+ * answered first, or a direct request has timed out, the direct path counts as broken: further requests to the same address
+ * are forwarded by a peer at once, so that an entry node that is partitioned from the store VMs can still serve turns.
+ * Periodic probes are sent directly as well, to detect when the path is restored. Requests may arrive more than once; the
+ * store VMs handle repeated reads and writes of the same records.
  */
 public final class ReplicaCalls {
     private static final Logger LOG = System.getLogger(ReplicaCalls.class.getName());
-    /** Time between direct probes of a broken path. */
-    private static final Duration PROBE_PERIOD = Duration.ofMillis(500);
-
-    /** Weight of the newest sample in the exponentially weighted mean latency. */
-    private static final double LATENCY_WEIGHT = 0.1;
+    /**
+     * Time without a reply after which a request is sent through a peer, and through another one after the same time again.
+     * A reply usually takes a few ms; a longer time would delay turns at the beginning of a partition.
+     */
+    private static final Duration REPLY_PATIENCE = Duration.ofMillis(50);
 
     private static final byte REQUEST = 1;
     private static final byte REPLY = 2;
@@ -47,11 +50,10 @@
     private final EventLoop loop;
     private final FrameSender frames;
     private final String ownAddress;
-    private final Map<Long, PendingRequest> pending = new HashMap<>();
-    private final Map<String, Long> brokenPathProbeNanos = new HashMap<>();
-    private final Map<String, Double> meanReadNanos = new HashMap<>();
+    private final Map<Long, Copy> pending = new HashMap<>();
+    private final Map<String, StorePath> paths = new HashMap<>();
     private final Handler handler;
-    private Supplier<Optional<String>> relayFinder = Optional::empty;
+    private StoreForwarders forwarders = StoreForwarders.NONE;
     private long lastCorrelation;
 
     /**
@@ -81,22 +83,33 @@
     }
 
     /**
-     * Sets how to find a peer that can relay requests to the store VMs.
+     * Sets how to choose the peers that forward requests to the store VMs; none by default.
      *
-     * @param finder returns the address of such a peer, or empty if there is none
+     * @param selector chooses the peers
      */
-    public void setRelayFinder(Supplier<Optional<String>> finder) {
-        relayFinder = finder;
+    public void setForwarders(StoreForwarders selector) {
+        forwarders = selector;
     }
 
     /**
      * Whether the direct path to an address works as far as known.
      *
      * @param address the address of a store VM
-     * @return false from a timeout of a request until the next direct reply
+     * @return false from a timeout of a request, or a reply that a peer forwarded first, until the next direct reply
      */
     public boolean isReachable(String address) {
-        return !brokenPathProbeNanos.containsKey(address);
+        return !path(address).isBroken();
+    }
+
+    /**
+     * Whether the direct path to an address works and has been used recently.
+     *
+     * @param address the address of a store VM
+     * @param span the maximum time since the last direct reply
+     * @return true if a direct reply was received within that time and the path is not broken
+     */
+    boolean isProvenReachable(String address, Duration span) {
+        return path(address).isProvenWithin(span, loop.clock().nanos());
     }
 
     /**
@@ -107,7 +120,7 @@
      * @return an exponentially weighted mean in ns; 0 if no read was answered yet
      */
     double readLatencyNanos(String address) {
-        return meanReadNanos.getOrDefault(address, 0.0);
+        return path(address).meanReadNanos();
     }
 
     /**
@@ -119,26 +132,23 @@
      * @return completes with the reply, or with a StepException on a timeout
      */
     public CompletableFuture<ReplicaReply> send(String address, ReplicaRequest request, Duration timeout) {
-        long correlation = ++lastCorrelation;
-        CompletableFuture<ReplicaReply> reply = new CompletableFuture<>();
-        Cancellable timer = loop.schedule(timeout, () -> onTimeout(address, correlation, timeout));
-        boolean isRead = request instanceof ReplicaRequest.Read;
-        pending.put(
-                correlation,
-                new PendingRequest(reply, timer, isRead, loop.clock().nanos()));
-        byte[] frame = encode(out -> {
-            out.packByte(REQUEST).packLong(correlation).packString(ownAddress);
-            ConversationCodec.request(out, request);
-        });
-        Optional<String> relay = isReachable(address) ? Optional.empty() : relayFinder.get();
-        relay.ifPresent(via -> frames.send(via, encode(out -> {
-            out.packByte(RELAY_REQUEST).packString(address);
-            bytes(out, frame);
-        })));
-        if (relay.isEmpty() || isProbeDue(address)) {
-            frames.send(address, frame);
+        PendingRequest pendingRequest =
+                new PendingRequest(address, request, timeout, loop.clock().nanos());
+        StorePath path = path(address);
+        path.recordRequest();
+        Optional<String> forwarder = path.isBroken() ? forwarders.choose(address) : Optional.empty();
+        forwarder.ifPresent(each -> sendThrough(pendingRequest, each));
+        boolean isProbe = path.acquireProbe(loop.clock().nanos());
+        if (isProbe) {
+            // The established connection may be dead.
+            frames.reset(address);
+        }
+        if (forwarder.isEmpty() || isProbe) {
+            pendingRequest.sentDirectly = true;
+            frames.send(address, encodeCopy(pendingRequest, Optional.empty()));
         }
-        return reply;
+        scheduleCheck(pendingRequest);
+        return pendingRequest.reply;
     }
 
     /**
@@ -163,32 +173,77 @@
         });
     }
 
-    private void onTimeout(String address, long correlation, Duration timeout) {
-        PendingRequest expired = pending.remove(correlation);
-        if (expired == null) {
+    private StorePath path(String address) {
+        return paths.computeIfAbsent(address, any -> new StorePath());
+    }
+
+    /** Encodes one copy of a request under a correlation ID of its own, which identifies the peer that a reply came through. */
+    private byte[] encodeCopy(PendingRequest request, Optional<String> forwarder) {
+        long correlation = ++lastCorrelation;
+        request.correlations.add(correlation);
+        pending.put(correlation, new Copy(request, forwarder, loop.clock().nanos()));
+        return encode(out -> {
+            out.packByte(REQUEST).packLong(correlation).packString(ownAddress);
+            ConversationCodec.request(out, request.content);
+        });
+    }
+
+    private void sendThrough(PendingRequest request, String forwarder) {
+        request.awaitedForwarder = Optional.of(forwarder);
+        request.forwarded = true;
+        byte[] copy = encodeCopy(request, Optional.of(forwarder));
+        frames.send(forwarder, encode(out -> {
+            out.packByte(RELAY_REQUEST).packString(request.address);
+            bytes(out, copy);
+        }));
+    }
+
+    private void scheduleCheck(PendingRequest request) {
+        Duration remaining =
+                Duration.ofNanos(request.deadlineNanos - loop.clock().nanos());
+        Duration delay = REPLY_PATIENCE.compareTo(remaining) < 0 ? REPLY_PATIENCE : remaining;
+        request.timer = loop.schedule(delay, () -> checkUnanswered(request));
+    }
+
+    /** Fails a request that has timed out; otherwise sends it through a peer if the budget allows it. */
+    private void checkUnanswered(PendingRequest request) {
+        request.awaitedForwarder.ifPresent(each -> forwarders.recordSilence(request.address, each));
+        request.awaitedForwarder = Optional.empty();
+        if (loop.clock().nanos() - request.deadlineNanos >= 0) {
+            expire(request);
             return;
         }
-        if (brokenPathProbeNanos.putIfAbsent(address, loop.clock().nanos()) == null) {
-            LOG.log(
-                    Logger.Level.INFO,
-                    () -> LogLine.of("store_path_broken")
-                            .with("store", address)
-                            .with("waited_ms", timeout.toMillis())
-                            .toString());
+        StorePath path = path(request.address);
+        // The only forwarded copy replaces a direct one that is lost; further ones are additional load.
+        forwarders
+                .choose(request.address)
+                .filter(any -> (path.isForwardable() && !request.forwarded) || path.acquireExtraCopy())
+                .ifPresent(each -> sendThrough(request, each));
+        scheduleCheck(request);
+    }
+
+    private void expire(PendingRequest request) {
+        request.correlations.forEach(pending::remove);
+        markBroken(request);
+        if (request.sentDirectly) {
+            frames.reset(request.address);
         }
-        frames.reset(address);
-        expired.reply()
-                .completeExceptionally(
-                        new StepException(Step.COMMIT, address, "no reply within " + timeout.toMillis() + " ms"));
+        request.reply.completeExceptionally(new StepException(
+                Step.COMMIT, request.address, "no reply within " + request.timeout.toMillis() + " ms"));
     }
 
-    private boolean isProbeDue(String address) {
+    private void markBroken(PendingRequest request) {
         long now = loop.clock().nanos();
-        boolean isDue = now - brokenPathProbeNanos.getOrDefault(address, now) > PROBE_PERIOD.toNanos();
-        if (isDue) {
-            brokenPathProbeNanos.put(address, now);
+        if (path(request.address).markBroken(now)) {
+            LOG.log(
+                    Logger.Level.INFO,
+                    () -> LogLine.of("store_path_broken")
+                            .with("store", request.address)
+                            .with(
+                                    "waited_ms",
+                                    Duration.ofNanos(now - request.startNanos).toMillis())
+                            .toString());
         }
-        return isDue;
     }
 
     private void receiveRequest(MessageUnpacker in, Optional<String> via) throws IOException {
@@ -203,19 +258,33 @@
     private void receiveReply(MessageUnpacker in, boolean isDirect) throws IOException {
         long correlation = in.unpackLong();
         String from = in.unpackString();
-        if (isDirect && brokenPathProbeNanos.remove(from) != null) {
+        if (isDirect && path(from).recordDirectReply(loop.clock().nanos())) {
             LOG.log(
                     Logger.Level.INFO,
                     () -> LogLine.of("store_path_restored").with("store", from).toString());
         }
-        PendingRequest request = pending.remove(correlation);
-        if (request != null) {
-            request.timer().cancel();
-            if (request.isRead()) {
-                recordReadLatency(from, (double) (loop.clock().nanos() - request.sentNanos()));
-            }
-            request.reply().complete(ConversationCodec.reply(in));
+        Copy copy = pending.get(correlation);
+        if (copy == null) {
+            return;
         }
+        ReplicaReply reply = ConversationCodec.reply(in);
+        PendingRequest request = copy.request();
+        request.correlations.forEach(pending::remove);
+        request.timer.cancel();
+        if (request.content instanceof ReplicaRequest.Read) {
+            path(request.address).recordReadLatency((double) (loop.clock().nanos() - copy.sentNanos()));
+        }
+        copy.forwarder().ifPresent(each -> recordForwardedReply(request, each));
+        request.reply.complete(reply);
+    }
+
+    /** A peer that answers before a direct request sent earlier proves that the direct path is broken. */
+    private void recordForwardedReply(PendingRequest request, String forwarder) {
+        if (request.sentDirectly) {
+            markBroken(request);
+        }
+        path(request.address).recordForwardedReply();
+        forwarders.recordAnswer(request.address, forwarder);
     }
 
     private void relayRequest(String to, byte[] request) {
@@ -287,10 +356,29 @@
         return in.readPayload(in.unpackBinaryHeader());
     }
 
-    private void recordReadLatency(String address, double nanos) {
-        meanReadNanos.merge(address, nanos, (mean, sample) -> mean + LATENCY_WEIGHT * (sample - mean));
-    }
+    /** One copy of a request in transit, sent directly or through a peer. */
+    private record Copy(PendingRequest request, Optional<String> forwarder, long sentNanos) {}
+
+    /** An unanswered request and the correlation IDs of its copies. */
+    private static final class PendingRequest {
+        private final String address;
+        private final ReplicaRequest content;
+        private final Duration timeout;
+        private final long startNanos;
+        private final long deadlineNanos;
+        private final CompletableFuture<ReplicaReply> reply = new CompletableFuture<>();
+        private final List<Long> correlations = new ArrayList<>();
+        private Optional<String> awaitedForwarder = Optional.empty();
+        private boolean sentDirectly;
+        private boolean forwarded;
+        private Cancellable timer;
 
-    private record PendingRequest(
-            CompletableFuture<ReplicaReply> reply, Cancellable timer, boolean isRead, long sentNanos) {}
+        private PendingRequest(String address, ReplicaRequest content, Duration timeout, long startNanos) {
+            this.address = address;
+            this.content = content;
+            this.timeout = timeout;
+            this.startNanos = startNanos;
+            this.deadlineNanos = startNanos + timeout.toNanos();
+        }
+    }
 }
--- a/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/StoreCluster.java
+++ b/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/StoreCluster.java
@@ -180,7 +180,7 @@
         ManualEventLoop loop = time.newLoop();
         ReplicaCalls calls = new ReplicaCalls(loop, sender(name), name, request -> new CompletableFuture<>());
         receivers.put(name, frame -> loop.execute(() -> calls.receive(frame)));
-        calls.setRelayFinder(() -> peer);
+        calls.setForwarders(store -> peer);
         ConversationClient client = new ConversationClient(loop, calls);
         poll(
                 loop,
--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/RetryBudget.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/RetryBudget.java
@@ -1,20 +1,36 @@
 package org.parsleydrift.placement;
 
 /**
- * Limits the retries that one service gets from this node to a share of its first attempts, plus a small reserve.
- * Isolated failures are retried, while a service that fails as a whole is not overloaded further by retries.
+ * Limits the retries that one service or store VM gets from this node to a share of its first attempts, plus a small
+ * reserve. Isolated failures are retried, while a service that fails as a whole is not overloaded further by retries.
  */
 public final class RetryBudget {
     /** Retries earned by each first attempt. */
     private static final double RETRIES_PER_FIRST_ATTEMPT = 0.1;
-    /** Maximum and initial balance, retries; about as many as one failing runner interrupts. */
-    private static final double MAX_BALANCE = 10;
+    /** Maximum and initial balance for a service, retries; about as many as one failing runner interrupts. */
+    private static final double SERVICE_RESERVE = 10;
 
-    private double balance = MAX_BALANCE;
+    private final double maxBalance;
+    private double balance;
+
+    /** Creates the budget of a service. */
+    public RetryBudget() {
+        this(SERVICE_RESERVE);
+    }
+
+    /**
+     * Creates a budget with a full reserve.
+     *
+     * @param reserve the maximum and initial balance, retries
+     */
+    public RetryBudget(double reserve) {
+        maxBalance = reserve;
+        balance = reserve;
+    }
 
     /** Credits the budget for a request that is sent to its first runner. */
     public void recordFirstAttempt() {
-        balance = Math.min(MAX_BALANCE, balance + RETRIES_PER_FIRST_ATTEMPT);
+        balance = Math.min(maxBalance, balance + RETRIES_PER_FIRST_ATTEMPT);
     }
 
     /**
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -118,11 +118,11 @@
                 self,
                 new FleetUsage(dispatcher, quotas),
                 this::isReady,
-                stores::hasReachableQuorum,
-                context.random,
+                stores::hasProvenQuorum,
                 Map.of(ObjectKind.RUNNERS, runners, ObjectKind.MANIFEST, manifests, ObjectKind.STORE_SET, storeSets),
                 nodes::setWatching);
-        calls.setRelayFinder(mesh::findPeerReachingStores);
+        calls.setForwarders(
+                new StoreForwarderSelector(mesh::storeForwarders, context.random, context.loop.clock()::nanos));
         callerServer = new CallerServer(
                 context.threads,
                 context.loop,
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
@@ -11,7 +11,6 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.msgpack.core.MessageUnpacker;
@@ -74,7 +73,6 @@
     private final FleetUsage fleetUsage;
     private final BooleanSupplier ready;
     private final BooleanSupplier reachesStores;
-    private final RandomGenerator random;
     private final ObjectSync objectSync;
     private final Consumer<Boolean> watchingListener;
     private final long startNanos;
@@ -98,7 +96,6 @@
             FleetUsage fleetUsage,
             BooleanSupplier ready,
             BooleanSupplier reachesStores,
-            RandomGenerator random,
             Map<ObjectKind, WatchedKind> watched,
             Consumer<Boolean> watchingListener) {
         this.loop = loop;
@@ -107,7 +104,6 @@
         this.fleetUsage = fleetUsage;
         this.ready = ready;
         this.reachesStores = reachesStores;
-        this.random = random;
         this.hub = new ZoneHub(self, frames, zones);
         this.objectSync = new ObjectSync(loop, frames, self.link(), watched);
         this.watchingListener = watchingListener;
@@ -158,23 +154,13 @@
                 .toList();
     }
 
-    /**
-     * Returns the link address of a random peer that reaches the store VMs, preferring peers heard directly; empty if
-     * there is none.
-     */
-    Optional<String> findPeerReachingStores() {
-        List<MeshPeer> reaching = peers.values().stream()
-                .filter(each -> isAlive(each) && each.state().orElseThrow().reachesStores())
+    /** Returns all live peers, heard directly or through hubs, with their reports of reaching the store VMs. */
+    List<StoreForwarderSelector.Candidate> storeForwarders() {
+        return peers.values().stream()
+                .filter(this::isAlive)
+                .map(each -> new StoreForwarderSelector.Candidate(
+                        each.identity.link(), each.state().orElseThrow().reachesStores()))
                 .toList();
-        List<MeshPeer> direct =
-                reaching.stream().filter(each -> isDirect(each, PEER_TIMEOUT)).toList();
-        List<MeshPeer> candidates = direct.isEmpty() ? reaching : direct;
-        return candidates.isEmpty()
-                ? Optional.empty()
-                : Optional.of(candidates
-                        .get(random.nextInt(candidates.size()))
-                        .identity
-                        .link());
     }
 
     boolean hasDirectPeers() {
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeState.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeState.java
@@ -19,7 +19,7 @@
  * @param identity addresses of the node; included in some frames only, for nodes that do not know it yet
  * @param round number of the status frame; a hub returns it to identify the load contained in its sum
  * @param ready whether the node can be advertised to callers
- * @param reachesStores whether it reaches the store VMs directly
+ * @param reachesStores whether a quorum of the store VMs has recently answered it directly
  * @param reachesPlatform whether the platform answers it
  * @param freshness revision and staleness of its copies, by kind
  * @param usage its usage of runners and quotas
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/ZoneSummary.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/ZoneSummary.java
@@ -44,7 +44,7 @@
      * @param name name of the node
      * @param identity its addresses; included in some summaries only, for nodes that do not know it yet
      * @param ready whether the node can be advertised to callers
-     * @param reachesStores whether it reaches the store VMs directly
+     * @param reachesStores whether a quorum of the store VMs has recently answered it directly
      * @param reachesPlatform whether the platform answers it
      */
     record Member(
--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/MeshMember.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/MeshMember.java
@@ -48,6 +48,7 @@
     final FrameSender frames = sender();
     /** Receives the frames that are not of the mesh. */
     Consumer<byte[]> otherFrames = frame -> {};
+
     private final Random random;
 
     /** A member that receives runners from its peers only. */
@@ -97,7 +98,6 @@
                 new FleetUsage(dispatcher, quotas),
                 () -> ready,
                 () -> reachesStores.getAsBoolean(),
-                random,
                 platform.map(this::watchAll).orElseGet(() -> Map.of(ObjectKind.RUNNERS, peersOnly())),
                 enabled -> {});
         mesh.start();
--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/NodeMeshTest.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/NodeMeshTest.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import org.parsleydrift.kernel.ManualScheduler;
 import org.parsleydrift.registry.ObjectChanges;
 import org.parsleydrift.registry.SharedObject;
@@ -72,13 +71,16 @@
         assertEquals(a.mesh.readyAddresses(), List.of("a:80"));
     }
 
-    /** A node that cannot reach the store VMs finds a peer that can. */
+    /** A node that cannot reach the store VMs knows which peers do, and which have timed out. */
     @Test
-    public void findsAPeerThatReachesTheStores() {
+    public void knowsWhichPeersReachTheStores() {
         MeshMember a = members.get("a");
-        assertEquals(a.mesh.findPeerReachingStores(), Optional.of("b"));
+        assertEquals(a.mesh.storeForwarders(), List.of(new StoreForwarderSelector.Candidate("b", true)));
         members.get("b").reachesStores = () -> false;
         time.advance(Duration.ofMillis(500));
-        assertEquals(a.mesh.findPeerReachingStores(), Optional.empty());
+        assertEquals(a.mesh.storeForwarders(), List.of(new StoreForwarderSelector.Candidate("b", false)));
+        members.get("b").disconnected = true;
+        time.advance(Duration.ofMillis(1300));
+        assertEquals(a.mesh.storeForwarders(), List.of());
     }
 }
--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/StorePartitionTest.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/StorePartitionTest.java
@@ -5,11 +5,13 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
+import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
@@ -79,7 +81,8 @@
             if (!partitioned.contains(address)) {
                 members.get(address)
                         .loop
-                        .schedule(LATENCY, () -> members.get(address).otherFrames.accept(frame));
+                        .schedule(
+                                LATENCY, () -> members.get(address).otherFrames.accept(frame));
             }
         });
         stores.put(
@@ -110,8 +113,8 @@
         member.otherFrames = calls::receive;
         ConversationClient client = new ConversationClient(member.loop, calls);
         client.adopt(set);
-        member.reachesStores = client::hasReachableQuorum;
-        calls.setRelayFinder(member.mesh::findPeerReachingStores);
+        member.reachesStores = client::hasProvenQuorum;
+        calls.setForwarders(new StoreForwarderSelector(member.mesh::storeForwarders, new Random(number), time::nanos));
         if (number >= NODES - SERVING_PER_ZONE * ZONES) {
             serving.put(name, new Conversations(client));
         }
@@ -146,22 +149,33 @@
         long start = time.nanos();
         String id = "t" + ++turns;
         conversations
-                .begin(new BeginRequest(
-                        "p" + id, id, OptionalInt.of(100), 10, "", Duration.ofMinutes(1), TURN_TIMEOUT))
+                .begin(new BeginRequest("p" + id, id, OptionalInt.of(100), 10, "", Duration.ofMinutes(1), TURN_TIMEOUT))
                 .thenAccept(result -> outcomes.add(new Outcome(node, start, time.nanos(), result)));
     }
 
     /** Partitions a third of the nodes: the first two of each zone, which act as hubs, idle and serving ones. */
     private void partitionThird() {
-        Map<String, List<String>> zones = members.keySet().stream()
-                .collect(Collectors.groupingBy(name -> name.substring(0, 2), TreeMap::new, Collectors.toList()));
-        zones.values().forEach(zone -> {
+        nodesByZone().forEach(zone -> {
             partitioned.addAll(zone.subList(0, 5));
             partitioned.addAll(zone.subList(zone.size() - 3, zone.size()));
         });
         assertTrue(partitioned.size() >= NODES / 3, partitioned.toString());
     }
 
+    private Collection<List<String>> nodesByZone() {
+        return members.keySet().stream()
+                .collect(Collectors.groupingBy(name -> name.substring(0, 2), TreeMap::new, Collectors.toList()))
+                .values();
+    }
+
+    private void assertAllGranted() {
+        time.advance(TURN_TIMEOUT);
+        List<Outcome> late = outcomes.stream()
+                .filter(each -> !each.isGrantedWithin(RECOVERY_TIME))
+                .toList();
+        assertEquals(late, List.of(), describe(late));
+    }
+
     private static String describe(List<Outcome> failed) {
         return failed.size() + " turns, by node and result "
                 + failed.stream()
@@ -177,10 +191,44 @@
     public void partitionedNodesServeTurnsThroughPeers() {
         partitionThird();
         run(Duration.ofSeconds(6));
+        assertAllGranted();
+    }
+
+    /** Guards against staying with a peer that has forwarded requests before and is then partitioned itself. */
+    @Test
+    public void partitionedForwardersAreReplaced() {
+        partitionThird();
+        run(Duration.ofSeconds(2));
+        // All but four nodes in each zone are partitioned now, and the serving ones among them have no path of their
+        // own.
+        nodesByZone().forEach(zone -> partitioned.addAll(zone.subList(0, zone.size() - 7)));
+        run(Duration.ofSeconds(4));
+        assertAllGranted();
+    }
+
+    /** Guards against holding turns until their timeout when no node reaches the store VMs. */
+    @Test
+    public void turnsAreRejectedAtOnceIfNoNodeReachesStores() {
+        partitioned.addAll(members.keySet());
+        run(Duration.ofSeconds(2));
         time.advance(TURN_TIMEOUT);
-        List<Outcome> late = outcomes.stream()
-                .filter(each -> !each.isGrantedWithin(RECOVERY_TIME))
-                .toList();
-        assertEquals(late, List.of(), describe(late));
+        outcomes.clear();
+        // Each second turn meets an open circuit breaker, which has just let the first one through as a probe.
+        IntStream.range(0, 10).forEach(any -> {
+            serving.forEach(this::beginTurn);
+            serving.forEach(this::beginTurn);
+            time.advance(TURN_INTERVAL);
+        });
+        long rejectedAtOnce = outcomes.stream()
+                .filter(each -> each.endNanos() == each.startNanos())
+                .count();
+        assertTrue(rejectedAtOnce >= 10L * serving.size(), "rejected at once " + rejectedAtOnce);
+        time.advance(TURN_TIMEOUT);
+        assertEquals(outcomes.size(), 20 * serving.size());
+        partitioned.clear();
+        run(Duration.ofSeconds(2));
+        outcomes.clear();
+        run(Duration.ofSeconds(2));
+        assertAllGranted();
     }
 }
