--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
@@ -42,7 +42,6 @@
     private final FleetUsage fleetUsage;
     private final BooleanSupplier ready;
     private final BooleanSupplier reachesStores;
-    private final RandomGenerator random;
     private final ObjectSync objectSync;
     private final MeshPeers peers;
     private final StatusReceiver receiver;
@@ -63,7 +62,6 @@
             FleetUsage fleetUsage,
             BooleanSupplier ready,
             BooleanSupplier reachesStores,
-            RandomGenerator random,
             Map<ObjectKind, WatchedKind> watched,
             Consumer<Boolean> watchingListener) {
         this.loop = loop;
@@ -72,7 +70,6 @@
         this.fleetUsage = fleetUsage;
         this.ready = ready;
         this.reachesStores = reachesStores;
-        this.random = random;
         this.objectSync = new ObjectSync(loop, frames, self.link(), watched);
         this.peers = new MeshPeers(self, fleetUsage, loop.clock()::nanos);
         ZoneSummaries zones = new ZoneSummaries();
@@ -111,25 +108,13 @@
                 .toList();
     }
 
-    /**
-     * Returns the link address of a random peer that reaches the store VMs, preferring peers heard directly; empty if
-     * there is none.
-     */
-    Optional<String> findPeerReachingStores() {
-        List<MeshPeer> reaching = peers.stream()
-                .filter(each ->
-                        peers.isAlive(each) && each.state().orElseThrow().reachesStores())
-                .toList();
-        List<MeshPeer> direct = reaching.stream()
-                .filter(each -> peers.isDirect(each, MeshPeers.PEER_TIMEOUT))
+    /** Returns all live peers, heard directly or through hubs, with their reports of reaching the store VMs. */
+    List<StoreForwarderSelector.Candidate> storeForwarders() {
+        return peers.stream()
+                .filter(peers::isAlive)
+                .map(each -> new StoreForwarderSelector.Candidate(
+                        each.identity.link(), each.state().orElseThrow().reachesStores()))
                 .toList();
-        List<MeshPeer> candidates = direct.isEmpty() ? reaching : direct;
-        return candidates.isEmpty()
-                ? Optional.empty()
-                : Optional.of(candidates
-                        .get(random.nextInt(candidates.size()))
-                        .identity
-                        .link());
     }
 
     boolean hasDirectPeers() {
