Queue order: programs in progress before new ones, late programs by what is left of their worth

Change: programs in progress precede new ones of their rank. New programs of lower ranks that are late come after those in time, and before them once they soon lose the rest of their worth.

--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/queue/ProgramDurations.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/queue/ProgramDurations.java
@@ -18,7 +18,8 @@
     private final Map<String, RouteDurations> routes = new HashMap<>();
 
     /**
-     * Records the arrival of a turn. Rejected and repeated attempts are not recorded.
+     * Records the arrival of a turn. To be called only while no request of the service waits at this node, since the
+     * waits of a burst would make programs appear to need more time than they do; not for repeated attempts.
      *
      * @param route name of the route
      * @param started whether the program is in progress
@@ -74,7 +75,12 @@
         }
 
         long neededNanos(boolean started) {
-            return (long) (run.value + elapsedAtLaterTurns.value * (started ? 1 : 2));
+            // Of N turns at even intervals the later ones arrive, on average, after N / 2 intervals, the last after N -
+            // 1.
+            double laterShare =
+                    (double) elapsedAtLaterTurns.count / Math.max(1, leftAtFirstTurn.count + elapsedAtLaterTurns.count);
+            double untilLastTurn = 2 * laterShare * elapsedAtLaterTurns.value;
+            return (long) (run.value + Math.max(0, untilLastTurn - (started ? elapsedAtLaterTurns.value : 0)));
         }
     }
 
--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/queue/QueueOrder.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/queue/QueueOrder.java
@@ -11,19 +11,34 @@
 import java.util.stream.Stream;
 
 /**
- * Order in which a node's waiting requests are assigned to runners: by rank, requests that can still end in time before
- * those that cannot, programs in progress, returning programs, teams below their even share, earliest deadline, arrival.
- * Requests of lower ranks that are due by {@link RankFloors} are placed in between.
+ * Order in which a node's waiting requests are assigned to runners: by rank, programs in progress before new ones,
+ * requests that can still end in time before those that cannot, returning programs, teams below their even share,
+ * earliest deadline, arrival. A late program of a lower rank is served from leftover capacity, and before others once it
+ * would otherwise lose the rest of its worth.
+ *
+ * <p>Programs in progress precede new ones even if they are late: a program that is begun and then lost wastes all that
+ * it has used.
+ *
+ * <p>Requests of lower ranks that are due by {@link RankFloors} are placed in between.
  */
 public final class QueueOrder {
     /** Upper bound of the time left until a deadline; a later one is misstated. */
     static final long MAX_LEFT_NANOS = TimeUnit.HOURS.toNanos(1);
 
+    /** Factor on the learned time; programs wait again between their turns, and some take longer than the mean. */
+    private static final double MARGIN = 1.4;
+    /**
+     * Delay beyond the deadline, in multiples of the learned time, from which on a late program of a lower rank precedes
+     * others. It keeps most of its worth up to twice its time, so it is served before it loses it.
+     */
+    private static final double LAST_CALL = 1.3;
+    /** Delay beyond the deadline, in multiples of the learned time, from which on a program is probably worthless. */
+    private static final double TOO_LATE = 2.2;
+
     private static final Comparator<Position<?>> ORDER = Comparator.<Position<?>>comparingInt(
                     each -> each.request().rank())
-            .thenComparing(Position::late)
-            // A program that is begun and then lost wastes all that it has used, so it precedes new ones.
             .thenComparing(each -> !each.request().started())
+            .thenComparing(Position::timeliness)
             .thenComparing(each -> !each.request().returned())
             .thenComparing(each -> !each.belowShare())
             .thenComparingLong(Position::leftNanos)
@@ -100,12 +115,38 @@
             T entry, WaitingRequest request, long nowNanos, Map<String, Set<String>> favored) {
         OptionalLong programDeadline = request.programDeadlineNanos();
         long leftNanos = Math.clamp(programDeadline.orElse(request.deadlineNanos()) - nowNanos, 0, MAX_LEFT_NANOS);
-        boolean late = programDeadline.isPresent()
-                && (programDeadline.getAsLong() - nowNanos <= 0 || leftNanos < request.neededNanos());
+        Timeliness timeliness = timeliness(request, nowNanos);
         return new Position<>(
-                entry, request, late, favored.get(request.service()).contains(request.team()), leftNanos);
+                entry, request, timeliness, favored.get(request.service()).contains(request.team()), leftNanos);
+    }
+
+    private static Timeliness timeliness(WaitingRequest request, long nowNanos) {
+        if (request.programDeadlineNanos().isEmpty()) {
+            return Timeliness.IN_TIME;
+        }
+        long left = request.programDeadlineNanos().getAsLong() - nowNanos;
+        double needed = Math.max(0, request.neededNanos());
+        double late = needed * MARGIN - left;
+        if (late <= 0 && left > 0) {
+            return Timeliness.IN_TIME;
+        }
+        if (request.rank() == 0 || request.started() || late < LAST_CALL * needed) {
+            return Timeliness.LATE;
+        }
+        return late < TOO_LATE * needed ? Timeliness.LAST_CALL : Timeliness.TOO_LATE;
+    }
+
+    /** What can still be expected of a request, in order of precedence. */
+    private enum Timeliness {
+        /** A new program of a lower rank that is late and soon loses the rest of its worth. */
+        LAST_CALL,
+        IN_TIME,
+        LATE,
+        /** A new program of a lower rank that is probably worthless to its caller. */
+        TOO_LATE
     }
 
     /** An entry with what its position depends on; the time left is bounded. */
-    private record Position<T>(T entry, WaitingRequest request, boolean late, boolean belowShare, long leftNanos) {}
+    private record Position<T>(
+            T entry, WaitingRequest request, Timeliness timeliness, boolean belowShare, long leftNanos) {}
 }
