--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/queue/QueueOrder.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/queue/QueueOrder.java
@@ -12,7 +12,7 @@
 
 /**
  * Order in which a node's waiting requests are assigned to runners: by rank, programs in progress before new ones,
- * requests that can still end in time before those that cannot, returning programs, teams below their even share,
+ * teams below their even share, requests that can still end in time before those that cannot, returning programs,
  * earliest deadline, arrival. A late program of a lower rank is served from leftover capacity, and before others once it
  * would otherwise lose the rest of its worth.
  *
@@ -38,9 +38,9 @@
     private static final Comparator<Position<?>> ORDER = Comparator.<Position<?>>comparingInt(
                     each -> each.request().rank())
             .thenComparing(each -> !each.request().started())
+            .thenComparing(each -> !each.belowShare())
             .thenComparing(Position::timeliness)
             .thenComparing(each -> !each.request().returned())
-            .thenComparing(each -> !each.belowShare())
             .thenComparingLong(Position::leftNanos)
             .thenComparingLong(each -> each.request().arrival());
 
