Test slot leases; read the runners at the first request of a coordinator

Cause: a coordinator whose clock was near 0 did not read the runners at its first request and granted without a limit, seen in SlotLeaseExchangeTest.

Change: the first request reads them.

--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DispatcherTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DispatcherTest.java
@@ -4,12 +4,17 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Consumer;
+import org.parsleydrift.kernel.Cancellable;
 import org.parsleydrift.kernel.ManualScheduler;
 import org.parsleydrift.placement.CachedPart;
 import org.parsleydrift.placement.Candidate;
@@ -160,6 +165,72 @@
         assertEquals(assigned.size(), 1);
     }
 
+    /** A request that is withdrawn while its slot is asked for must free that slot, and must not be sent. */
+    @Test
+    public void withdrawnWhileAskingForASlot() {
+        ManualGate gate = new ManualGate();
+        use(new Dispatcher(registry, new Random(1), "z", () -> 0, gate));
+        runner("r1", false);
+        Request request = new Request("a", 0, false);
+        dispatcher.submit(request);
+        assertEquals(dispatcher.ownLoad(), Map.of("r1", 1));
+        assertTrue(dispatcher.withdraw(request));
+        assertEquals(gate.withdrawals, 1);
+        assertEquals(dispatcher.ownLoad(), Map.of());
+        assertTrue(assigned.isEmpty());
+    }
+
+    /** A rejected request must keep its position, and its slot must be released exactly once. */
+    @Test
+    public void rejectedRequestKeepsItsPosition() {
+        ManualGate gate = new ManualGate();
+        use(new Dispatcher(registry, new Random(1), "z", () -> 0, gate));
+        runner("r1", false);
+        List<Request> requests = List.of(new Request("a", 0, false), new Request("b", 0, false));
+        dispatcher.submit(requests.getFirst());
+        gate.answer(new SlotGate.Rejected(SLOTS));
+        dispatcher.submit(requests.getLast());
+        assertEquals(dispatcher.queueLength(), 2);
+        assertTrue(gate.listeners.isEmpty());
+        dispatcher.updatePeerLoads(Map.of());
+        runner("r2", false);
+        gate.answer(new SlotGate.Granted(1, () -> gate.releases++));
+        gate.answer(new SlotGate.Granted(2, () -> gate.releases++));
+        assertEquals(assigned, List.of("a", "b"));
+        dispatcher.releaseSlot(requests.getFirst(), "r2");
+        assertEquals(gate.releases, 1);
+        assertEquals(dispatcher.ownLoad(), Map.of("r2", 1));
+    }
+
+    private void use(Dispatcher other) {
+        dispatcher = other;
+        registry.onChange(other::runnersChanged);
+    }
+
+    private static final class ManualGate implements SlotGate {
+        private final Deque<Consumer<Answer>> listeners = new ArrayDeque<>();
+        private int withdrawals;
+        private int releases;
+
+        private void answer(Answer answer) {
+            listeners.remove().accept(answer);
+        }
+
+        @Override
+        public boolean isControlled(String service) {
+            return true;
+        }
+
+        @Override
+        public Cancellable request(Runner runner, int rank, Duration time, Consumer<Answer> listener) {
+            listeners.add(listener);
+            return () -> withdrawals++;
+        }
+
+        @Override
+        public void retryLater(Runnable retry) {}
+    }
+
     private static Map<Long, Integer> loadAt(String incarnation, int requests) {
         return Map.of(RunnerKey.of(incarnation), requests);
     }
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/SlotLeaseExchange.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/SlotLeaseExchange.java
@@ -83,6 +83,7 @@
         this.fleet = fleet;
         this.limit = limit;
         this.leases = new SlotLeases(loop.clock().nanos());
+        this.runnersReadNanos = loop.clock().nanos() - CHECK_PERIOD.toNanos();
         this.granted = counter(meters, "granted");
         this.rejected = counter(meters, "rejected");
         this.timedOut = counter(meters, "timed_out");
