--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/Candidate.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/Candidate.java
@@ -12,18 +12,19 @@
  * @param uncachedTokens tokens of the request's prompt that the runner has not cached; 0 without a prompt
  */
 public record Candidate(Runner runner, int load, boolean suspended, boolean sameZone, int uncachedTokens) {
+    /** Returns the maximum load, in requests; with prompts it exceeds the slots, so that a freed slot is refilled. */
+    int maxLoad(boolean hasPrompt) {
+        return maxLoad(runner.slots(), hasPrompt);
+    }
+
     /**
-     * Returns the maximum load of a runner; with prompts it exceeds the slots, so that a freed slot is refilled.
+     * Returns the maximum load of a runner.
      *
      * @param slots slots of the runner
-     * @param hasPrompt whether the service has prompts
-     * @return maximum load, requests
+     * @param hasPrompt whether the requests of its service have prompts
+     * @return number of requests; with prompts it exceeds the slots, so that a freed slot is refilled
      */
     public static int maxLoad(int slots, boolean hasPrompt) {
         return slots + (hasPrompt ? Math.max(1, slots / RunnerChoice.SLOTS_PER_QUEUED_REQUEST) : 0);
     }
-
-    int maxLoad(boolean hasPrompt) {
-        return maxLoad(runner.slots(), hasPrompt);
-    }
 }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/LeasedSlots.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/LeasedSlots.java
@@ -57,7 +57,8 @@
         Runner runner = chosen.runner();
         Pending waiting = new Pending(runner.incarnation());
         pending.put(request, waiting);
-        Duration time = Duration.ofMillis(Math.min(request.leftMillis(), SlotLeases.MAX_LEASE.toMillis()));
+        long leftNanos = request.facts().deadlineNanos() - nanos.getAsLong();
+        Duration time = Duration.ofNanos(Math.clamp(leftNanos, 0, SlotLeases.MAX_LEASE.toNanos()));
         waiting.withdrawal = gate.request(runner, request.priority(), time, answer -> {
             pending.remove(request);
             int own = ownLoad.applyAsInt(runner.incarnation());
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -122,6 +122,7 @@
                 context.plugin.headerNames(),
                 context.random,
                 context.meters);
+        settings.contention().ifPresent(each -> relay.enableContentionControl(each, context.meters));
         runners = watch(ObjectKind.RUNNERS, listener(registry::applyRunnerChanges, registry::setPlatformReachable));
         manifests = watch(ObjectKind.MANIFEST, listener(registry::applyManifestChanges, registry::setManifestCurrent));
         storeSets = watch(ObjectKind.STORE_SET, listener(this::applyStoreSetChanges, reachable -> {}));
@@ -269,7 +270,7 @@
 
     private boolean isControlledEngine(String service) {
         return registry.manifest()
-                .filter(RoutingManifest::isEveryStreamStateful)
+                .filter(RoutingManifest::areStreamsStateful)
                 .flatMap(each -> each.service(service))
                 .filter(UpstreamService::engine)
                 .isPresent();
