--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
@@ -34,9 +34,9 @@
     private final PromptPlacements prompts = new PromptPlacements();
     private final Map<String, RunnerHealth> health = new HashMap<>();
     private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
+    private final LeasedSlots slots;
     private DispatchPolicy policy = DispatchPolicy.DEFAULT;
     private DispatchListener listener = DispatchListener.NONE;
-    private final LeasedSlots slots;
     private long arrivals;
 
     /**
@@ -163,11 +163,6 @@
         return withdrawn;
     }
 
-    /** Reports that a request no longer uses the slot of its runner; the slot itself is released separately. */
-    void reportAttemptEnd(QueuedRequest request, AttemptEnd end) {
-        listener.onAttemptEnded(request, end, nanos.getAsLong());
-    }
-
     /** Releases the slot that a request had at a runner, with its lease, and assigns queued requests. */
     void releaseSlot(QueuedRequest request, String incarnation) {
         slots.release(request, incarnation);
@@ -179,6 +174,11 @@
         slots.recordRejection(runner, this::dispatch);
     }
 
+    /** Reports that a request no longer uses the slot of its runner; the slot itself is released separately. */
+    void reportAttemptEnd(QueuedRequest request, AttemptEnd end) {
+        listener.onAttemptEnded(request, end, nanos.getAsLong());
+    }
+
     /** Releases a slot of a runner and assigns queued requests. */
     void releaseSlot(String incarnation) {
         loads.remove(incarnation);
@@ -237,7 +237,8 @@
     }
 
     private void assign(QueuedRequest request, Candidate chosen, long now) {
-        prompts.recordSent(chosen.runner().incarnation(), request, chosen.uncachedTokens(), now);
+        String incarnation = chosen.runner().incarnation();
+        prompts.recordSent(incarnation, request, chosen.uncachedTokens(), now);
         listener.onAssigned(request, now);
         request.assign(chosen);
     }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/QueuedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/QueuedRequest.java
@@ -32,11 +32,6 @@
     /** Returns what the order and the admission of the request depend on besides. */
     RequestFacts facts();
 
-    /** Returns the time until the deadline of the request, ms; 0 once it has passed. */
-    default long leftMillis() {
-        return Long.MAX_VALUE;
-    }
-
     /** Called after a change of the manifest; the request withdraws if its key was revoked. */
     void manifestChanged();
 
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -142,6 +142,7 @@
                 new FleetUsage(dispatcher, quotas, reports),
                 this::isReady,
                 stores::hasProvenQuorum,
+                context.random,
                 Map.of(ObjectKind.RUNNERS, runners, ObjectKind.MANIFEST, manifests, ObjectKind.STORE_SET, storeSets),
                 nodes::setWatching);
         calls.setForwarders(
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
@@ -62,6 +62,7 @@
             FleetUsage fleetUsage,
             BooleanSupplier ready,
             BooleanSupplier reachesStores,
+            RandomGenerator random,
             Map<ObjectKind, WatchedKind> watched,
             Consumer<Boolean> watchingListener) {
         this.loop = loop;
--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/MeshMember.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/MeshMember.java
@@ -103,6 +103,7 @@
                 new FleetUsage(dispatcher, quotas, fleetReports()),
                 () -> ready,
                 () -> reachesStores.getAsBoolean(),
+                random,
                 platform.map(this::watchAll).orElseGet(() -> Map.of(ObjectKind.RUNNERS, peersOnly())),
                 enabled -> {});
         mesh.start();
