--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/decisions/DecisionsMain.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/decisions/DecisionsMain.java
@@ -51,6 +51,8 @@
                 parser.accepts("pattern", "name of the only pattern to run").withRequiredArg();
         OptionSpec<String> fleet =
                 parser.accepts("fleet", "small or large").withRequiredArg().defaultsTo("small");
+        OptionSpec<Void> contention =
+                parser.accepts("contention", "compare ways to share slots between nodes instead of policies");
         OptionSpec<Void> help = parser.accepts("help", "print this").forHelp();
         try {
             OptionSet options = parser.parse(arguments);
@@ -58,6 +60,10 @@
                 parser.printHelpOn(System.out);
                 return;
             }
+            if (options.has(contention)) {
+                ContentionComparison.print(options.valueOf(seeds));
+                return;
+            }
             PATTERNS.stream()
                     .filter(each -> !options.has(only) || each.name().equals(options.valueOf(only)))
                     .forEach(each -> compare(each, shape(options.valueOf(fleet)), options.valueOf(seeds)));
