Totals of a service are kept until a load changes

Cause: each decision on a contended service summed loads and slots of all its runners again.

Change: RunnerLoads counts its changes; ServiceUsage keeps the totals of a service until the next change.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerLoads.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerLoads.java
@@ -12,6 +12,12 @@
     private final Map<String, Map<Long, Integer>> byPeer = new HashMap<>();
     private final Map<Long, Integer> peerTotals = new HashMap<>();
     private final Map<String, Long> runnerKeys = new HashMap<>();
+    private long version;
+
+    /** Returns a number that changes with every change of a load or of the known runners. */
+    long version() {
+        return version;
+    }
 
     /** Returns this node's requests by the id of the runner's incarnation; runners without requests are omitted. */
     Map<String, Integer> own() {
@@ -36,15 +42,18 @@
     }
 
     void add(String incarnation) {
+        version++;
         own.merge(incarnation, 1, Integer::sum);
     }
 
     void remove(String incarnation) {
+        version++;
         own.computeIfPresent(incarnation, (same, load) -> load <= 1 ? null : load - 1);
     }
 
     /** Replaces the loads of the given reporters by {@link RunnerKey}; empty for a reporter that is gone. */
     void updatePeers(Map<String, Map<Long, Integer>> loads) {
+        version++;
         loads.forEach((node, load) -> {
             Map<Long, Integer> previous = byPeer.put(node, Map.copyOf(load));
             if (previous != null) {
@@ -56,6 +65,7 @@
 
     /** Drops what is cached for other runners than the given ones. */
     void retainRunners(Set<String> incarnations) {
+        version++;
         runnerKeys.keySet().retainAll(incarnations);
     }
 }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/ServiceUsage.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/ServiceUsage.java
@@ -11,6 +11,10 @@
 final class ServiceUsage {
     private final Dispatcher dispatcher;
     private final Map<String, DrainRate> drainRates = new HashMap<>();
+    /** Totals by service, kept until a load or the runners change; several decisions are made in between. */
+    private final Map<String, Totals> totals = new HashMap<>();
+
+    private record Totals(long version, int slots, int load, int own) {}
 
     ServiceUsage(Dispatcher dispatcher) {
         this.dispatcher = dispatcher;
@@ -39,17 +43,28 @@
             Map<Integer, Integer> ownWaiting,
             Map<Integer, Integer> peersWaiting,
             long nowNanos) {
-        List<Runner> runners = dispatcher.runners(service);
+        Totals now = totals(service);
+        // The request to be decided counts as this node's, so that a node without requests has a share as well.
+        double ownShare = Math.min(1, (now.own() + 1.0) / (now.load() + 1.0));
+        double rate = drainRate(service).slotsPerSecond(rank, floorShare, now.load(), now.slots(), nowNanos);
+        return new ServiceState(now.slots(), now.load(), bestRank, ownWaiting, peersWaiting, rate, ownShare);
+    }
+
+    private Totals totals(String service) {
         RunnerLoads loads = dispatcher.loads();
+        Totals known = totals.get(service);
+        if (known != null && known.version() == loads.version()) {
+            return known;
+        }
+        List<Runner> runners = dispatcher.runners(service);
         int slots = runners.stream().mapToInt(Runner::slots).sum();
         int load =
                 runners.stream().mapToInt(each -> loads.at(each.incarnation())).sum();
         int own = runners.stream()
                 .mapToInt(each -> loads.ownAt(each.incarnation()))
                 .sum();
-        // The request to be decided counts as this node's, so that a node without requests has a share as well.
-        double ownShare = Math.min(1, (own + 1.0) / (load + 1.0));
-        double rate = drainRate(service).slotsPerSecond(rank, floorShare, load, slots, nowNanos);
-        return new ServiceState(slots, load, bestRank, ownWaiting, peersWaiting, rate, ownShare);
+        Totals counted = new Totals(loads.version(), slots, load, own);
+        totals.put(service, counted);
+        return counted;
     }
 }
