Tests of contention control over the wire; owner of a program in its facts

Cause: admission_refused printed the program with the prefix of its owner, unlike all other lines, and returned_in_slot came again for each attempt. Nothing showed that a block of settings changes nothing where a stream is not stateful.

Change: RequestFacts has owner and program. RelayTest runs without and with the contention block; it checks that a refused admission states its exact return time and reaches no runner. ContentionControlTest checks that a slot is kept for urgent requests that wait at other nodes.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/ContentionControl.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/ContentionControl.java
@@ -37,7 +37,6 @@
 public final class ContentionControl implements DispatchPolicy, AdmissionPolicy, DispatchListener {
     private final ContentionSettings settings;
     private final Registry registry;
-    private final Dispatcher dispatcher;
     private final LongSupplier nanos;
     private final ServiceUsage usage;
     private final ReturnSchedule returns = new ReturnSchedule();
@@ -61,7 +60,6 @@
             ContentionReports reports) {
         this.settings = settings;
         this.registry = registry;
-        this.dispatcher = dispatcher;
         this.nanos = nanos;
         this.reports = reports;
         this.usage = new ServiceUsage(dispatcher);
@@ -131,16 +129,18 @@
 
     @Override
     public AdmissionDecision decide(QueuedRequest request, long leftMillis) {
-        // Without runners there is no rate to predict with, and a request that may have run must not be cut short.
-        if (!isActive()
-                || request.facts().mayHaveRun()
-                || dispatcher.runners(request.service()).isEmpty()) {
+        // A request that may have run must not be cut short, since its rejection could not say "not run".
+        if (!isActive() || request.facts().mayHaveRun()) {
             return AdmissionPolicy.DEFAULT.decide(request, leftMillis);
         }
         ServiceState state = state(request);
+        if (state.slots() == 0) {
+            // Without runners there is no rate to predict with.
+            return AdmissionPolicy.DEFAULT.decide(request, leftMillis);
+        }
         AdmissionRequest asked = admissionRequest(request);
         reports.recordState(request.service(), state, now());
-        if (asked.returned()) {
+        if (asked.returned() && request.facts().attempts() == 0) {
             reports.recordReturn(request, asked);
         }
         return switch (admission.decide(asked, state, now())) {
@@ -257,7 +257,7 @@
 
     /** A request without a program cannot be recognized when it returns; its key only keeps it apart from others. */
     private static long programKey(RequestFacts facts) {
-        return ReturnSchedule.programKey(facts.program().isEmpty() ? facts.id() : facts.program());
+        return ReturnSchedule.programKey(facts.owner() + (facts.program().isEmpty() ? facts.id() : facts.program()));
     }
 
     /** Returns the other requests that wait for the service of a request. */
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Relay.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Relay.java
@@ -85,10 +85,15 @@
         ContentionControl control = new ContentionControl(
                 settings, registry, dispatcher, loop.clock()::nanos, new ContentionReports(meters));
         dispatcher.usePolicy(control, control);
-        admission = control;
+        useAdmission(control);
         return control;
     }
 
+    /** Replaces the default policy. */
+    void useAdmission(AdmissionPolicy policy) {
+        admission = policy;
+    }
+
     /**
      * Returns the number of requests that have not ended.
      *
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -194,7 +194,8 @@
     public RequestFacts facts() {
         return new RequestFacts(
                 params.id(),
-                params.program().isEmpty() ? "" : team.owner() + params.program(),
+                team.owner(),
+                params.program(),
                 route.name(),
                 team.team().map(Team::name).orElse(""),
                 route.isStreaming(),
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestFacts.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestFacts.java
@@ -6,7 +6,8 @@
  * What the order and the admission of a request depend on, besides its {@link QueuedRequest}.
  *
  * @param id id of this attempt of the caller
- * @param program id of the program, unique over teams; the empty string for none
+ * @param owner prefix that separates the programs of different teams
+ * @param program id of the program, unique for its owner; the empty string for none
  * @param route name of the route
  * @param team name of the caller's team; the empty string for none
  * @param streaming whether the response is an event stream
@@ -17,6 +18,7 @@
  */
 record RequestFacts(
         String id,
+        String owner,
         String program,
         String route,
         String team,
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/ContentionControlTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/ContentionControlTest.java
@@ -104,6 +104,7 @@
         return new QueuedRequestFixture(name, rank, started, assigned)
                 .with(new RequestFacts(
                         name,
+                        "",
                         name,
                         "route-" + rank,
                         "",
@@ -175,6 +176,17 @@
         assertEquals(control.ownWaiting(), Map.of("s", Map.of(2, 1)));
     }
 
+    /** While urgent requests wait at other nodes, less urgent ones must leave them a slot of each runner. */
+    @Test
+    public void slotIsReservedForUrgentBacklogOfPeers() {
+        control.usePeersWaiting(service -> Map.of(0, 3));
+        Stream.of(request("first", 2, false, LEFT_MILLIS), request("second", 2, true, LEFT_MILLIS))
+                .forEach(dispatcher::submit);
+        assertEquals(assigned, List.of("first"));
+        dispatcher.submit(request("urgent", 0, false, LEFT_MILLIS));
+        assertEquals(assigned, List.of("first", "urgent"));
+    }
+
     /** A program that cannot start in time must be rejected at once, with a retry delay that its caller honours. */
     @Test
     public void hopelessProgramIsRejectedAtOnce() {
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/QueuedRequestFixture.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/QueuedRequestFixture.java
@@ -22,7 +22,7 @@
         this.priority = priority;
         this.inProgress = inProgress;
         this.assigned = assigned;
-        this.facts = new RequestFacts(name, name, "r", "", true, OptionalLong.empty(), Long.MAX_VALUE, 0, false);
+        this.facts = new RequestFacts(name, "", name, "r", "", true, OptionalLong.empty(), Long.MAX_VALUE, 0, false);
     }
 
     QueuedRequestFixture with(RequestFacts newFacts) {
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RelayTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RelayTest.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -26,6 +27,7 @@
 import org.parsleydrift.conversation.FrameSender;
 import org.parsleydrift.conversation.ReplicaCalls;
 import org.parsleydrift.kernel.SystemClock;
+import org.parsleydrift.placement.ContentionSettings;
 import org.parsleydrift.placement.QuotaPolicy;
 import org.parsleydrift.placement.QuotaTracker;
 import org.parsleydrift.registry.CallKind;
@@ -41,6 +43,8 @@
 import org.parsleydrift.wire.NetworkThreads;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Factory;
 import org.testng.annotations.Test;
 
 /** Processing of requests between a caller and runners, over real connections. */
@@ -50,11 +54,28 @@
 
     private final Map<String, Runner> entries = new HashMap<>();
     private final List<ScriptedRunner> runners = new ArrayList<>();
+    private final Optional<ContentionSettings> contention;
+    private Relay relay;
     private NetworkThreads threads;
     private NetworkLoop loop;
     private Registry registry;
     private CallerServer server;
 
+    /**
+     * Creates the test for one kind of settings.
+     *
+     * @param contention the block of the settings; must make no difference, as the streaming route is not stateful
+     */
+    @Factory(dataProvider = "contentionSettings")
+    public RelayTest(Optional<ContentionSettings> contention) {
+        this.contention = contention;
+    }
+
+    @DataProvider
+    public static Object[][] contentionSettings() {
+        return new Object[][] {{Optional.empty()}, {Optional.of(ContentionSettings.DEFAULTS)}};
+    }
+
     @BeforeMethod
     public void start() {
         threads = new NetworkThreads("relay-test", 1);
@@ -72,7 +93,7 @@
         });
         Dispatcher dispatcher = new Dispatcher(registry, new Random(1), "z", loop.clock()::nanos);
         ReplicaCalls calls = new ReplicaCalls(loop, new DiscardingSender(), "e", request -> new CompletableFuture<>());
-        Relay relay = new Relay(
+        relay = new Relay(
                 threads,
                 loop,
                 registry,
@@ -83,6 +104,7 @@
                 HeaderNames.defaults(),
                 new Random(2),
                 new SimpleMeterRegistry());
+        contention.ifPresent(each -> relay.enableContentionControl(each, new SimpleMeterRegistry()));
         server = new CallerServer(
                 threads,
                 loop,
@@ -188,6 +210,27 @@
         assertTrue(Integer.parseInt(ScriptedRunner.header(request, "Parsleydrift-Deadline-Ms")) <= 5000);
     }
 
+    /** A request that is not admitted must be rejected at once, with its exact return time, and reach no runner. */
+    @Test
+    public void refusedAdmissionStatesReturnTime() throws IOException {
+        publishManifest();
+        ScriptedRunner runner = runner("r1", respondWith("200 Fine", "", "done"));
+        loop.execute(() -> relay.useAdmission(new AdmissionPolicy() {
+            @Override
+            public AdmissionDecision decide(QueuedRequest request, long leftMillis) {
+                return new AdmissionDecision.Refuse("full", Duration.ofMillis(420));
+            }
+
+            @Override
+            public Optional<Duration> retryDelayAfterWait(QueuedRequest request) {
+                return Optional.empty();
+            }
+        }));
+        String response = call("/once/x", "Parsleydrift-Deadline-Ms: 5000\r\n").toLowerCase(Locale.ROOT);
+        assertTrue(response.startsWith("http/1.1 503 ") && response.contains("retry-after: 0.42\r\n"), response);
+        assertTrue(runner.requests.isEmpty());
+    }
+
     /** A 404, after which callers do not retry, must not be sent under a manifest that may be outdated. */
     @Test
     public void missingRouteIsReportedOnlyUnderCurrentManifest() throws IOException {
