--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
@@ -116,6 +116,19 @@
         return loads.at(incarnation);
     }
 
+    /**
+     * Returns the share of a service's slots that are used, by own requests and the last reports of peers.
+     *
+     * @param service name of the service
+     * @return requests per slot; 0 without runners
+     */
+    public double utilization(String service) {
+        List<Runner> usable = registry.runners(service);
+        int slotCount = usable.stream().mapToInt(Runner::slots).sum();
+        int load = usable.stream().mapToInt(each -> loads.at(each.incarnation())).sum();
+        return slotCount == 0 ? 0 : (double) load / slotCount;
+    }
+
     /** Drops the state of runners that are gone and assigns queued requests to new ones. */
     void runnersChanged() {
         Set<String> incarnations = registry.incarnations();
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -60,6 +60,13 @@
     /** Fraction of the grace time after which the process exits even if requests are open. */
     private static final double EXIT_FRACTION = 0.93;
 
+    /**
+     * Share of a service's slots in use from which on slots are leased. Below it, the runners' own queues absorb what nodes
+     * with outdated loads send to the same runner at once, and the frames would only cost processor time, which a slow
+     * VM that coordinates a runner does not have.
+     */
+    private static final double MIN_LEASE_UTILIZATION = 0.35;
+
     private static final Duration DRAIN_CHECK_PERIOD = Duration.ofMillis(50);
     private static final Duration ENTRY_RETRY_DELAY = Duration.ofMillis(700);
 
@@ -254,7 +261,10 @@
         return new SlotLeaseExchange.Fleet() {
             @Override
             public boolean isControlled(String service) {
-                return contentionControl && mesh.usesHubs() && isControlledEngine(service);
+                return contentionControl
+                        && mesh.usesHubs()
+                        && isControlledEngine(service)
+                        && dispatcher.utilization(service) >= MIN_LEASE_UTILIZATION;
             }
 
             @Override
