Free released slots before asking for the next; bound repeated requests

Cause: a turn that ended and its successor at the same node met at the coordinator in the wrong order, since releases wait up to 5 ms. A late answer ended the avoidance of a slow coordinator early. A coordinator with a stricter limit than the asking node would have been asked again at once.

Change: collected releases go out before the next request to the same coordinator; avoidance lasts its 500 ms; a rejected request counts the runner as full for 30 ms. The limit by rank gets the service. The periodic check runs only under contention control.

--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/lease/LeaseRequests.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/lease/LeaseRequests.java
@@ -62,12 +62,8 @@
      */
     public boolean recordAnswer(long number, boolean granted) {
         boolean waiting = unanswered.remove(number);
-        String coordinator = coordinators.get(number);
-        if (coordinator != null) {
-            avoidedUntilNanos.remove(coordinator);
-            if (!granted) {
-                coordinators.remove(number);
-            }
+        if (!granted) {
+            coordinators.remove(number);
         }
         return waiting;
     }
@@ -101,6 +97,17 @@
         }
     }
 
+    /**
+     * Returns the releases for one coordinator since the last call.
+     *
+     * @param coordinator name of the coordinator
+     * @return numbers of the requests; empty if there are none
+     */
+    public List<Long> takeReleases(String coordinator) {
+        List<Long> taken = releases.remove(coordinator);
+        return taken == null ? List.of() : taken;
+    }
+
     /**
      * Returns the releases since the last call.
      *
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
@@ -256,7 +256,7 @@
     /** Returns the load of a runner; one whose free slots are reserved for other requests counts as full. */
     private int countedLoad(Runner runner, QueuedRequest request, SlotLimit limit, long now) {
         int own = loads.ownAt(runner.incarnation());
-        int load = slots.load(runner, own, loads.at(runner.incarnation()) - own, now);
+        int load = slots.load(request, runner, own, loads.at(runner.incarnation()) - own, now);
         int usualLimit = Candidate.maxLoad(runner.slots(), !request.prompt().isEmpty());
         return load < limit.highestLoad(runner.slots(), usualLimit) ? load : Math.max(load, usualLimit);
     }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/LeasedSlots.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/LeasedSlots.java
@@ -19,10 +19,19 @@
  * leases of those that were granted a slot, and what the answers tell about the load of runners.
  */
 final class LeasedSlots {
+    /**
+     * Time after which a rejected request may ask for the same runner again; a runner with six slots and turns of 170 ms
+     * frees a slot about as often.
+     */
+    private static final Duration RETRY_DELAY = Duration.ofMillis(30);
+
     private final SlotGate gate;
     private final LongSupplier nanos;
     private final Map<QueuedRequest, Pending> pending = new HashMap<>();
     private final Map<Key, Cancellable> leases = new HashMap<>();
+    /** End of the time for which a request counts a runner as full, since the runner's coordinator rejected it, ns. */
+    private final Map<Key, Long> rejectedUntil = new HashMap<>();
+
     private final ExactLoads exactLoads = new ExactLoads();
     private final RunnerSaturation saturation = new RunnerSaturation();
     private boolean retryScheduled;
@@ -66,10 +75,13 @@
                 case SlotGate.Granted granted -> {
                     leases.put(new Key(request, runner.incarnation()), granted.lease());
                     recordLoad(runner, granted.leases(), own);
+                    forgetRejections(request);
                     onGranted.run();
                 }
                 case SlotGate.Rejected rejected -> {
                     recordLoad(runner, rejected.leases(), own - 1);
+                    long endNanos = nanos.getAsLong() + RETRY_DELAY.toNanos();
+                    rejectedUntil.put(new Key(request, runner.incarnation()), endNanos);
                     onRejected.run();
                 }
             }
@@ -80,6 +92,7 @@
     Optional<String> withdraw(QueuedRequest request) {
         Optional<Pending> withdrawn = Optional.ofNullable(pending.remove(request));
         withdrawn.ifPresent(each -> each.withdrawal.cancel());
+        forgetRejections(request);
         return withdrawn.map(each -> each.incarnation);
     }
 
@@ -95,7 +108,7 @@
     void retryLater(Runnable retry) {
         if (!retryScheduled) {
             retryScheduled = true;
-            gate.retryLater(() -> {
+            gate.schedule(RETRY_DELAY, () -> {
                 retryScheduled = false;
                 retry.run();
             });
@@ -110,10 +123,14 @@
         }
     }
 
-    /** Returns the load of a runner by own requests and those of peers, as far as known. */
-    int load(Runner runner, int own, int reported, long now) {
+    /**
+     * Returns the load of a runner by own requests and those of peers, as far as known; a full load if the runner
+     * rejects requests, or its coordinator has just rejected this one.
+     */
+    int load(QueuedRequest request, Runner runner, int own, int reported, long now) {
         int load = own + exactLoads.peerLoad(runner.incarnation(), reported, now);
-        return saturation.isSaturated(runner.incarnation(), now)
+        Long endNanos = rejectedUntil.get(new Key(request, runner.incarnation()));
+        return saturation.isSaturated(runner.incarnation(), now) || (endNanos != null && endNanos - now > 0)
                 ? Math.max(load, Candidate.maxLoad(runner.slots(), true))
                 : load;
     }
@@ -123,6 +140,10 @@
         saturation.retainRunners(incarnations);
     }
 
+    private void forgetRejections(QueuedRequest request) {
+        rejectedUntil.keySet().removeIf(each -> each.request().equals(request));
+    }
+
     private void recordLoad(Runner runner, int known, int own) {
         if (known > 0) {
             exactLoads.record(runner.incarnation(), known, own, nanos.getAsLong());
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/SlotGate.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/SlotGate.java
@@ -24,8 +24,8 @@
         }
 
         @Override
-        public void retryLater(Runnable retry) {
-            retry.run();
+        public void schedule(Duration delay, Runnable task) {
+            throw new IllegalStateException("no request is rejected");
         }
     };
 
@@ -49,11 +49,12 @@
     Cancellable request(Runner runner, int rank, Duration time, Consumer<Answer> listener);
 
     /**
-     * Runs a task when rejected requests should be tried again without another reason.
+     * Runs a task later, to try rejected requests again.
      *
-     * @param retry the task
+     * @param delay the delay
+     * @param task the task
      */
-    void retryLater(Runnable retry);
+    void schedule(Duration delay, Runnable task);
 
     /** Answer to a request for a slot. */
     sealed interface Answer {}
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -109,8 +109,7 @@
         stores = new ConversationClient(context.loop, calls);
         quotas = new QuotaTracker(
                 context.loop.clock()::nanos, context.random, settings.quotaPolicy(), this::hasFleetUsage);
-        leases = new SlotLeaseExchange(
-                context.loop, frames, self, context.random.nextLong(), leaseFleet(), LeaseLimit.USUAL, context.meters);
+        leases = createLeases(frames);
         dispatcher = new Dispatcher(registry, context.random, settings.zone(), context.loop.clock()::nanos, leases);
         relay = new Relay(
                 context.threads,
@@ -147,6 +146,11 @@
                 settings.callers().orElseThrow().socket(),
                 relay,
                 () -> registry.manifest().map(RoutingManifest::limits).orElseGet(CallerLimits::defaults));
+        serveAuxiliary(settings);
+    }
+
+    /** Serves readiness and directory, and registers the gauges. */
+    private void serveAuxiliary(RoleSettings settings) {
         context.serve(settings.readiness().orElseThrow(), MAX_AUXILIARY_CONNECTIONS, this::respondReadiness);
         context.serve(settings.directory().orElseThrow(), MAX_AUXILIARY_CONNECTIONS, this::respondDirectory);
         context.meters.gauge("parsleydrift.requests.open", relay, Relay::openRequests);
@@ -161,7 +165,9 @@
             storeSets.start();
             nodes.start();
             mesh.start();
-            leases.start();
+            if (contentionControl) {
+                leases.start();
+            }
         });
     }
 
@@ -244,6 +250,11 @@
         }
     }
 
+    private SlotLeaseExchange createLeases(TcpFrameSender frames) {
+        return new SlotLeaseExchange(
+                context.loop, frames, self, context.random.nextLong(), leaseFleet(), LeaseLimit.USUAL, context.meters);
+    }
+
     private SlotLeaseExchange.Fleet leaseFleet() {
         return new SlotLeaseExchange.Fleet() {
             @Override
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/SlotLeaseExchange.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/SlotLeaseExchange.java
@@ -34,8 +34,6 @@
     private static final Logger LOG = System.getLogger(SlotLeaseExchange.class.getName());
     /** Time for which releases are collected; a small part of a turn's duration. */
     private static final Duration RELEASE_DELAY = Duration.ofMillis(5);
-    /** Time after which rejected requests are tried again; a runner with six slots frees one about as often. */
-    private static final Duration RETRY_DELAY = Duration.ofMillis(30);
     /** Period of checks for expired leases, nodes that are gone and pauses of the loop; well below the 500 ms gap. */
     private static final Duration CHECK_PERIOD = Duration.ofMillis(100);
 
@@ -128,6 +126,8 @@
             listener.accept(new Granted(0, () -> {}));
             return () -> {};
         }
+        // A slot that was just released must be free before it is asked for.
+        sendReleases(coordinator.get(), requests.takeReleases(coordinator.get()));
         long number = requests.open(coordinator.get());
         LeaseFrame.Acquire acquire = new LeaseFrame.Acquire(
                 self.name(), self.link(), processStart, number, key, Math.max(0, rank), time.toMillis());
@@ -145,8 +145,8 @@
     }
 
     @Override
-    public void retryLater(Runnable retry) {
-        loop.schedule(RETRY_DELAY, retry);
+    public void schedule(Duration delay, Runnable task) {
+        loop.schedule(delay, task);
     }
 
     /** Handles a frame; returns false if it is not one about leases. A malformed one is dropped. */
@@ -191,7 +191,7 @@
                 new LeaseId(acquire.node(), acquire.processStart(), acquire.number()),
                 new SlotLeases.Request(
                         acquire.runner(),
-                        runner.map(each -> limit.limit(acquire.rank(), each.slots()))
+                        runner.map(each -> limit.limit(each.service(), acquire.rank(), each.slots()))
                                 .orElse(Integer.MAX_VALUE),
                         runner.map(each -> fleet.reportedLoad(each.incarnation()) - ownRequests)
                                 .orElse(0),
@@ -269,14 +269,16 @@
 
     private void sendReleases() {
         releaseScheduled = false;
-        requests.takeReleases().forEach((coordinator, numbers) -> {
-            if (coordinator.equals(self.name())) {
-                numbers.forEach(each -> leases.release(new LeaseId(self.name(), processStart, each)));
-            } else {
-                LeaseFrame release = new LeaseFrame.Release(self.name(), processStart, numbers);
-                frames.send(links.get(coordinator), release.encode());
-            }
-        });
+        requests.takeReleases().forEach(this::sendReleases);
+    }
+
+    private void sendReleases(String coordinator, List<Long> numbers) {
+        if (coordinator.equals(self.name())) {
+            numbers.forEach(each -> leases.release(new LeaseId(self.name(), processStart, each)));
+        } else if (!numbers.isEmpty()) {
+            LeaseFrame release = new LeaseFrame.Release(self.name(), processStart, numbers);
+            frames.send(links.get(coordinator), release.encode());
+        }
     }
 
     /** Leases of a node end when it leaves the ready nodes; those that it acquires while it drains expire. */
