--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
@@ -125,7 +125,8 @@
     public double utilization(String service) {
         List<Runner> usable = registry.runners(service);
         int slotCount = usable.stream().mapToInt(Runner::slots).sum();
-        int load = usable.stream().mapToInt(each -> loads.at(each.incarnation())).sum();
+        int load =
+                usable.stream().mapToInt(each -> loads.at(each.incarnation())).sum();
         return slotCount == 0 ? 0 : (double) load / slotCount;
     }
 
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -90,18 +90,9 @@
     private boolean nodesListed;
 
     EntryRole(ProcessContext context) {
-        this(context, context.settings.contention().isPresent());
-    }
-
-    /**
-     * Creates the role.
-     *
-     * @param contentionControl whether services are under contention control, if the manifest permits it
-     */
-    EntryRole(ProcessContext context, boolean contentionControl) {
         this.context = context;
-        this.contentionControl = contentionControl;
         RoleSettings settings = context.settings;
+        contentionControl = settings.contention().isPresent();
         self = new NodeIdentity(
                 settings.vm(),
                 settings.zone(),
@@ -130,10 +121,6 @@
                 context.plugin.headerNames(),
                 context.random,
                 context.meters);
-        FleetReports reports = settings.contention()
-                .map(each -> relay.enableContentionControl(each, context.meters))
-                .<FleetReports>map(each -> new ContentionExchange(each, context.loop.clock()::nanos))
-                .orElse(FleetReports.NONE);
         runners = watch(ObjectKind.RUNNERS, listener(registry::applyRunnerChanges, registry::setPlatformReachable));
         manifests = watch(ObjectKind.MANIFEST, listener(registry::applyManifestChanges, registry::setManifestCurrent));
         storeSets = watch(ObjectKind.STORE_SET, listener(this::applyStoreSetChanges, reachable -> {}));
@@ -145,7 +132,7 @@
                 context.loop,
                 frames,
                 self,
-                new FleetUsage(dispatcher, quotas, reports),
+                new FleetUsage(dispatcher, quotas, enableContentionControl()),
                 this::isReady,
                 stores::hasProvenQuorum,
                 context.random,
@@ -263,6 +250,15 @@
         }
     }
 
+    /** Enables contention control if the settings ask for it; returns its reports to the peers. */
+    private FleetReports enableContentionControl() {
+        return context.settings
+                .contention()
+                .map(each -> relay.enableContentionControl(each, context.meters))
+                .<FleetReports>map(each -> new ContentionExchange(each, context.loop.clock()::nanos))
+                .orElse(FleetReports.NONE);
+    }
+
     private SlotLeaseExchange createLeases(TcpFrameSender frames) {
         return new SlotLeaseExchange(
                 context.loop, frames, self, context.random.nextLong(), leaseFleet(), LeaseLimit.USUAL, context.meters);
