--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/AdmissionDecision.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/AdmissionDecision.java
@@ -8,8 +8,9 @@
      * The request is queued.
      *
      * @param maxWait time after which it is rejected if it was not assigned
+     * @param cacheWait time for which it waits for the runner that has cached its prompt; then any free runner will do
      */
-    record Wait(Duration maxWait) implements AdmissionDecision {}
+    record Wait(Duration maxWait, Duration cacheWait) implements AdmissionDecision {}
 
     /**
      * The request is rejected at once.
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/AdmissionPolicy.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/AdmissionPolicy.java
@@ -9,8 +9,9 @@
     AdmissionPolicy DEFAULT = new AdmissionPolicy() {
         @Override
         public AdmissionDecision decide(QueuedRequest request, long leftMillis) {
-            return new AdmissionDecision.Wait(Duration.ofMillis(Math.min(
-                    (long) (leftMillis * RelayLimits.MAX_QUEUE_SHARE), RelayLimits.MAX_QUEUE_WAIT.toMillis())));
+            Duration maxWait = Duration.ofMillis(Math.min(
+                    (long) (leftMillis * RelayLimits.MAX_QUEUE_SHARE), RelayLimits.MAX_QUEUE_WAIT.toMillis()));
+            return new AdmissionDecision.Wait(maxWait, defaultCacheWait(maxWait));
         }
 
         @Override
@@ -19,6 +20,18 @@
         }
     };
 
+    /**
+     * Returns the usual wait for the runner that has cached a prompt. A longer wait for a free slot is not a longer wait
+     * for the cached prompt, which can be computed again.
+     *
+     * @param maxWait maximum wait for any runner
+     * @return the wait
+     */
+    static Duration defaultCacheWait(Duration maxWait) {
+        long millis = Math.min(maxWait.toMillis(), RelayLimits.MAX_QUEUE_WAIT.toMillis());
+        return Duration.ofMillis((long) (millis * RelayLimits.AFFINITY_SHARE));
+    }
+
     /**
      * Decides on a request that is about to be queued.
      *
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/ContentionControl.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/ContentionControl.java
@@ -35,6 +35,12 @@
  * <p>Not thread-safe; confined to one event loop.
  */
 public final class ContentionControl implements DispatchPolicy, AdmissionPolicy, DispatchListener {
+    /**
+     * Maximum wait for the runner that has cached a prompt, in runs of the route. A runner of several slots frees one in a
+     * fraction of a run; waiting longer costs the caller more than computing the prompt at a runner with a free slot.
+     */
+    private static final double MAX_CACHE_WAIT_RUNS = 0.25;
+
     private final ContentionSettings settings;
     private final Registry registry;
     private final LongSupplier nanos;
@@ -146,7 +152,7 @@
         return switch (admission.decide(asked, state, now())) {
             case Admission.Enqueue enqueue -> {
                 reports.recordPredictedWait(enqueue.predictedWait());
-                yield new AdmissionDecision.Wait(enqueue.maxWait());
+                yield new AdmissionDecision.Wait(enqueue.maxWait(), cacheWait(request, enqueue.maxWait()));
             }
             case Admission.Refuse refusal -> {
                 reports.recordRefusal(request, refusal, state);
@@ -155,6 +161,14 @@
         };
     }
 
+    /** Returns the wait for the runner that has cached the prompt: the usual one or, if it is shorter, a part of a run. */
+    private Duration cacheWait(QueuedRequest request, Duration maxWait) {
+        Duration usual = AdmissionPolicy.defaultCacheWait(maxWait);
+        long runNanos = durations.runNanos(request.facts().route());
+        Duration partOfRun = Duration.ofNanos((long) (runNanos * MAX_CACHE_WAIT_RUNS));
+        return runNanos > 0 && partOfRun.compareTo(usual) < 0 ? partOfRun : usual;
+    }
+
     @Override
     public Optional<Duration> retryDelayAfterWait(QueuedRequest request) {
         if (!isActive() || request.facts().mayHaveRun()) {
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -175,7 +175,7 @@
 
     @Override
     public boolean acceptsAnyRunner() {
-        return queueWait.isNearTimeout();
+        return queueWait.acceptsAnyRunner();
     }
 
     @Override
@@ -379,7 +379,7 @@
             case AdmissionDecision.Wait wait -> {
                 apply(new RequestEvent.Admitted());
                 queueWait.start(
-                        wait.maxWait(),
+                        wait,
                         () -> apply(
                                 new RequestEvent.QueueTimedOut(relay.admission().retryDelayAfterWait(this))));
                 relay.dispatcher().submit(this);
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/QueueWaitTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/QueueWaitTest.java
@@ -14,17 +14,22 @@
 public class QueueWaitTest {
     private final List<String> calls = new ArrayList<>();
 
+    private static AdmissionDecision.Wait wait(long millis) {
+        Duration maxWait = Duration.ofMillis(millis);
+        return new AdmissionDecision.Wait(maxWait, AdmissionPolicy.defaultCacheWait(maxWait));
+    }
+
     /** The placement must be retried near the end of the wait, also if no other event occurs at the node. */
     @Test
     public void placementIsRetriedNearTimeout() {
         calls.clear();
         ManualScheduler time = new ManualScheduler();
         QueueWait wait = new QueueWait(time.newLoop(), () -> calls.add("again"));
-        wait.start(Duration.ofMillis(900), () -> calls.add("over"));
+        wait.start(wait(900), () -> calls.add("over"));
         time.advance(Duration.ofMillis(700));
-        assertFalse(wait.isNearTimeout());
+        assertFalse(wait.acceptsAnyRunner());
         time.advance(Duration.ofMillis(50));
-        assertTrue(wait.isNearTimeout());
+        assertTrue(wait.acceptsAnyRunner());
         assertEquals(calls, List.of("again"));
         time.advance(Duration.ofMillis(200));
         assertEquals(calls, List.of("again", "over"));
@@ -35,12 +40,12 @@
         calls.clear();
         ManualScheduler time = new ManualScheduler();
         QueueWait wait = new QueueWait(time.newLoop(), () -> calls.add("again"));
-        wait.start(Duration.ofMillis(900), () -> calls.add("over"));
+        wait.start(wait(900), () -> calls.add("over"));
         time.advance(Duration.ofMillis(800));
         wait.cancel();
         time.advance(Duration.ofSeconds(2));
         assertEquals(calls, List.of("again"));
-        wait.start(Duration.ofMillis(100), () -> calls.add("over"));
-        assertFalse(wait.isNearTimeout());
+        wait.start(wait(100), () -> calls.add("over"));
+        assertFalse(wait.acceptsAnyRunner());
     }
 }
