--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/ContentionSettings.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/ContentionSettings.java
@@ -10,9 +10,10 @@
  * @param waitShare share of the remaining time that a request of a program in progress waits, 0.1 to 0.9
  * @param maxRetryAfterSeconds upper bound of the retry delay of rejected programs, s, 0.1 to 1.3; callers honour a
  *     third of their remaining time
+ * @param learnSpeeds whether placement weighs the learned speeds of runners
  */
 public record ContentionSettings(
-        double reservedShare, double admitShare, double floorShare, double waitShare, double maxRetryAfterSeconds) {
+        double reservedShare, double admitShare, double floorShare, double waitShare, double maxRetryAfterSeconds, boolean learnSpeeds) {
     /** Values of an empty block. */
-    public static final ContentionSettings DEFAULTS = new ContentionSettings(0.05, 0.95, 0.1, 0.6, 1.0);
+    public static final ContentionSettings DEFAULTS = new ContentionSettings(0.05, 0.95, 0.1, 0.6, 1.0, false);
 }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
@@ -13,6 +13,8 @@
 import org.parsleydrift.placement.RetryBudget;
 import org.parsleydrift.placement.RunnerChoice;
 import org.parsleydrift.placement.RunnerHealth;
+import org.parsleydrift.placement.TypicalRequest;
+import org.parsleydrift.placement.speed.RunnerSpeeds;
 import org.parsleydrift.registry.Registry;
 import org.parsleydrift.registry.Runner;
 import org.parsleydrift.registry.RunnerKey;
@@ -37,10 +39,11 @@
     private final LeasedSlots slots;
     private DispatchPolicy policy = DispatchPolicy.DEFAULT;
     private DispatchListener listener = DispatchListener.NONE;
+    private final RunnerSpeeds speeds;
     private long arrivals;
 
     /**
-     * Creates a dispatcher with an empty queue.
+     * Creates a dispatcher with an empty queue that neither asks for slots nor learns the speeds of runners.
      *
      * @param registry source of the runners
      * @param random source of randomness for the choice of runners
@@ -52,7 +55,7 @@
     }
 
     /**
-     * Creates a dispatcher with an empty queue that asks for slots of runners.
+     * Creates a dispatcher with an empty queue that does not learn the speeds of runners.
      *
      * @param registry source of the runners
      * @param random source of randomness for the choice of runners
@@ -61,11 +64,41 @@
      * @param gate grants the slots
      */
     public Dispatcher(Registry registry, RandomGenerator random, String zone, LongSupplier nanos, SlotGate gate) {
+        this(registry, random, zone, nanos, gate, new RunnerSpeeds(() -> false));
+    }
+
+    /**
+     * Creates a dispatcher with an empty queue.
+     *
+     * @param registry source of the runners
+     * @param random source of randomness for the choice of runners
+     * @param zone this node's availability zone
+     * @param nanos monotonic clock of the loop, ns
+     * @param gate grants the slots
+     * @param speeds learned speeds of the runners
+     */
+    public Dispatcher(
+            Registry registry,
+            RandomGenerator random,
+            String zone,
+            LongSupplier nanos,
+            SlotGate gate,
+            RunnerSpeeds speeds) {
         this.registry = registry;
         this.random = random;
         this.zone = zone;
         this.nanos = nanos;
         this.slots = new LeasedSlots(gate, nanos);
+        this.speeds = speeds;
+    }
+
+    /**
+     * Returns the learned speeds of the runners, which nodes exchange.
+     *
+     * @return the speeds
+     */
+    public RunnerSpeeds speeds() {
+        return speeds;
     }
 
     /**
@@ -137,6 +170,7 @@
         health.keySet().retainAll(incarnations);
         loads.retainRunners(incarnations);
         slots.retainRunners(incarnations);
+        speeds.retainRunners(incarnations);
         dispatch();
     }
 
@@ -226,12 +260,15 @@
         QueuedRequest request = entry.request();
         long now = nanos.getAsLong();
         SlotLimit limit = policy.slotLimit(request);
-        List<Candidate> candidates = registry.runners(request.service()).stream()
+        List<Runner> runners = registry.runners(request.service());
+        speeds.refresh(request.service(), runners, now);
+        List<Candidate> candidates = runners.stream()
                 .filter(each -> !request.excludedRunners().contains(each.incarnation()))
                 .map(each -> candidate(each, request, limit, now))
                 .toList();
-        Optional<Candidate> chosen =
-                RunnerChoice.choose(candidates, prompts.typicalUncached(request), request.acceptsAnyRunner(), random);
+        TypicalRequest typical =
+                new TypicalRequest(prompts.typicalUncached(request), speeds.generationTokens(request.service()));
+        Optional<Candidate> chosen = RunnerChoice.choose(candidates, typical, request.acceptsAnyRunner(), random);
         if (chosen.isPresent() && queue.remove(entry)) {
             loads.add(chosen.get().runner().incarnation());
             slots.request(
@@ -264,7 +301,8 @@
                 countedLoad(runner, request, limit, now),
                 runnerHealth != null && runnerHealth.isSuspended(now),
                 runner.zone().equals(zone),
-                prompts.uncachedTokens(runner.incarnation(), request, now));
+                prompts.uncachedTokens(runner.incarnation(), request, now),
+                speeds.factor(runner));
     }
 
     /** Returns the load of a runner; one whose free slots are reserved for other requests counts as full. */
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -17,9 +17,11 @@
 import org.parsleydrift.kernel.LogLine;
 import org.parsleydrift.kernel.Step;
 import org.parsleydrift.kernel.StepException;
+import org.parsleydrift.placement.ContentionSettings;
 import org.parsleydrift.placement.QuotaTracker;
 import org.parsleydrift.placement.fleet.FleetReports;
 import org.parsleydrift.placement.lease.LeaseLimit;
+import org.parsleydrift.placement.speed.RunnerSpeeds;
 import org.parsleydrift.registry.CallerLimits;
 import org.parsleydrift.registry.ObjectKind;
 import org.parsleydrift.registry.ObjectWatcher;
@@ -110,7 +112,8 @@
         quotas = new QuotaTracker(
                 context.loop.clock()::nanos, context.random, settings.quotaPolicy(), this::hasFleetUsage);
         leases = createLeases(frames);
-        dispatcher = new Dispatcher(registry, context.random, settings.zone(), context.loop.clock()::nanos, leases);
+        dispatcher = new Dispatcher(
+                registry, context.random, settings.zone(), context.loop.clock()::nanos, leases, createSpeeds());
         relay = new Relay(
                 context.threads,
                 context.loop,
@@ -259,6 +262,15 @@
                 .orElse(FleetReports.NONE);
     }
 
+    private RunnerSpeeds createSpeeds() {
+        boolean learns = context.settings
+                .contention()
+                .filter(ContentionSettings::learnSpeeds)
+                .isPresent();
+        return new RunnerSpeeds(() -> learns
+                && registry.manifest().filter(RoutingManifest::areStreamsStateful).isPresent());
+    }
+
     private SlotLeaseExchange createLeases(TcpFrameSender frames) {
         return new SlotLeaseExchange(
                 context.loop, frames, self, context.random.nextLong(), leaseFleet(), LeaseLimit.USUAL, context.meters);
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RoleSettingsReader.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RoleSettingsReader.java
@@ -128,7 +128,16 @@
                 contentionValue(block, "admit_share", 0.1, 2, defaults.admitShare()),
                 contentionValue(block, "floor_share", 0, 0.5, defaults.floorShare()),
                 contentionValue(block, "wait_share", 0.1, 0.9, defaults.waitShare()),
-                contentionValue(block, "max_retry_after_s", 0.1, 1.3, defaults.maxRetryAfterSeconds())));
+                contentionValue(block, "max_retry_after_s", 0.1, 1.3, defaults.maxRetryAfterSeconds()),
+                learnSpeeds(block)));
+    }
+
+    private boolean learnSpeeds(JsonNode block) {
+        JsonNode value = block.path("learn_speeds");
+        if (!value.isMissingNode() && !value.isBoolean()) {
+            errors.add("/contention/learn_speeds must be true or false, got " + value);
+        }
+        return value.asBoolean(ContentionSettings.DEFAULTS.learnSpeeds());
     }
 
     private double contentionValue(JsonNode block, String field, double min, double max, double defaultValue) {
