--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/QueueWaitTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/QueueWaitTest.java
@@ -14,7 +14,7 @@
 public class QueueWaitTest {
     private final List<String> calls = new ArrayList<>();
 
-    private static AdmissionDecision.Wait wait(long millis) {
+    private static AdmissionDecision.Wait waitOf(long millis) {
         Duration maxWait = Duration.ofMillis(millis);
         return new AdmissionDecision.Wait(maxWait, AdmissionPolicy.defaultCacheWait(maxWait));
     }
@@ -25,7 +25,7 @@
         calls.clear();
         ManualScheduler time = new ManualScheduler();
         QueueWait wait = new QueueWait(time.newLoop(), () -> calls.add("again"));
-        wait.start(wait(900), () -> calls.add("over"));
+        wait.start(waitOf(900), () -> calls.add("over"));
         time.advance(Duration.ofMillis(700));
         assertFalse(wait.acceptsAnyRunner());
         time.advance(Duration.ofMillis(50));
@@ -40,12 +40,12 @@
         calls.clear();
         ManualScheduler time = new ManualScheduler();
         QueueWait wait = new QueueWait(time.newLoop(), () -> calls.add("again"));
-        wait.start(wait(900), () -> calls.add("over"));
+        wait.start(waitOf(900), () -> calls.add("over"));
         time.advance(Duration.ofMillis(800));
         wait.cancel();
         time.advance(Duration.ofSeconds(2));
         assertEquals(calls, List.of("again"));
-        wait.start(wait(100), () -> calls.add("over"));
+        wait.start(waitOf(100), () -> calls.add("over"));
         assertFalse(wait.acceptsAnyRunner());
     }
 }
