--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/decisions/ContentionNode.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/decisions/ContentionNode.java
@@ -13,6 +13,7 @@
 import org.parsleydrift.placement.PromptCacheIndex;
 import org.parsleydrift.placement.PromptPart;
 import org.parsleydrift.placement.RunnerChoice;
+import org.parsleydrift.placement.TypicalRequest;
 import org.parsleydrift.placement.fleet.SlotRequest;
 
 /** An entry node that queues turns and places them by its own view of the fleet. */
@@ -140,8 +141,8 @@
                                 false,
                                 uncached[engine]))
                 .toList();
-        Optional<Candidate> chosen =
-                RunnerChoice.choose(candidates, meanUncachedTokens, isWaitNearlyOver(turn), run.random);
+        Optional<Candidate> chosen = RunnerChoice.choose(
+                candidates, new TypicalRequest(meanUncachedTokens, 0), isWaitNearlyOver(turn), run.random);
         return chosen.isPresent() && take(turn, candidates.indexOf(chosen.get()), uncached);
     }
 
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/decisions/ContentionRun.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/decisions/ContentionRun.java
@@ -159,7 +159,7 @@
         }
         waits[turn.program.rank()].recordValue((long) (time.millis() - turn.sinceMillis));
         engineLoad[engine]++;
-        engines.get(engine).submit(new EngineModel.Run(turn.prompt, turn.script.outputTokens(), () -> {
+        engines.get(engine).submit(new EngineModel.Run(turn.prompt, turn.script.outputTokens(), tokens -> {}, () -> {
             engineLoad[engine]--;
             ended.run();
             PromptPart line = turn.prompt.getLast();
--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/ContentionSettings.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/ContentionSettings.java
@@ -13,7 +13,12 @@
  * @param learnSpeeds whether placement weighs the learned speeds of runners
  */
 public record ContentionSettings(
-        double reservedShare, double admitShare, double floorShare, double waitShare, double maxRetryAfterSeconds, boolean learnSpeeds) {
+        double reservedShare,
+        double admitShare,
+        double floorShare,
+        double waitShare,
+        double maxRetryAfterSeconds,
+        boolean learnSpeeds) {
     /** Values of an empty block. */
     public static final ContentionSettings DEFAULTS = new ContentionSettings(0.05, 0.95, 0.1, 0.6, 1.0, false);
 }
--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/fleet/SlotCoordinator.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/fleet/SlotCoordinator.java
@@ -12,6 +12,7 @@
 import net.openhft.hashing.LongHashFunction;
 import org.parsleydrift.placement.Candidate;
 import org.parsleydrift.placement.RunnerChoice;
+import org.parsleydrift.placement.TypicalRequest;
 import org.parsleydrift.registry.Runner;
 
 /**
@@ -179,7 +180,11 @@
                         request.uncachedTokens(each.incarnation())))
                 .toList();
         return RunnerChoice.choose(
-                candidates, request.promptTokens() > 0 ? typicalUncached : 0, request.anyRunner(), 0, random);
+                candidates,
+                new TypicalRequest(request.promptTokens() > 0 ? typicalUncached : 0, 0),
+                request.anyRunner(),
+                0,
+                random);
     }
 
     /** Returns the requests at each runner: those reported, and those that may arrive by unused grants. */
--- a/parsleydrift-placement/src/test/java/org/parsleydrift/placement/lease/LeaseLoadTest.java
+++ b/parsleydrift-placement/src/test/java/org/parsleydrift/placement/lease/LeaseLoadTest.java
@@ -17,6 +17,7 @@
 import java.util.stream.IntStream;
 import org.parsleydrift.placement.Candidate;
 import org.parsleydrift.placement.RunnerChoice;
+import org.parsleydrift.placement.TypicalRequest;
 import org.parsleydrift.registry.Runner;
 import org.testng.Reporter;
 import org.testng.annotations.Test;
@@ -116,7 +117,8 @@
                     .filter(each -> !turn.excluded.contains(each.incarnation()))
                     .map(each -> candidate(node, turn, each))
                     .toList();
-            Optional<Candidate> chosen = RunnerChoice.choose(candidates, 500, now - turn.since > 700, random);
+            Optional<Candidate> chosen =
+                    RunnerChoice.choose(candidates, new TypicalRequest(500, 0), now - turn.since > 700, random);
             if (chosen.isPresent() && queues.get(node).remove(turn)) {
                 String engine = chosen.get().runner().incarnation();
                 ownLoads.get(node).merge(engine, 1, Integer::sum);
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/AdmissionPolicy.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/AdmissionPolicy.java
@@ -9,8 +9,8 @@
     AdmissionPolicy DEFAULT = new AdmissionPolicy() {
         @Override
         public AdmissionDecision decide(QueuedRequest request, long leftMillis) {
-            Duration maxWait = Duration.ofMillis(Math.min(
-                    (long) (leftMillis * RelayLimits.MAX_QUEUE_SHARE), RelayLimits.MAX_QUEUE_WAIT.toMillis()));
+            Duration maxWait = Duration.ofMillis(
+                    Math.min((long) (leftMillis * RelayLimits.MAX_QUEUE_SHARE), RelayLimits.MAX_QUEUE_WAIT.toMillis()));
             return new AdmissionDecision.Wait(maxWait, defaultCacheWait(maxWait));
         }
 
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/QueueWait.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/QueueWait.java
@@ -1,6 +1,5 @@
 package org.parsleydrift.relay;
 
-import java.time.Duration;
 import org.parsleydrift.kernel.Cancellable;
 import org.parsleydrift.kernel.EventLoop;
 
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/ContentionControlTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/ContentionControlTest.java
@@ -155,7 +155,8 @@
         Stream.of(request("new-urgent", 0, false, 1), request("going", 2, true, 1))
                 .forEach(dispatcher::submit);
         assertEquals(
-                control.decide(request("new", 2, false, 1), LEFT_MILLIS), new AdmissionDecision.Wait(defaultWait(), AdmissionPolicy.defaultCacheWait(defaultWait())));
+                control.decide(request("new", 2, false, 1), LEFT_MILLIS),
+                new AdmissionDecision.Wait(defaultWait(), AdmissionPolicy.defaultCacheWait(defaultWait())));
         assertEquals(control.retryDelayAfterWait(request("new", 2, false, 1)), Optional.empty());
         assertEquals(control.slotLimit(request("new", 2, false, 1)).highestLoad(SLOTS, SLOTS + 1), SLOTS + 1);
         assertEquals(control.ownWaiting(), Map.of());
@@ -203,7 +204,9 @@
     public void possibleRunIsNotRejectedEarly() {
         runThenQueue(10);
         QueuedRequest request = request("new", 0, false, 3 * TURN_MILLIS, true);
-        assertEquals(control.decide(request, LEFT_MILLIS), new AdmissionDecision.Wait(defaultWait(), AdmissionPolicy.defaultCacheWait(defaultWait())));
+        assertEquals(
+                control.decide(request, LEFT_MILLIS),
+                new AdmissionDecision.Wait(defaultWait(), AdmissionPolicy.defaultCacheWait(defaultWait())));
         assertEquals(control.retryDelayAfterWait(request), Optional.empty());
     }
 }
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RelayTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RelayTest.java
@@ -97,7 +97,8 @@
             }
         });
         speeds = new RunnerSpeeds(learnsSpeeds::get);
-        Dispatcher dispatcher = new Dispatcher(registry, new Random(1), "z", loop.clock()::nanos, SlotGate.OPEN, speeds);
+        Dispatcher dispatcher =
+                new Dispatcher(registry, new Random(1), "z", loop.clock()::nanos, SlotGate.OPEN, speeds);
         ReplicaCalls calls = new ReplicaCalls(loop, new DiscardingSender(), "e", request -> new CompletableFuture<>());
         relay = new Relay(
                 threads,
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -268,7 +268,9 @@
                 .filter(ContentionSettings::learnSpeeds)
                 .isPresent();
         return new RunnerSpeeds(() -> learns
-                && registry.manifest().filter(RoutingManifest::areStreamsStateful).isPresent());
+                && registry.manifest()
+                        .filter(RoutingManifest::areStreamsStateful)
+                        .isPresent());
     }
 
     private SlotLeaseExchange createLeases(TcpFrameSender frames) {
