--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/fleet/SlotReservation.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/fleet/SlotReservation.java
@@ -37,7 +37,8 @@
     /**
      * Creates a reservation.
      *
-     * @param reservedShare share of a service's slots reserved for better ranks, 0 to 0.5
+     * @param reservedShare share of a service's slots reserved for better ranks, 0 to 0.5; with 0 lower ranks may use all
+     *     slots of a runner, but not its queue
      */
     public SlotReservation(double reservedShare) {
         this.reservedShare = reservedShare;
@@ -56,7 +57,7 @@
             return Limit.USUAL;
         }
         boolean fewFree = state.slots() - state.load() < reservedShare * state.slots();
-        boolean reserved = (reservedShare > 0 && fewFree) || state.waitingUpTo(rank - 1) > 0;
+        boolean reserved = reservedShare > 0 && (fewFree || state.waitingUpTo(rank - 1) > 0);
         return reserved ? Limit.RESERVED : Limit.SLOTS;
     }
 
