--- a/parsleydrift-placement/src/test/java/org/parsleydrift/placement/admission/SlotModel.java
+++ b/parsleydrift-placement/src/test/java/org/parsleydrift/placement/admission/SlotModel.java
@@ -77,7 +77,7 @@
     private record Event(long at, long number, Runnable action) {}
 
     private final boolean today;
-    private final ContentionSettings settings = ContentionSettings.DEFAULTS;
+    private final ContentionSettings settings = new ContentionSettings(0.05, 0.95, 0.1, 0.6, 1, false);
     private final ReturnSchedule returns = new ReturnSchedule();
     private final AdmissionController controller = new AdmissionController(settings, returns);
     private final DrainRate drain = new DrainRate();
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/ContentionControlTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/ContentionControlTest.java
@@ -29,6 +29,7 @@
 
 /** The decisions on contended services, attached to the queue of one node with one runner of two slots. */
 public class ContentionControlTest {
+    private static final ContentionSettings WITH_RESERVATION = new ContentionSettings(0.05, 0.95, 0.1, 0.6, 1, false);
     private static final int SLOTS = 2;
     private static final int LEFT_MILLIS = 3000;
     private static final int TURN_MILLIS = 100;
@@ -58,7 +59,7 @@
         dispatcher = new Dispatcher(registry, new Random(1), "z", time::nanos);
         meters = new SimpleMeterRegistry();
         control = new ContentionControl(
-                ContentionSettings.DEFAULTS, registry, dispatcher, time::nanos, new ContentionReports(meters));
+                WITH_RESERVATION, registry, dispatcher, time::nanos, new ContentionReports(meters));
         dispatcher.usePolicy(control, control);
         registry.applyRunnerChanges(List.of(new SharedObject("r1", 1, false, new byte[0])));
         publish(true);
