--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/ContentionSettings.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/ContentionSettings.java
@@ -3,8 +3,7 @@
 /**
  * Settings of the control of contended services (docs/OPERATIONS.md, block {@code contention}).
  *
- * @param reservedShare share of a service's slots reserved for better ranks, 0 to 0.5; with 0 lower ranks may use all
- *     slots of a runner, but not its queue
+ * @param reservedShare share of a service's slots reserved for better ranks, 0 to 0.5; with 0 there is no reservation
  * @param admitShare ratio of load to slots up to which lower ranks begin new programs, 0.1 to 2
  * @param floorShare share of the assigned slots for each lower rank that waits, 0 to 0.5; times the number of waiting
  *     ranks at most 0.5
--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/fleet/SlotReservation.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/fleet/SlotReservation.java
@@ -37,8 +37,8 @@
     /**
      * Creates a reservation.
      *
-     * @param reservedShare share of a service's slots reserved for better ranks, 0 to 0.5; with 0 lower ranks may use all
-     *     slots of a runner, but not its queue
+     * @param reservedShare share of a service's slots reserved for better ranks, 0 to 0.5; with 0 there is no
+     *     reservation and all ranks have the usual limit
      */
     public SlotReservation(double reservedShare) {
         this.reservedShare = reservedShare;
@@ -53,11 +53,11 @@
      * @return the limit
      */
     public Limit limit(int rank, boolean due, ServiceState state) {
-        if (rank <= state.bestRank() || due) {
+        if (reservedShare <= 0 || rank <= state.bestRank() || due) {
             return Limit.USUAL;
         }
         boolean fewFree = state.slots() - state.load() < reservedShare * state.slots();
-        boolean reserved = reservedShare > 0 && (fewFree || state.waitingUpTo(rank - 1) > 0);
+        boolean reserved = fewFree || state.waitingUpTo(rank - 1) > 0;
         return reserved ? Limit.RESERVED : Limit.SLOTS;
     }
 
