--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -169,8 +169,10 @@
             nodes.start();
             mesh.start();
             if (contentionControl) {
+                if (contentionControl) {
                 leases.start();
             }
+            }
         });
     }
 
