--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DispatcherTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DispatcherTest.java
@@ -4,16 +4,16 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.Set;
+import java.util.function.Consumer;
+import org.parsleydrift.kernel.Cancellable;
 import org.parsleydrift.kernel.ManualScheduler;
-import org.parsleydrift.placement.CachedPart;
-import org.parsleydrift.placement.Candidate;
-import org.parsleydrift.placement.PromptPart;
 import org.parsleydrift.registry.ObjectDecoder;
 import org.parsleydrift.registry.Registry;
 import org.parsleydrift.registry.RoutingManifest;
@@ -32,62 +32,8 @@
     private Dispatcher dispatcher;
     private long revision;
 
-    private final class Request implements QueuedRequest {
-        private final String name;
-        private final int priority;
-        private final boolean inProgress;
-        private final Set<String> excludedRunners = new HashSet<>();
-        private Runner runner;
-
-        private Request(String name, int priority, boolean inProgress) {
-            this.name = name;
-            this.priority = priority;
-            this.inProgress = inProgress;
-        }
-
-        @Override
-        public void manifestChanged() {}
-
-        @Override
-        public String service() {
-            return "s";
-        }
-
-        @Override
-        public List<PromptPart> prompt() {
-            return List.of();
-        }
-
-        @Override
-        public List<CachedPart> reportedParts() {
-            return List.of();
-        }
-
-        @Override
-        public Set<String> excludedRunners() {
-            return excludedRunners;
-        }
-
-        @Override
-        public boolean acceptsAnyRunner() {
-            return false;
-        }
-
-        @Override
-        public int priority() {
-            return priority;
-        }
-
-        @Override
-        public boolean isInProgress() {
-            return inProgress;
-        }
-
-        @Override
-        public void assign(Candidate chosen) {
-            runner = chosen.runner();
-            assigned.add(name);
-        }
+    private QueuedRequestFixture request(String name, int priority, boolean inProgress) {
+        return new QueuedRequestFixture(name, priority, inProgress, assigned);
     }
 
     @BeforeMethod
@@ -118,11 +64,11 @@
     @Test
     public void programsInProgressPrecedeNewOnes() {
         runner("r1", false);
-        List<Request> first = List.of(new Request("a", 0, false), new Request("b", 0, false));
+        List<QueuedRequestFixture> first = List.of(request("a", 0, false), request("b", 0, false));
         first.forEach(dispatcher::submit);
-        dispatcher.submit(new Request("new-urgent", 0, false));
-        dispatcher.submit(new Request("new", 1, false));
-        dispatcher.submit(new Request("going", 1, true));
+        dispatcher.submit(request("new-urgent", 0, false));
+        dispatcher.submit(request("new", 1, false));
+        dispatcher.submit(request("going", 1, true));
         assertEquals(assigned, List.of("a", "b"));
         dispatcher.releaseSlot("r1");
         dispatcher.releaseSlot("r1");
@@ -135,16 +81,16 @@
         runner("r1", false);
         runner("r2", false);
         dispatcher.updatePeerLoads(Map.of("peer", loadAt("r1", SLOTS)));
-        Request request = new Request("a", 0, false);
+        QueuedRequestFixture request = request("a", 0, false);
         dispatcher.submit(request);
-        assertEquals(request.runner.id(), "r2");
+        assertEquals(request.runner().id(), "r2");
     }
 
     /** A draining runner receives no requests; queued ones are assigned as soon as another runner appears. */
     @Test
     public void drainingRunnerReceivesNoRequests() {
         runner("r1", true);
-        dispatcher.submit(new Request("a", 0, false));
+        dispatcher.submit(request("a", 0, false));
         assertTrue(assigned.isEmpty());
         runner("r2", false);
         assertEquals(assigned, List.of("a"));
@@ -156,10 +102,76 @@
         assertEquals("Aa".hashCode(), "BB".hashCode());
         List.of("Aa", "BB").forEach(id -> runner(id, false));
         dispatcher.updatePeerLoads(Map.of("peer", loadAt("Aa", SLOTS + 1)));
-        dispatcher.submit(new Request("one", 1, false));
+        dispatcher.submit(request("one", 1, false));
         assertEquals(assigned.size(), 1);
     }
 
+    /** A request that is withdrawn while its slot is asked for must free that slot, and must not be sent. */
+    @Test
+    public void withdrawnWhileAskingForASlot() {
+        ManualGate gate = new ManualGate();
+        use(new Dispatcher(registry, new Random(1), "z", () -> 0, gate));
+        runner("r1", false);
+        QueuedRequestFixture request = request("a", 0, false);
+        dispatcher.submit(request);
+        assertEquals(dispatcher.ownLoad(), Map.of("r1", 1));
+        assertTrue(dispatcher.withdraw(request));
+        assertEquals(gate.withdrawals, 1);
+        assertEquals(dispatcher.ownLoad(), Map.of());
+        assertTrue(assigned.isEmpty());
+    }
+
+    /** A rejected request must keep its position, and its slot must be released exactly once. */
+    @Test
+    public void rejectedRequestKeepsItsPosition() {
+        ManualGate gate = new ManualGate();
+        use(new Dispatcher(registry, new Random(1), "z", () -> 0, gate));
+        runner("r1", false);
+        List<QueuedRequestFixture> requests = List.of(request("a", 0, false), request("b", 0, false));
+        dispatcher.submit(requests.getFirst());
+        gate.answer(new SlotGate.Rejected(SLOTS));
+        dispatcher.submit(requests.getLast());
+        assertEquals(dispatcher.queueLength(), 2);
+        assertTrue(gate.listeners.isEmpty());
+        dispatcher.updatePeerLoads(Map.of());
+        runner("r2", false);
+        gate.answer(new SlotGate.Granted(1, () -> gate.releases++));
+        gate.answer(new SlotGate.Granted(2, () -> gate.releases++));
+        assertEquals(assigned, List.of("a", "b"));
+        dispatcher.releaseSlot(requests.getFirst(), "r2");
+        assertEquals(gate.releases, 1);
+        assertEquals(dispatcher.ownLoad(), Map.of("r2", 1));
+    }
+
+    private void use(Dispatcher other) {
+        dispatcher = other;
+        registry.onChange(other::runnersChanged);
+    }
+
+    private static final class ManualGate implements SlotGate {
+        private final Deque<Consumer<Answer>> listeners = new ArrayDeque<>();
+        private int withdrawals;
+        private int releases;
+
+        private void answer(Answer answer) {
+            listeners.remove().accept(answer);
+        }
+
+        @Override
+        public boolean isControlled(String service) {
+            return true;
+        }
+
+        @Override
+        public Cancellable request(Runner runner, int rank, Duration time, Consumer<Answer> listener) {
+            listeners.add(listener);
+            return () -> withdrawals++;
+        }
+
+        @Override
+        public void schedule(Duration delay, Runnable task) {}
+    }
+
     private static Map<Long, Integer> loadAt(String incarnation, int requests) {
         return Map.of(RunnerKey.of(incarnation), requests);
     }
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RelayTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RelayTest.java
@@ -16,9 +16,11 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import org.parsleydrift.conversation.ConversationClient;
@@ -26,8 +28,11 @@
 import org.parsleydrift.conversation.FrameSender;
 import org.parsleydrift.conversation.ReplicaCalls;
 import org.parsleydrift.kernel.SystemClock;
+import org.parsleydrift.placement.ContentionSettings;
 import org.parsleydrift.placement.QuotaPolicy;
 import org.parsleydrift.placement.QuotaTracker;
+import org.parsleydrift.placement.speed.RunnerSpeeds;
+import org.parsleydrift.placement.speed.SpeedSum;
 import org.parsleydrift.registry.CallKind;
 import org.parsleydrift.registry.CallerLimits;
 import org.parsleydrift.registry.Destination;
@@ -41,6 +46,8 @@
 import org.parsleydrift.wire.NetworkThreads;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Factory;
 import org.testng.annotations.Test;
 
 /** Processing of requests between a caller and runners, over real connections. */
@@ -50,10 +57,29 @@
 
     private final Map<String, Runner> entries = new HashMap<>();
     private final List<ScriptedRunner> runners = new ArrayList<>();
+    private final Optional<ContentionSettings> contention;
+    private Relay relay;
     private NetworkThreads threads;
     private NetworkLoop loop;
     private Registry registry;
     private CallerServer server;
+    private RunnerSpeeds speeds;
+    private final AtomicBoolean learnsSpeeds = new AtomicBoolean();
+
+    /**
+     * Creates the test for one kind of settings.
+     *
+     * @param contention the block of the settings; must make no difference, as the streaming route is not stateful
+     */
+    @Factory(dataProvider = "contentionSettings")
+    public RelayTest(Optional<ContentionSettings> contention) {
+        this.contention = contention;
+    }
+
+    @DataProvider
+    public static Object[][] contentionSettings() {
+        return new Object[][] {{Optional.empty()}, {Optional.of(ContentionSettings.DEFAULTS)}};
+    }
 
     @BeforeMethod
     public void start() {
@@ -70,9 +96,11 @@
                 return entries.get(name);
             }
         });
-        Dispatcher dispatcher = new Dispatcher(registry, new Random(1), "z", loop.clock()::nanos);
+        speeds = new RunnerSpeeds(learnsSpeeds::get);
+        Dispatcher dispatcher =
+                new Dispatcher(registry, new Random(1), "z", loop.clock()::nanos, SlotGate.OPEN, speeds);
         ReplicaCalls calls = new ReplicaCalls(loop, new DiscardingSender(), "e", request -> new CompletableFuture<>());
-        Relay relay = new Relay(
+        relay = new Relay(
                 threads,
                 loop,
                 registry,
@@ -83,6 +111,7 @@
                 HeaderNames.defaults(),
                 new Random(2),
                 new SimpleMeterRegistry());
+        contention.ifPresent(each -> relay.enableContentionControl(each, new SimpleMeterRegistry()));
         server = new CallerServer(
                 threads,
                 loop,
@@ -98,6 +127,7 @@
         }
         runners.clear();
         entries.clear();
+        learnsSpeeds.set(false);
         server.close();
         threads.close();
     }
@@ -188,6 +218,27 @@
         assertTrue(Integer.parseInt(ScriptedRunner.header(request, "Parsleydrift-Deadline-Ms")) <= 5000);
     }
 
+    /** A request that is not admitted must be rejected at once, with its exact return time, and reach no runner. */
+    @Test
+    public void refusedAdmissionStatesReturnTime() throws IOException {
+        publishManifest();
+        ScriptedRunner runner = runner("r1", respondWith("200 Fine", "", "done"));
+        loop.execute(() -> relay.useAdmission(new AdmissionPolicy() {
+            @Override
+            public AdmissionDecision decide(QueuedRequest request, long leftMillis) {
+                return new AdmissionDecision.Refuse("full", Duration.ofMillis(420));
+            }
+
+            @Override
+            public Optional<Duration> retryDelayAfterWait(QueuedRequest request) {
+                return Optional.empty();
+            }
+        }));
+        String response = call("/once/x", "Parsleydrift-Deadline-Ms: 5000\r\n").toLowerCase(Locale.ROOT);
+        assertTrue(response.startsWith("http/1.1 503 ") && response.contains("retry-after: 0.42\r\n"), response);
+        assertTrue(runner.requests.isEmpty());
+    }
+
     /** A 404, after which callers do not retry, must not be sent under a manifest that may be outdated. */
     @Test
     public void missingRouteIsReportedOnlyUnderCurrentManifest() throws IOException {
@@ -364,4 +415,34 @@
             assertTrue(!text.toString().contains("id: 2") && !text.toString().contains("\r\n0\r\n"), text.toString());
         }
     }
+
+    /** Guards against speeds that are not learned from passing calls, or are learned from failed ones. */
+    @Test
+    public void speedIsLearnedFromCompleteSuccessfulCalls() throws Exception {
+        learnsSpeeds.set(true);
+        publishManifest();
+        AtomicInteger calls = new AtomicInteger();
+        runner(
+                "r1",
+                request -> ScriptedRunner.response(
+                        calls.incrementAndGet() > 20 ? "500 Failed" : "200 OK", request, "", "done"));
+        for (int call = 0; call < 20; call++) {
+            call("/once/", "Parsleydrift-Deadline-Ms: 5000\r\n");
+        }
+        int learned = learnedCount();
+        assertTrue(learned > 500, "count " + learned);
+        for (int call = 0; call < 20; call++) {
+            call("/once/", "Parsleydrift-Deadline-Ms: 5000\r\n");
+        }
+        // A failed call counts only if it was slow; on a busy machine a few are.
+        assertTrue(learnedCount() < learned + 1000, "count " + learnedCount());
+    }
+
+    private int learnedCount() throws Exception {
+        CompletableFuture<Integer> count = new CompletableFuture<>();
+        loop.execute(() -> count.complete(speeds.export(loop.clock().nanos()).values().stream()
+                .mapToInt(SpeedSum::count)
+                .sum()));
+        return count.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
 }
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -17,15 +17,22 @@
 import org.parsleydrift.kernel.LogLine;
 import org.parsleydrift.kernel.Step;
 import org.parsleydrift.kernel.StepException;
+import org.parsleydrift.placement.ContentionSettings;
 import org.parsleydrift.placement.QuotaTracker;
+import org.parsleydrift.placement.fleet.FleetReports;
+import org.parsleydrift.placement.lease.LeaseLimit;
+import org.parsleydrift.placement.speed.RunnerSpeeds;
 import org.parsleydrift.registry.CallerLimits;
 import org.parsleydrift.registry.ObjectKind;
 import org.parsleydrift.registry.ObjectWatcher;
 import org.parsleydrift.registry.Registry;
 import org.parsleydrift.registry.RoutingManifest;
+import org.parsleydrift.registry.Runner;
 import org.parsleydrift.registry.SharedObject;
+import org.parsleydrift.registry.UpstreamService;
 import org.parsleydrift.registry.VersionedTable;
 import org.parsleydrift.relay.CallerServer;
+import org.parsleydrift.relay.ContentionExchange;
 import org.parsleydrift.relay.Dispatcher;
 import org.parsleydrift.relay.Relay;
 import org.parsleydrift.wire.HttpExchange;
@@ -55,15 +62,24 @@
     /** Fraction of the grace time after which the process exits even if requests are open. */
     private static final double EXIT_FRACTION = 0.93;
 
+    /**
+     * Share of a service's slots in use from which on slots are leased. Below it, the runners' own queues absorb what nodes
+     * with outdated loads send to the same runner at once, and the frames would only cost processor time, which a slow
+     * VM that coordinates a runner does not have.
+     */
+    private static final double MIN_LEASE_UTILIZATION = 0.35;
+
     private static final Duration DRAIN_CHECK_PERIOD = Duration.ofMillis(50);
     private static final Duration ENTRY_RETRY_DELAY = Duration.ofMillis(700);
 
     private final ProcessContext context;
+    private final boolean contentionControl;
     private final NodeIdentity self;
     private final Registry registry;
     private final ConversationClient stores;
     private final ReplicaCalls calls;
     private final QuotaTracker quotas;
+    private final SlotLeaseExchange leases;
     private final Dispatcher dispatcher;
     private final Relay relay;
     private final NodeMesh mesh;
@@ -78,6 +94,7 @@
     EntryRole(ProcessContext context) {
         this.context = context;
         RoleSettings settings = context.settings;
+        contentionControl = settings.contention().isPresent();
         self = new NodeIdentity(
                 settings.vm(),
                 settings.zone(),
@@ -94,7 +111,9 @@
         stores = new ConversationClient(context.loop, calls);
         quotas = new QuotaTracker(
                 context.loop.clock()::nanos, context.random, settings.quotaPolicy(), this::hasFleetUsage);
-        dispatcher = new Dispatcher(registry, context.random, settings.zone(), context.loop.clock()::nanos);
+        leases = createLeases(frames);
+        dispatcher = new Dispatcher(
+                registry, context.random, settings.zone(), context.loop.clock()::nanos, leases, createSpeeds());
         relay = new Relay(
                 context.threads,
                 context.loop,
@@ -116,19 +135,25 @@
                 context.loop,
                 frames,
                 self,
-                new FleetUsage(dispatcher, quotas),
+                new FleetUsage(dispatcher, quotas, enableContentionControl()),
                 this::isReady,
-                stores::hasReachableQuorum,
+                stores::hasProvenQuorum,
                 context.random,
                 Map.of(ObjectKind.RUNNERS, runners, ObjectKind.MANIFEST, manifests, ObjectKind.STORE_SET, storeSets),
                 nodes::setWatching);
-        calls.setRelayFinder(mesh::findPeerReachingStores);
+        calls.setForwarders(
+                new StoreForwarderSelector(mesh::storeForwarders, context.random, context.loop.clock()::nanos));
         callerServer = new CallerServer(
                 context.threads,
                 context.loop,
                 settings.callers().orElseThrow().socket(),
                 relay,
                 () -> registry.manifest().map(RoutingManifest::limits).orElseGet(CallerLimits::defaults));
+        serveAuxiliary(settings);
+    }
+
+    /** Serves readiness and directory, and registers the gauges. */
+    private void serveAuxiliary(RoleSettings settings) {
         context.serve(settings.readiness().orElseThrow(), MAX_AUXILIARY_CONNECTIONS, this::respondReadiness);
         context.serve(settings.directory().orElseThrow(), MAX_AUXILIARY_CONNECTIONS, this::respondDirectory);
         context.meters.gauge("parsleydrift.requests.open", relay, Relay::openRequests);
@@ -143,6 +168,11 @@
             storeSets.start();
             nodes.start();
             mesh.start();
+            if (contentionControl) {
+                if (contentionControl) {
+                leases.start();
+            }
+            }
         });
     }
 
@@ -220,11 +250,71 @@
     }
 
     private void receive(byte[] frame) {
-        if (!mesh.receive(frame)) {
+        if (!leases.receive(frame) && !mesh.receive(frame)) {
             calls.receive(frame);
         }
     }
 
+    /** Enables contention control if the settings ask for it; returns its reports to the peers. */
+    private FleetReports enableContentionControl() {
+        return context.settings
+                .contention()
+                .map(each -> relay.enableContentionControl(each, context.meters))
+                .<FleetReports>map(each -> new ContentionExchange(each, context.loop.clock()::nanos))
+                .orElse(FleetReports.NONE);
+    }
+
+    private RunnerSpeeds createSpeeds() {
+        boolean learns = context.settings
+                .contention()
+                .filter(ContentionSettings::learnSpeeds)
+                .isPresent();
+        return new RunnerSpeeds(() -> learns
+                && registry.manifest()
+                        .filter(RoutingManifest::areStreamsStateful)
+                        .isPresent());
+    }
+
+    private SlotLeaseExchange createLeases(TcpFrameSender frames) {
+        return new SlotLeaseExchange(
+                context.loop, frames, self, context.random.nextLong(), leaseFleet(), LeaseLimit.USUAL, context.meters);
+    }
+
+    private SlotLeaseExchange.Fleet leaseFleet() {
+        return new SlotLeaseExchange.Fleet() {
+            @Override
+            public boolean isControlled(String service) {
+                return contentionControl
+                        && mesh.usesHubs()
+                        && isControlledEngine(service)
+                        && dispatcher.utilization(service) >= MIN_LEASE_UTILIZATION;
+            }
+
+            @Override
+            public List<NodeIdentity> readyNodes() {
+                return mesh.readyNodes();
+            }
+
+            @Override
+            public List<Runner> runners() {
+                return registry.allRunners();
+            }
+
+            @Override
+            public int reportedLoad(String incarnation) {
+                return dispatcher.reportedLoad(incarnation);
+            }
+        };
+    }
+
+    private boolean isControlledEngine(String service) {
+        return registry.manifest()
+                .filter(RoutingManifest::areStreamsStateful)
+                .flatMap(each -> each.service(service))
+                .filter(UpstreamService::engine)
+                .isPresent();
+    }
+
     private void applyStoreSetChanges(List<SharedObject> changes) {
         forEachReadable(changes, each -> stores.adopt(StoreSetJson.read(each.content())));
     }
