--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/decisions/ProgramScript.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/decisions/ProgramScript.java
@@ -56,7 +56,8 @@
                     return turn(inputMean, pauseMean, hasSubAgents ? 3 + random.nextInt(5) : 0, random);
                 })
                 .toList();
-        double target = TARGET_FACTOR * idleMillis(line, parameters, SHARED_TOKENS) + TARGET_SLACK_MILLIS;
+        double target =
+                TARGET_FACTOR * idleMillis(line, parameters, SHARED_TOKENS, NETWORK_DELAY_MILLIS) + TARGET_SLACK_MILLIS;
         return new ProgramScript(id, beginMillis, "shared" + random.nextInt(SHARED_PARTS), SHARED_TOKENS, line, target);
     }
 
@@ -74,15 +75,17 @@
         return new TurnScript(input, output, random.nextDouble(), pause, subAgents);
     }
 
-    private static double idleMillis(List<TurnScript> line, EngineParameters parameters, int firstShared) {
+    /** Returns the duration of a line of turns on idle engines, ms, with the given network time per turn. */
+    static double idleMillis(
+            List<TurnScript> line, EngineParameters parameters, int firstShared, double networkMillis) {
         double sum = firstShared / parameters.prefillTokensPerMilli();
         for (TurnScript turn : line) {
-            sum += NETWORK_DELAY_MILLIS
+            sum += networkMillis
                     + turn.newTokens() / parameters.prefillTokensPerMilli()
                     + turn.outputTokens() * parameters.stepMillis()
                     + turn.pauseMillis();
             sum += turn.subAgents().stream()
-                    .mapToDouble(each -> idleMillis(each, parameters, 0))
+                    .mapToDouble(each -> idleMillis(each, parameters, 0, networkMillis))
                     .max()
                     .orElse(0);
         }
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/decisions/RankedProgram.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/decisions/RankedProgram.java
@@ -55,7 +55,8 @@
                     return turn(hasSubAgents ? SUB_AGENTS : 0, random);
                 })
                 .toList();
-        double target = TARGET_FACTOR * idleMillis(line, parameters, SHARED_TOKENS) + kind.slackMillis();
+        double target = TARGET_FACTOR * ProgramScript.idleMillis(line, parameters, SHARED_TOKENS, NETWORK_MILLIS)
+                + kind.slackMillis();
         ProgramScript script = new ProgramScript(
                 id, beginMillis, "shared" + random.nextInt(SHARED_PARTS), SHARED_TOKENS, line, target);
         return new RankedProgram(script, rank, kind.worthInTime(), kind.worthLate());
@@ -74,19 +75,4 @@
         double pause = TOOL_MILLIS.get(random.nextInt(TOOL_MILLIS.size()));
         return new TurnScript(input, output, random.nextDouble(), pause, agents);
     }
-
-    private static double idleMillis(List<TurnScript> line, EngineParameters parameters, int firstShared) {
-        double sum = firstShared / parameters.prefillTokensPerMilli();
-        for (TurnScript turn : line) {
-            sum += NETWORK_MILLIS
-                    + turn.newTokens() / parameters.prefillTokensPerMilli()
-                    + turn.outputTokens() * parameters.stepMillis()
-                    + turn.pauseMillis();
-            sum += turn.subAgents().stream()
-                    .mapToDouble(each -> idleMillis(each, parameters, 0))
-                    .max()
-                    .orElse(0);
-        }
-        return sum;
-    }
 }
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -170,8 +170,8 @@
             mesh.start();
             if (contentionControl) {
                 if (contentionControl) {
-                leases.start();
-            }
+                    leases.start();
+                }
             }
         });
     }
