--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -169,9 +169,7 @@
             nodes.start();
             mesh.start();
             if (contentionControl) {
-                if (contentionControl) {
-                    leases.start();
-                }
+                leases.start();
             }
         });
     }
