--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaCalls.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaCalls.java
@@ -35,6 +35,11 @@
      * A reply usually takes a few ms; a longer time would delay turns at the beginning of a partition.
      */
     private static final Duration REPLY_PATIENCE = Duration.ofMillis(50);
+    /**
+     * Delay of a check from which on it is postponed once: the loop was busy or the process paused, so replies may wait to be
+     * read. On a VM that is slowed down, checks would otherwise forward requests that were answered in time.
+     */
+    private static final Duration MAX_LOOP_DELAY = Duration.ofMillis(20);
 
     private static final byte REQUEST = 1;
     private static final byte REPLY = 2;
@@ -202,11 +207,20 @@
         Duration remaining =
                 Duration.ofNanos(request.deadlineNanos - loop.clock().nanos());
         Duration delay = REPLY_PATIENCE.compareTo(remaining) < 0 ? REPLY_PATIENCE : remaining;
-        request.timer = loop.schedule(delay, () -> checkUnanswered(request));
+        Duration bounded = delay.isNegative() ? Duration.ZERO : delay;
+        request.checkNanos = loop.clock().nanos() + bounded.toNanos();
+        request.timer = loop.schedule(bounded, () -> checkUnanswered(request));
     }
 
     /** Fails a request that has timed out; otherwise sends it through a peer if the budget allows it. */
     private void checkUnanswered(PendingRequest request) {
+        boolean isLate = loop.clock().nanos() - request.checkNanos > MAX_LOOP_DELAY.toNanos();
+        if (isLate && !request.postponed) {
+            request.postponed = true;
+            scheduleCheck(request);
+            return;
+        }
+        request.postponed = false;
         request.awaitedForwarder.ifPresent(each -> forwarders.recordSilence(request.address, each));
         request.awaitedForwarder = Optional.empty();
         if (loop.clock().nanos() - request.deadlineNanos >= 0) {
@@ -371,6 +385,8 @@
         private Optional<String> awaitedForwarder = Optional.empty();
         private boolean sentDirectly;
         private boolean forwarded;
+        private boolean postponed;
+        private long checkNanos;
         private Cancellable timer;
 
         private PendingRequest(String address, ReplicaRequest content, Duration timeout, long startNanos) {
