Logs and metrics name software versions and resumed streams

The version of a runner's entry is now read instead of only demanded; runner_added, runner_changed and request_placed name it, stream_resumption marks a request that continues a stream, and parsleydrift_runners counts the runners that accept requests by service and version. Placement is unchanged.

--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/Registry.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/Registry.java
@@ -270,6 +270,7 @@
                 .with("service", runner.service())
                 .with("address", runner.address())
                 .with("zone", runner.zone())
+                .with("version", runner.softwareVersion())
                 .with("draining", runner.draining());
     }
 }
--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/Runner.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/Runner.java
@@ -13,6 +13,7 @@
  * @param zone its availability zone
  * @param slots number of requests that it processes concurrently
  * @param draining whether it is shutting down and must not receive new requests
+ * @param softwareVersion version of its software; the empty string if unknown
  */
 public record Runner(
         String id,
@@ -22,9 +23,10 @@
         String address,
         String zone,
         int slots,
-        boolean draining) {
+        boolean draining,
+        String softwareVersion) {
     /**
-     * Creates a runner; the id of its incarnation is derived from its id and start time.
+     * Creates a runner with an unknown software version; the id of its incarnation is derived from its id and start time.
      *
      * @param id id under which the process can be addressed; kept over restarts
      * @param startMillis Unix time at which this incarnation started, ms; 0 if unknown
@@ -36,11 +38,20 @@
      */
     public Runner(
             String id, long startMillis, String service, String address, String zone, int slots, boolean draining) {
-        this(id, startMillis, startMillis == 0 ? id : id + "@" + startMillis, service, address, zone, slots, draining);
+        this(
+                id,
+                startMillis,
+                startMillis == 0 ? id : id + "@" + startMillis,
+                service,
+                address,
+                zone,
+                slots,
+                draining,
+                "");
     }
 
     /**
-     * Creates a runner with an unknown start time.
+     * Creates a runner with an unknown start time and an unknown software version.
      *
      * @param id id under which the process can be addressed; kept over restarts
      * @param service name of the service that it serves
@@ -52,4 +63,24 @@
     public Runner(String id, String service, String address, String zone, int slots, boolean draining) {
         this(id, 0, service, address, zone, slots, draining);
     }
+
+    /**
+     * Returns the same runner with a software version.
+     *
+     * @param version version of its software
+     * @return the runner
+     */
+    public Runner withSoftwareVersion(String version) {
+        return new Runner(id, startMillis, incarnation, service, address, zone, slots, draining, version);
+    }
+
+    /**
+     * Whether the runner is known to have a software version.
+     *
+     * @param version the version; the empty string is unknown and matches no runner
+     * @return true if it has this version
+     */
+    public boolean hasSoftwareVersion(String version) {
+        return !version.isEmpty() && softwareVersion.equals(version);
+    }
 }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/HeaderNames.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/HeaderNames.java
@@ -20,6 +20,8 @@
  * @param promptParts parts of the prompt in order, each "ID:TOKENS", separated by commas
  * @param key API key of the caller
  * @param team name of the team that owns the key; sent to runners
+ * @param lastEventId id of the last event that the caller has received of an interrupted stream
+ * @param resumedStream id of the attempt that brought the first event of an interrupted stream
  * @param reserved names, in lower case, of the headers that are not forwarded from callers to runners
  */
 public record HeaderNames(
@@ -37,6 +39,8 @@
         String promptParts,
         String key,
         String team,
+        String lastEventId,
+        String resumedStream,
         Set<String> reserved) {
     /** Copies the set. */
     public HeaderNames {
@@ -64,6 +68,8 @@
                 "Parsleydrift-Prompt-Parts",
                 "Parsleydrift-Key",
                 "Parsleydrift-Team",
+                "Last-Event-Id",
+                "Parsleydrift-Resumes",
                 Set.of("parsleydrift-expect-runner", "parsleydrift-key", "parsleydrift-team"));
     }
 }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Relay.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Relay.java
@@ -113,6 +113,7 @@
             awaitingManifest.clear();
             waiting.stream().filter(RelayedRequest::isAwaitingManifest).forEach(RelayedRequest::start);
         }
+        metrics.recordRunners(registry.allRunners());
         dispatcher.manifestChanged();
         dispatcher.runnersChanged();
     }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayMetrics.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayMetrics.java
@@ -2,19 +2,46 @@
 
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.MultiGauge;
+import io.micrometer.core.instrument.Tags;
 import io.micrometer.core.instrument.Timer;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
+import org.parsleydrift.registry.Runner;
 
-/** Metrics of the relay: request counters by outcome and cause, and timers of the phases of a request. */
+/**
+ * Metrics of the relay: request counters by outcome and cause, timers of the phases of a request, and the runners that
+ * accept requests by service and software version.
+ */
 final class RelayMetrics {
     private final MeterRegistry registry;
     private final Map<String, Counter> outcomes = new HashMap<>();
     private final Map<String, Timer> phases = new HashMap<>();
+    private final MultiGauge runnersByVersion;
+    private Map<Tags, Long> recordedRunners = Map.of();
 
     RelayMetrics(MeterRegistry registry) {
         this.registry = registry;
+        this.runnersByVersion = MultiGauge.builder("parsleydrift.runners").register(registry);
+    }
+
+    void recordRunners(List<Runner> runners) {
+        Map<Tags, Long> counts = runners.stream()
+                .filter(each -> !each.draining())
+                .collect(Collectors.groupingBy(
+                        each -> Tags.of("service", each.service(), "version", each.softwareVersion()),
+                        Collectors.counting()));
+        if (!counts.equals(recordedRunners)) {
+            recordedRunners = counts;
+            runnersByVersion.register(
+                    counts.entrySet().stream()
+                            .map(each -> MultiGauge.Row.of(each.getKey(), each.getValue()))
+                            .toList(),
+                    true);
+        }
     }
 
     void recordOutcome(String outcome, String cause) {
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -83,9 +83,20 @@
                 params.deadlineMillis().orElse(route.timeout().toMillis()));
         deadlineNanos = startNanos + Duration.ofMillis(timeoutMillis).toNanos();
         deadlineTimer = relay.loop().schedule(Duration.ofMillis(leftMillis()), this::handleDeadline);
+        params.resumption().ifPresent(this::logResumption);
         apply(new RequestEvent.Matched(params.isTurn(route), team.quotaRetryDelay()));
     }
 
+    private void logResumption(StreamResumption resumption) {
+        LOG.log(
+                Logger.Level.INFO,
+                () -> logLine("stream_resumption")
+                        .with("stream", resumption.stream())
+                        .with("last_event", resumption.lastEventId())
+                        .with("service", service)
+                        .toString());
+    }
+
     private void apply(RequestEvent event) {
         lifecycle.apply(event).forEach(this::execute);
     }
@@ -218,6 +229,7 @@
                 Logger.Level.INFO,
                 () -> logLine("request_placed")
                         .with("runner", runner.incarnation())
+                        .with("version", runner.softwareVersion())
                         .with("load", chosen.load())
                         .with("slots", runner.slots())
                         .with("prompt", params.promptTokens())
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestParameters.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestParameters.java
@@ -21,6 +21,7 @@
  * @param maxTokens maximum number of tokens that the turn generates; 0 if not specified
  * @param previousTurn id of the turn that this turn continues; the empty string for none
  * @param prompt parts of the prompt in order; empty if there is none
+ * @param resumption the interrupted stream that the caller asks to continue; empty for a new request
  */
 record RequestParameters(
         String id,
@@ -30,7 +31,8 @@
         OptionalInt budget,
         int maxTokens,
         String previousTurn,
-        List<PromptPart> prompt) {
+        List<PromptPart> prompt,
+        Optional<StreamResumption> resumption) {
     /** Assumed length of a prompt without parts, tokens. */
     private static final int DEFAULT_PROMPT_TOKENS = 1000;
 
@@ -73,7 +75,8 @@
                     budget == null ? OptionalInt.empty() : OptionalInt.of(Integer.parseInt(budget.trim())),
                     parseMaxTokens(headers.get(headerNames.tokenCount())),
                     headers.get(headerNames.previousTurn(), ""),
-                    parsePrompt(headers, headerNames)));
+                    parsePrompt(headers, headerNames),
+                    parseResumption(headers, headerNames)));
         } catch (NumberFormatException e) {
             return Optional.empty();
         }
@@ -100,6 +103,12 @@
                 Integer.parseInt(text.substring(colon + 1).trim()));
     }
 
+    private static Optional<StreamResumption> parseResumption(HttpHeaders headers, HeaderNames headerNames) {
+        return Optional.ofNullable(headers.get(headerNames.lastEventId()))
+                .map(lastEventId -> new StreamResumption(
+                        headers.get(headerNames.resumedStream(), "").trim(), lastEventId.trim()));
+    }
+
     /** Parses the remaining time of the program, which only affects the order of requests. */
     private static OptionalLong parseProgramDeadline(String millis) {
         String text = millis.trim();
