Failing test: interrupted streams go on at another software version

Two entry nodes, three store VMs, three runners of v1 and six of v2. A stream begins at one node, its runner's entry goes, and the caller takes it up at the other node.

--- /dev/null
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/StreamFleet.java
@@ -0,0 +1,338 @@
+package org.parsleydrift.relay;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import org.parsleydrift.conversation.ConversationClient;
+import org.parsleydrift.conversation.ConversationReplica;
+import org.parsleydrift.conversation.Conversations;
+import org.parsleydrift.conversation.DurableLog;
+import org.parsleydrift.conversation.FrameSender;
+import org.parsleydrift.conversation.ReplicaCalls;
+import org.parsleydrift.conversation.StoreMember;
+import org.parsleydrift.conversation.StoreSet;
+import org.parsleydrift.kernel.SystemClock;
+import org.parsleydrift.placement.QuotaPolicy;
+import org.parsleydrift.placement.QuotaTracker;
+import org.parsleydrift.registry.CallKind;
+import org.parsleydrift.registry.CallerLimits;
+import org.parsleydrift.registry.Destination;
+import org.parsleydrift.registry.ObjectDecoder;
+import org.parsleydrift.registry.Registry;
+import org.parsleydrift.registry.Route;
+import org.parsleydrift.registry.RoutingManifest;
+import org.parsleydrift.registry.Runner;
+import org.parsleydrift.registry.SharedObject;
+import org.parsleydrift.registry.UpstreamService;
+import org.parsleydrift.wire.NetworkLoop;
+import org.parsleydrift.wire.NetworkThreads;
+
+/** Entry nodes, three store VMs and scripted runners, over real connections and with partitions between nodes and stores. */
+final class StreamFleet implements AutoCloseable {
+    private static final int TIMEOUT_MILLIS = 20_000;
+    private static final int EVENTS = 4;
+    private static final List<String> STORES = List.of("store1", "store2", "store3");
+
+    private final NetworkThreads threads = new NetworkThreads("stream-fleet", 1);
+    private final NetworkLoop loop = new NetworkLoop(threads, new SystemClock());
+    private final Map<String, ReplicaCalls> calls = new ConcurrentHashMap<>();
+    private final Set<String> partitioned = ConcurrentHashMap.newKeySet();
+    private final Map<String, Node> nodes = new LinkedHashMap<>();
+    private final Map<String, ScriptedRunner> runners = new LinkedHashMap<>();
+    private final Map<String, Runner> entries = new ConcurrentHashMap<>();
+    private final StoreSet storeSet = new StoreSet(
+            1, STORES.stream().map(each -> new StoreMember(each, each, each)).toList(), List.of());
+    private long revision;
+    private int manifestVersion;
+    private volatile List<Destination> destinations = List.of(new Destination("s", 1));
+
+    /** One entry node. */
+    final class Node {
+        private final Registry registry = new Registry(loop, new Decoder());
+        private final CallerServer server;
+
+        private Node(String name) {
+            ReplicaCalls own = new ReplicaCalls(loop, new Network(name), name, request -> new CompletableFuture<>());
+            calls.put(name, own);
+            ConversationClient client = new ConversationClient(loop, own);
+            run(() -> client.adopt(storeSet));
+            Relay relay = new Relay(
+                    threads,
+                    loop,
+                    registry,
+                    new Dispatcher(registry, new Random(name.hashCode()), "z", loop.clock()::nanos),
+                    new Conversations(client),
+                    new QuotaTracker(
+                            loop.clock()::nanos, new Random(3), new QuotaPolicy(Duration.ofSeconds(5), 20), () -> true),
+                    HeaderNames.defaults(),
+                    new Random(2),
+                    new SimpleMeterRegistry());
+            server = new CallerServer(
+                    threads,
+                    loop,
+                    new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                    relay,
+                    CallerLimits::defaults);
+            List<SharedObject> known = entries.keySet().stream()
+                    .map(each -> new SharedObject(each, revision, false, new byte[0]))
+                    .toList();
+            run(() -> {
+                registry.applyManifestChanges(List.of(new SharedObject("main", 1, false, new byte[0])));
+                registry.applyRunnerChanges(known);
+            });
+        }
+    }
+
+    private final class Decoder implements ObjectDecoder {
+        @Override
+        public RoutingManifest decodeManifest(byte[] content) {
+            return manifest();
+        }
+
+        @Override
+        public Runner decodeRunner(String name, byte[] content) {
+            return entries.get(name);
+        }
+    }
+
+    /** Delivers frames unless one end is partitioned. */
+    private final class Network implements FrameSender {
+        private final String from;
+
+        private Network(String from) {
+            this.from = from;
+        }
+
+        @Override
+        public void send(String address, byte[] frame) {
+            loop.schedule(Duration.ZERO, () -> {
+                if (!partitioned.contains(from) && !partitioned.contains(address)) {
+                    calls.get(address).receive(frame);
+                }
+            });
+        }
+
+        @Override
+        public void reset(String address) {}
+    }
+
+    /** Storage that survives nothing. */
+    private static final class VolatileLog implements DurableLog {
+        @Override
+        public List<Entry> replay() {
+            return List.of();
+        }
+
+        @Override
+        public Optional<byte[]> state() {
+            return Optional.empty();
+        }
+
+        @Override
+        public CompletableFuture<Void> append(List<Entry> entries) {
+            return CompletableFuture.completedFuture(null);
+        }
+
+        @Override
+        public CompletableFuture<Void> saveState(byte[] state) {
+            return CompletableFuture.completedFuture(null);
+        }
+
+        @Override
+        public void close() {}
+    }
+
+    StreamFleet() {
+        STORES.forEach(name -> run(() -> {
+            ConversationReplica replica = new ConversationReplica(loop, new VolatileLog(), name, () -> name);
+            ReplicaCalls own = new ReplicaCalls(loop, new Network(name), name, replica);
+            calls.put(name, own);
+            replica.start(own);
+            replica.adopt(storeSet);
+        }));
+    }
+
+    void addNode(String name) {
+        nodes.put(name, new Node(name));
+    }
+
+    /** Stops a node without warning: neither callers nor store VMs hear from it again. */
+    void kill(String name) {
+        partitioned.add(name);
+        nodes.remove(name).server.close();
+    }
+
+    /** Cuts a node or a store VM off from the others, or restores its links. */
+    void setPartitioned(String name, boolean isPartitioned) {
+        if (isPartitioned) {
+            partitioned.add(name);
+        } else {
+            partitioned.remove(name);
+        }
+    }
+
+    /** Starts a runner that streams four events, or those after the last one that the request names. */
+    void addRunner(String id, String service, String version) throws IOException {
+        ScriptedRunner runner = new ScriptedRunner(id, StreamFleet::stream);
+        runners.put(id, runner);
+        Runner plain = runner.entry();
+        entries.put(id, new Runner(id, service, plain.address(), "z", 8, false).withSoftwareVersion(version));
+        publish(id, false);
+    }
+
+    /** Removes the entry of a runner, which goes on serving the requests that it has. */
+    void removeRunner(String id) {
+        entries.remove(id);
+        publish(id, true);
+    }
+
+    /** Puts a removed runner's entry back. */
+    void restoreRunner(String id, String service, String version) {
+        entries.put(
+                id,
+                new Runner(id, service, runners.get(id).entry().address(), "z", 8, false).withSoftwareVersion(version));
+        publish(id, false);
+    }
+
+    /** Changes the services of the route on all nodes. */
+    void setDestinations(Destination... changed) {
+        destinations = List.of(changed);
+        manifestVersion++;
+        nodes.values()
+                .forEach(each -> run(() -> each.registry.applyManifestChanges(
+                        List.of(new SharedObject("main", 1 + manifestVersion, false, new byte[0])))));
+    }
+
+    private void publish(String id, boolean deleted) {
+        revision++;
+        List<SharedObject> change = List.of(new SharedObject(id, revision, deleted, new byte[0]));
+        nodes.values().forEach(each -> run(() -> each.registry.applyRunnerChanges(change)));
+    }
+
+    /** Returns the requests that reached a runner. */
+    List<String> requestsAt(String runner) {
+        return runners.get(runner).requests;
+    }
+
+    /** Returns the runner that an attempt reached; empty if it reached none. */
+    Optional<String> runnerOf(String attempt) {
+        return runners.entrySet().stream()
+                .filter(each -> each.getValue().requests.stream()
+                        .anyMatch(request -> ScriptedRunner.header(request, "Parsleydrift-Request")
+                                .equals(attempt)))
+                .map(Map.Entry::getKey)
+                .findFirst();
+    }
+
+    /** Sends an attempt; the headers end with a line break each. */
+    Socket send(String node, String path, String attempt, String headers) throws IOException {
+        Socket socket = new Socket(
+                InetAddress.getLoopbackAddress(), nodes.get(node).server.port());
+        socket.setSoTimeout(TIMEOUT_MILLIS);
+        String text = "POST " + path + " HTTP/1.1\r\nHost: h\r\nParsleydrift-Request: " + attempt
+                + "\r\nConnection: close\r\nParsleydrift-Deadline-Ms: 5000\r\n" + headers
+                + "Content-Length: 2\r\n\r\nhi";
+        socket.getOutputStream().write(text.getBytes(UTF_8));
+        return socket;
+    }
+
+    /** Sends an attempt and leaves after the first events; returns what was received. */
+    String beginAndLeave(String node, String path, String attempt, String headers) throws IOException {
+        try (Socket socket = send(node, path, attempt, headers)) {
+            StringBuilder text = new StringBuilder();
+            while (text.indexOf("id: 2\n") < 0) {
+                int next = socket.getInputStream().read();
+                if (next < 0) {
+                    return text.toString();
+                }
+                text.append((char) next);
+            }
+            return text.toString();
+        }
+    }
+
+    /** Sends an attempt that takes up a stream after its second event; returns the whole response. */
+    String resume(String node, String path, String attempt, String resumes, String headers) throws IOException {
+        String named = resumes.isEmpty() ? "" : "Parsleydrift-Resumes: " + resumes + "\r\n";
+        try (Socket socket = send(node, path, attempt, "Last-Event-Id: 2\r\n" + named + headers)) {
+            return new String(socket.getInputStream().readAllBytes(), ISO_8859_1);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (ScriptedRunner each : runners.values()) {
+            each.close();
+        }
+        nodes.values().forEach(each -> each.server.close());
+        threads.close();
+    }
+
+    /** Runs a task on the loop and waits for its end. */
+    void run(Runnable task) {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        loop.execute(() -> {
+            task.run();
+            done.complete(null);
+        });
+        done.join();
+    }
+
+    private RoutingManifest manifest() {
+        Set<String> services = new HashSet<>();
+        destinations.forEach(each -> services.add(each.service()));
+        return new RoutingManifest(
+                1 + manifestVersion,
+                List.of(route("/events/", true, false), route("/stored/", false, true)),
+                services.stream()
+                        .map(each -> new UpstreamService(each, 100, true, 10))
+                        .toList(),
+                CallerLimits.defaults());
+    }
+
+    private Route route(String prefix, boolean resumable, boolean stateful) {
+        return new Route(
+                prefix,
+                "h",
+                prefix,
+                CallKind.STREAMING,
+                Duration.ofSeconds(5),
+                Duration.ofMillis(100),
+                1,
+                0,
+                resumable,
+                stateful,
+                Duration.ofSeconds(60),
+                false,
+                destinations);
+    }
+
+    /** A new stream stops after its second event without an end; a resumed one is complete. */
+    private static String stream(String request) {
+        String after = ScriptedRunner.header(request, "Last-Event-Id");
+        int first = after.isEmpty() ? 1 : Integer.parseInt(after) + 1;
+        int last = after.isEmpty() ? 2 : EVENTS;
+        StringBuilder body = new StringBuilder();
+        for (int event = first; event <= last; event++) {
+            body.append("id: ").append(event).append("\ndata: e").append(event).append("\n\n");
+        }
+        int missing = after.isEmpty() ? 40 : 0;
+        return "HTTP/1.1 200 OK\r\nParsleydrift-Request: " + ScriptedRunner.header(request, "Parsleydrift-Request")
+                + "\r\nParsleydrift-Stamp: s\r\nContent-Length: " + (body.length() + missing) + "\r\n\r\n" + body;
+    }
+}
