Interrupted streams go on at the software version that began them

Cause: the version of a runner was no part of a placement, and nobody knew where a stream had begun. A resumption was placed by load and cached prompt like any other request.

Change: the store VMs hold the origin of a stream (service, software version) as an immutable record. If a service has one version, it is written with the token reservation and the turn is bound to it; else it is written when the first event has come. A resumption reads it with the same quorum read that begins a turn, goes only to ready runners of that service and version, and is rejected at once as not run if the origin is unknown or no such runner is left. Nodes that are cut off or just started read the same records, and a node's own list of runners is never taken as proof. The last fields of the store messages are optional, so that processes of the version before can read them.

--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/BeginResult.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/BeginResult.java
@@ -1,6 +1,7 @@
 package org.parsleydrift.conversation;
 
 import java.util.List;
+import java.util.Optional;
 
 /** The outcome of a request to begin a turn. */
 public sealed interface BeginResult {
@@ -9,8 +10,10 @@
      *
      * @param chain the preceding turns of the conversation, oldest first
      * @param settled the settled grants of the program, in no order
+     * @param resumedOrigin the origin of the stream that the turn continues; empty if it is unknown or there is none
      */
-    record Granted(List<Turn> chain, List<Grant> settled) implements BeginResult {}
+    record Granted(List<Turn> chain, List<Grant> settled, Optional<StreamOrigin> resumedOrigin)
+            implements BeginResult {}
 
     /**
      * The rest of the token budget is smaller than the maximum number of tokens of the turn.
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationClient.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationClient.java
@@ -116,8 +116,27 @@
      */
     public CompletableFuture<Void> write(
             List<Grant> grants, Optional<Turn> turn, Duration retention, Duration timeout) {
+        return write(grants, turn, Optional.empty(), retention, timeout);
+    }
+
+    /**
+     * Writes grants, a turn and the origin of a stream to a write quorum.
+     *
+     * @param grants the grants
+     * @param turn the turn, if any
+     * @param origin the origin of a stream, if any
+     * @param retention the retention period of all of them
+     * @param timeout how long to retry
+     * @return completes once a write quorum has them on disk; fails with StepException on a timeout
+     */
+    CompletableFuture<Void> write(
+            List<Grant> grants,
+            Optional<Turn> turn,
+            Optional<StreamOrigin> origin,
+            Duration retention,
+            Duration timeout) {
         QuorumCall call = new QuorumCall(
-                (epoch, includesTexts) -> new ReplicaRequest.Write(epoch, retention.toMillis(), grants, turn),
+                (epoch, includesTexts) -> new ReplicaRequest.Write(epoch, retention.toMillis(), grants, turn, origin),
                 StoreSet::writeQuorum,
                 false,
                 timeout);
@@ -126,16 +145,18 @@
     }
 
     /**
-     * Reads the grants of a program and a chain of turns from the nearest read quorum. Only the nearest member sends the
-     * turns themselves, the others only their IDs, to limit the traffic between availability zones.
+     * Reads the grants of a program, a chain of turns and the origin of a stream from the nearest read quorum. Only the
+     * nearest member sends the turns themselves, the others only their IDs, to limit the traffic between availability
+     * zones.
      *
      * @param program the program; empty for none
      * @param lastTurn the ID of the last turn of the chain; empty for none
+     * @param stream the ID of the stream; empty for none
      * @param timeout how long to retry
      * @return completes with the merged replies; fails with StepException on a timeout
      */
-    CompletableFuture<MergedRecords> read(String program, String lastTurn, Duration timeout) {
-        return read(program, lastTurn, true, timeout);
+    CompletableFuture<MergedRecords> read(String program, String lastTurn, String stream, Duration timeout) {
+        return read(program, lastTurn, stream, true, timeout);
     }
 
     /**
@@ -147,13 +168,13 @@
      * @return completes with the merged replies of the first read quorum; fails with StepException on a timeout
      */
     CompletableFuture<MergedRecords> readFromAll(String program, String lastTurn, Duration timeout) {
-        return read(program, lastTurn, false, timeout);
+        return read(program, lastTurn, "", false, timeout);
     }
 
     private CompletableFuture<MergedRecords> read(
-            String program, String lastTurn, boolean nearestFirst, Duration timeout) {
+            String program, String lastTurn, String stream, boolean nearestFirst, Duration timeout) {
         QuorumCall call = new QuorumCall(
-                (epoch, includesTexts) -> new ReplicaRequest.Read(epoch, program, lastTurn, includesTexts),
+                (epoch, includesTexts) -> new ReplicaRequest.Read(epoch, program, lastTurn, includesTexts, stream),
                 StoreSet::readQuorum,
                 nearestFirst,
                 timeout);
@@ -185,18 +206,26 @@
      * @param grants the grants by request ID
      * @param turns the turns by ID
      * @param turnIds the IDs of all turns found, including those that were not sent
+     * @param origin the origin of the stream; empty if no member has it or members have different ones
      */
-    record MergedRecords(Map<String, Grant> grants, Map<String, Turn> turns, Set<String> turnIds) {
+    record MergedRecords(
+            Map<String, Grant> grants, Map<String, Turn> turns, Set<String> turnIds, Optional<StreamOrigin> origin) {
         static MergedRecords of(List<ReplicaReply> replies) {
             Map<String, Grant> grants = new HashMap<>();
             Map<String, Turn> turns = new HashMap<>();
             Set<String> turnIds = new HashSet<>();
+            Set<StreamOrigin> origins = new HashSet<>();
             replies.stream().map(ReplicaReply.Found.class::cast).forEach(found -> {
                 found.grants().forEach(each -> grants.merge(each.request(), each, Grant::merge));
                 found.turns().forEach(each -> turns.put(each.id(), each));
                 turnIds.addAll(found.turnIds());
+                found.origin().ifPresent(origins::add);
             });
-            return new MergedRecords(grants, turns, turnIds);
+            return new MergedRecords(
+                    grants,
+                    turns,
+                    turnIds,
+                    origins.size() == 1 ? origins.stream().findAny() : Optional.empty());
         }
     }
 
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationCodec.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationCodec.java
@@ -8,7 +8,11 @@
 import org.msgpack.core.MessageUnpacker;
 import org.parsleydrift.kernel.codec.MessagePackFrames;
 
-/** MessagePack encoding of requests, replies and records. Hand-written to avoid the startup cost of reflection. */
+/**
+ * MessagePack encoding of requests, replies and records. Hand-written to avoid the startup cost of reflection. The last
+ * fields of {@code Write}, {@code Read}, {@code Found} and {@code RecordList} are optional, since processes of an earlier
+ * version neither send nor read them.
+ */
 final class ConversationCodec {
     private ConversationCodec() {}
 
@@ -18,13 +22,15 @@
                 out.packByte((byte) 1).packLong(write.epoch()).packLong(write.retentionMillis());
                 list(out, write.grants(), ConversationCodec::grant);
                 list(out, write.turn().stream().toList(), ConversationCodec::turn);
+                list(out, write.origin().stream().toList(), ConversationCodec::origin);
             }
             case ReplicaRequest.Read read ->
                 out.packByte((byte) 2)
                         .packLong(read.epoch())
                         .packString(read.program())
                         .packString(read.lastTurn())
-                        .packBoolean(read.includesTexts());
+                        .packBoolean(read.includesTexts())
+                        .packString(read.stream());
             case ReplicaRequest.Fetch fetch -> {
                 out.packByte((byte) 3);
                 list(out, fetch.turnIds(), MessagePacker::packString);
@@ -48,9 +54,15 @@
                         in.unpackLong(),
                         in.unpackLong(),
                         list(in, ConversationCodec::grant),
-                        first(list(in, ConversationCodec::turn)));
+                        first(list(in, ConversationCodec::turn)),
+                        first(optionalList(in, ConversationCodec::origin)));
             case 2 ->
-                new ReplicaRequest.Read(in.unpackLong(), in.unpackString(), in.unpackString(), in.unpackBoolean());
+                new ReplicaRequest.Read(
+                        in.unpackLong(),
+                        in.unpackString(),
+                        in.unpackString(),
+                        in.unpackBoolean(),
+                        in.hasNext() ? in.unpackString() : "");
             case 3 -> new ReplicaRequest.Fetch(list(in, MessageUnpacker::unpackString));
             case 4 -> new ReplicaRequest.ListRecords(set(in));
             case 5 -> new ReplicaRequest.Heartbeat(first(list(in, ConversationCodec::set)));
@@ -66,6 +78,7 @@
                 list(out, found.grants(), ConversationCodec::grant);
                 list(out, found.turns(), ConversationCodec::turn);
                 list(out, found.turnIds(), MessagePacker::packString);
+                list(out, found.origin().stream().toList(), ConversationCodec::origin);
             }
             case ReplicaReply.Stale stale -> {
                 out.packByte((byte) 3);
@@ -77,6 +90,7 @@
                 out.packByte((byte) 6);
                 list(out, recordList.turnIds(), MessagePacker::packString);
                 list(out, recordList.grants(), ConversationCodec::grant);
+                list(out, recordList.origins(), ConversationCodec::origin);
             }
             case ReplicaReply.Progress progress ->
                 out.packByte((byte) 7)
@@ -95,13 +109,16 @@
                 new ReplicaReply.Found(
                         list(in, ConversationCodec::grant),
                         list(in, ConversationCodec::turn),
-                        list(in, MessageUnpacker::unpackString));
+                        list(in, MessageUnpacker::unpackString),
+                        first(optionalList(in, ConversationCodec::origin)));
             case 3 -> new ReplicaReply.Stale(set(in));
             case 4 -> new ReplicaReply.Behind();
             case 5 -> new ReplicaReply.Incomplete();
             case 6 ->
                 new ReplicaReply.RecordList(
-                        list(in, MessageUnpacker::unpackString), list(in, ConversationCodec::grant));
+                        list(in, MessageUnpacker::unpackString),
+                        list(in, ConversationCodec::grant),
+                        optionalList(in, ConversationCodec::origin));
             case 7 -> new ReplicaReply.Progress(in.unpackString(), in.unpackString(), in.unpackLong(), in.unpackLong());
             default -> throw new IOException("unknown reply type " + type);
         };
@@ -149,6 +166,14 @@
                 in.unpackString());
     }
 
+    static void origin(MessagePacker out, StreamOrigin origin) throws IOException {
+        out.packString(origin.stream()).packString(origin.service()).packString(origin.softwareVersion());
+    }
+
+    static StreamOrigin origin(MessageUnpacker in) throws IOException {
+        return new StreamOrigin(in.unpackString(), in.unpackString(), in.unpackString());
+    }
+
     static void set(MessagePacker out, StoreSet set) throws IOException {
         out.packLong(set.epoch());
         list(out, set.members(), ConversationCodec::member);
@@ -188,6 +213,11 @@
         return values;
     }
 
+    /** Reads a list at the end of a frame, which processes of an earlier version omit. */
+    private static <T> List<T> optionalList(MessageUnpacker in, MessagePackFrames.Reader<T> reader) throws IOException {
+        return in.hasNext() ? list(in, reader) : List.of();
+    }
+
     private static <T> Optional<T> first(List<T> values) {
         return values.stream().findFirst();
     }
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationReplica.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationReplica.java
@@ -171,7 +171,12 @@
             // on behalf of the lost disk.
             return CompletableFuture.completedFuture(new ReplicaReply.Incomplete());
         }
-        var entries = records.add(write.grants(), write.turn().stream().toList(), write.retentionMillis(), nowMillis());
+        var entries = records.add(
+                write.grants(),
+                write.turn().stream().toList(),
+                write.origin().stream().toList(),
+                write.retentionMillis(),
+                nowMillis());
         // Append even if nothing is new: an earlier copy of the same write may not be on disk yet.
         return log.append(entries).thenApply(done -> new ReplicaReply.Written());
     }
@@ -183,17 +188,18 @@
     private ReplicaReply find(ReplicaRequest.Read read) {
         List<Grant> grants = records.ledger(read.program());
         List<Turn> chain = records.chain(read.lastTurn());
+        Optional<StreamOrigin> origin = records.origin(read.stream());
         return read.includesTexts()
-                ? ReplicaReply.Found.of(grants, chain)
+                ? ReplicaReply.Found.of(grants, chain, origin)
                 : new ReplicaReply.Found(
-                        grants, List.of(), chain.stream().map(Turn::id).toList());
+                        grants, List.of(), chain.stream().map(Turn::id).toList(), origin);
     }
 
     private ReplicaReply fetch(ReplicaRequest.Fetch fetch) {
         List<Turn> found = fetch.turnIds().stream()
                 .flatMap(id -> records.turn(id).stream())
                 .toList();
-        return ReplicaReply.Found.of(List.of(), found);
+        return ReplicaReply.Found.of(List.of(), found, Optional.empty());
     }
 
     private Optional<ReplicaReply> checkEpoch(long epoch) {
@@ -213,7 +219,7 @@
         boolean wasMember =
                 set.previous().stream().anyMatch(each -> each.diskId().equals(state.diskId()));
         return wasMember && state.completeEpoch() >= set.epoch() - 1
-                ? new ReplicaReply.RecordList(records.turnIds(), records.grants())
+                ? new ReplicaReply.RecordList(records.turnIds(), records.grants(), records.origins())
                 : new ReplicaReply.Incomplete();
     }
 
@@ -311,7 +317,7 @@
             }
         }
 
-        /** Stores the grants of each source, then fetches the turns that are missing here. */
+        /** Stores the grants and origins of each source, then fetches the turns that are missing here. */
         private void fetchNextSource(List<Map.Entry<String, ReplicaReply.RecordList>> sources) {
             if (sources.isEmpty()) {
                 onSynchronizationEnded(set, true, syncedRecords);
@@ -321,7 +327,11 @@
             var missing = new ArrayList<>(source.getValue().turnIds().stream()
                     .filter(id -> records.turn(id).isEmpty())
                     .toList());
-            storeRecords(source.getValue().grants(), List.of(), () -> fetchTurns(source.getKey(), missing, sources));
+            storeRecords(
+                    source.getValue().grants(),
+                    List.of(),
+                    source.getValue().origins(),
+                    () -> fetchTurns(source.getKey(), missing, sources));
         }
 
         private void fetchTurns(
@@ -335,15 +345,16 @@
                     .whenComplete((reply, failure) -> loop.execute(() -> {
                         if (reply instanceof ReplicaReply.Found found) {
                             missing.removeAll(batch);
-                            storeRecords(List.of(), found.turns(), () -> fetchTurns(address, missing, sources));
+                            storeRecords(
+                                    List.of(), found.turns(), List.of(), () -> fetchTurns(address, missing, sources));
                         } else {
                             onSynchronizationEnded(set, false, syncedRecords);
                         }
                     }));
         }
 
-        private void storeRecords(List<Grant> grants, List<Turn> turns, Runnable onStored) {
-            var entries = records.add(grants, turns, SYNCED_RETENTION_MILLIS, nowMillis());
+        private void storeRecords(List<Grant> grants, List<Turn> turns, List<StreamOrigin> origins, Runnable onStored) {
+            var entries = records.add(grants, turns, origins, SYNCED_RETENTION_MILLIS, nowMillis());
             syncedRecords += entries.size();
             log.append(entries)
                     .whenComplete((done, failure) -> loop.execute(() -> {
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/Conversations.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/Conversations.java
@@ -5,7 +5,6 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.parsleydrift.kernel.LogLine;
@@ -58,9 +57,11 @@
                 : client.write(
                         List.of(grant(request, GrantState.RESERVED)),
                         Optional.empty(),
+                        request.origin(),
                         request.retention(),
                         request.timeout());
-        return reserved.thenCompose(done -> client.read(request.program(), request.previous(), request.timeout()))
+        return reserved.thenCompose(done ->
+                        client.read(request.program(), request.previous(), request.resumedStream(), request.timeout()))
                 .thenCompose(records -> {
                     recordQuorumReply();
                     return admit(request, records);
@@ -140,6 +141,29 @@
                 });
     }
 
+    /**
+     * Writes the origin of a stream in the background; a failure is only logged.
+     *
+     * @param origin the origin
+     * @param retention the retention period of the origin
+     */
+    public void recordOrigin(StreamOrigin origin, Duration retention) {
+        client.write(List.of(), Optional.empty(), Optional.of(origin), retention, BACKGROUND_WRITE_TIMEOUT)
+                .whenComplete((done, failure) -> {
+                    if (failure != null) {
+                        // The stream cannot be continued if it is interrupted.
+                        LOG.log(
+                                Logger.Level.WARNING,
+                                () -> LogLine.of("stream_origin_write_failed")
+                                        .with("stream", origin.stream())
+                                        .with("service", origin.service())
+                                        .with("version", origin.softwareVersion())
+                                        .failure(failure)
+                                        .toString());
+                    }
+                });
+    }
+
     private CompletableFuture<BeginResult> admit(BeginRequest request, ConversationClient.MergedRecords records) {
         settledTokens.update(
                 request.program(),
@@ -162,33 +186,34 @@
         if (!request.previous().isEmpty() && !records.turnIds().contains(request.previous())) {
             return CompletableFuture.completedFuture(new BeginResult.NoSuchTurn());
         }
-        return assembleChain(request, records.turns(), settled, true);
+        return assembleChain(request, records, settled, true);
     }
 
     /** Assembles the chain from the turns read; reads a missing turn and those before it from all members. */
     private CompletableFuture<BeginResult> assembleChain(
-            BeginRequest request, Map<String, Turn> turns, List<Grant> settled, boolean canFetch) {
+            BeginRequest request, ConversationClient.MergedRecords records, List<Grant> settled, boolean canFetch) {
         Deque<Turn> chain = new ArrayDeque<>();
         String id = request.previous();
         while (!id.isEmpty()) {
-            Turn turn = turns.get(id);
+            Turn turn = records.turns().get(id);
             if (turn == null) {
                 return canFetch
-                        ? fetchMissingTurn(request, turns, settled, id)
+                        ? fetchMissingTurn(request, records, settled, id)
                         : CompletableFuture.completedFuture(new BeginResult.Unavailable(
                                 "turn " + id + " of the chain was not found at a read quorum"));
             }
             chain.addFirst(turn);
             id = turn.previous();
         }
-        return CompletableFuture.completedFuture(new BeginResult.Granted(List.copyOf(chain), settled));
+        return CompletableFuture.completedFuture(
+                new BeginResult.Granted(List.copyOf(chain), settled, records.origin()));
     }
 
     private CompletableFuture<BeginResult> fetchMissingTurn(
-            BeginRequest request, Map<String, Turn> turns, List<Grant> settled, String missing) {
+            BeginRequest request, ConversationClient.MergedRecords records, List<Grant> settled, String missing) {
         return client.readFromAll("", missing, request.timeout()).thenCompose(more -> {
-            turns.putAll(more.turns());
-            return assembleChain(request, turns, settled, more.turns().containsKey(missing));
+            records.turns().putAll(more.turns());
+            return assembleChain(request, records, settled, more.turns().containsKey(missing));
         });
     }
 
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/RecordIndex.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/RecordIndex.java
@@ -13,7 +13,7 @@
 import java.util.Set;
 import org.parsleydrift.kernel.codec.MessagePackFrames;
 
-/** In-memory index of the turns and grants in the log of a store VM. Confined to one event loop. */
+/** In-memory index of the turns, grants and origins of streams in the log of a store VM. Confined to one event loop. */
 final class RecordIndex {
     /** Factor on the requested retention, as a margin for clock skew between VMs. */
     private static final int RETENTION_FACTOR = 3;
@@ -23,13 +23,23 @@
     private static final byte GRANT_WITHOUT_PART = 2;
 
     private static final byte GRANT = 3;
+    private static final byte STREAM_ORIGIN = 4;
 
     private final Map<String, Turn> turns = new HashMap<>();
     private final Map<String, Map<String, Grant>> ledgers = new HashMap<>();
+    private final Map<String, StreamOrigin> origins = new HashMap<>();
     private final Deque<Expiry> expiryQueue = new ArrayDeque<>();
-    private final Map<String, Long> expiryMillis = new HashMap<>();
+    private final Map<Key, Long> expiryMillis = new HashMap<>();
 
-    private record Expiry(String key, boolean isTurn, long atMillis) {}
+    private enum Kind {
+        TURN,
+        LEDGER,
+        ORIGIN
+    }
+
+    private record Key(Kind kind, String id) {}
+
+    private record Expiry(Key key, long atMillis) {}
 
     /** Adds a record read from disk, unless it has expired. */
     void replay(DurableLog.Entry entry, long nowMillis) {
@@ -43,6 +53,7 @@
                 case TURN -> add(ConversationCodec.turn(in), expiresAtMillis);
                 case GRANT_WITHOUT_PART -> add(ConversationCodec.grantWithoutPart(in), expiresAtMillis);
                 case GRANT -> add(ConversationCodec.grant(in), expiresAtMillis);
+                case STREAM_ORIGIN -> add(ConversationCodec.origin(in), expiresAtMillis);
                 default -> throw new IOException("unknown record type " + type);
             }
             return null;
@@ -51,7 +62,11 @@
 
     /** Adds records and returns the log entries to append for those that were new or changed. */
     List<DurableLog.Entry> add(
-            Collection<Grant> grants, Collection<Turn> newTurns, long retentionMillis, long nowMillis) {
+            Collection<Grant> grants,
+            Collection<Turn> newTurns,
+            Collection<StreamOrigin> newOrigins,
+            long retentionMillis,
+            long nowMillis) {
         long expiresAtMillis = nowMillis + RETENTION_FACTOR * retentionMillis;
         List<DurableLog.Entry> entries = new ArrayList<>();
         grants.stream()
@@ -63,6 +78,9 @@
             }
             extendExpiry(turn.previous(), nowMillis + retentionMillis, expiresAtMillis, entries);
         });
+        newOrigins.stream()
+                .filter(origin -> add(origin, expiresAtMillis))
+                .forEach(origin -> entries.add(entry(origin, expiresAtMillis)));
         return entries;
     }
 
@@ -92,6 +110,14 @@
                 .toList();
     }
 
+    List<StreamOrigin> origins() {
+        return List.copyOf(origins.values());
+    }
+
+    Optional<StreamOrigin> origin(String stream) {
+        return Optional.ofNullable(origins.get(stream));
+    }
+
     Optional<Turn> turn(String id) {
         return Optional.ofNullable(turns.get(id));
     }
@@ -107,22 +133,23 @@
             Long expiresAtMillis = expiryMillis.get(due.key());
             if (expiresAtMillis != null && expiresAtMillis < nowMillis) {
                 expiryMillis.remove(due.key());
-                if (due.isTurn()) {
-                    turns.remove(due.key());
-                } else {
-                    ledgers.remove(due.key());
+                String id = due.key().id();
+                switch (due.key().kind()) {
+                    case TURN -> turns.remove(id);
+                    case LEDGER -> ledgers.remove(id);
+                    case ORIGIN -> origins.remove(id);
                 }
             }
         }
     }
 
     private boolean add(Turn turn, long expiresAtMillis) {
-        recordExpiry(turn.id(), true, expiresAtMillis);
+        recordExpiry(new Key(Kind.TURN, turn.id()), expiresAtMillis);
         return turns.putIfAbsent(turn.id(), turn) == null;
     }
 
     private boolean add(Grant grant, long expiresAtMillis) {
-        recordExpiry(grant.program(), false, expiresAtMillis);
+        recordExpiry(new Key(Kind.LEDGER, grant.program()), expiresAtMillis);
         Map<String, Grant> ledger = ledgers.computeIfAbsent(grant.program(), any -> new HashMap<>());
         Grant existing = ledger.get(grant.request());
         // Compares only the states, which is cheaper than equals() when a large log is replayed.
@@ -133,18 +160,23 @@
         return true;
     }
 
-    private void recordExpiry(String key, boolean isTurn, long expiresAtMillis) {
+    private boolean add(StreamOrigin origin, long expiresAtMillis) {
+        recordExpiry(new Key(Kind.ORIGIN, origin.stream()), expiresAtMillis);
+        return origins.putIfAbsent(origin.stream(), origin) == null;
+    }
+
+    private void recordExpiry(Key key, long expiresAtMillis) {
         expiryMillis.merge(key, expiresAtMillis, Math::max);
-        expiryQueue.addLast(new Expiry(key, isTurn, expiresAtMillis));
+        expiryQueue.addLast(new Expiry(key, expiresAtMillis));
     }
 
     /** Extends the expiry of the turns of a chain that would expire before its last turn, by appending them again. */
     private void extendExpiry(
             String id, long minExpiresAtMillis, long expiresAtMillis, List<DurableLog.Entry> entries) {
         chain(id).stream()
-                .filter(turn -> expiryMillis.getOrDefault(turn.id(), 0L) < minExpiresAtMillis)
+                .filter(turn -> expiryMillis.getOrDefault(new Key(Kind.TURN, turn.id()), 0L) < minExpiresAtMillis)
                 .forEach(turn -> {
-                    recordExpiry(turn.id(), true, expiresAtMillis);
+                    recordExpiry(new Key(Kind.TURN, turn.id()), expiresAtMillis);
                     entries.add(entry(turn, expiresAtMillis));
                 });
     }
@@ -166,4 +198,13 @@
                 }),
                 expiresAtMillis);
     }
+
+    private static DurableLog.Entry entry(StreamOrigin origin, long expiresAtMillis) {
+        return new DurableLog.Entry(
+                MessagePackFrames.encode(out -> {
+                    out.packByte(STREAM_ORIGIN);
+                    ConversationCodec.origin(out, origin);
+                }),
+                expiresAtMillis);
+    }
 }
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaReply.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaReply.java
@@ -1,6 +1,7 @@
 package org.parsleydrift.conversation;
 
 import java.util.List;
+import java.util.Optional;
 
 /** A reply of a store VM. */
 public sealed interface ReplicaReply {
@@ -13,10 +14,23 @@
      * @param grants the grants of the program, in no order
      * @param turns the turns found; empty if only their IDs were requested
      * @param turnIds the IDs of the turns found
+     * @param origin the origin of the stream, if it was found
      */
-    record Found(List<Grant> grants, List<Turn> turns, List<String> turnIds) implements ReplicaReply {
-        static Found of(List<Grant> grants, List<Turn> turns) {
-            return new Found(grants, turns, turns.stream().map(Turn::id).toList());
+    record Found(List<Grant> grants, List<Turn> turns, List<String> turnIds, Optional<StreamOrigin> origin)
+            implements ReplicaReply {
+        /**
+         * Creates a reply without the origin of a stream.
+         *
+         * @param grants the grants of the program, in no order
+         * @param turns the turns found; empty if only their IDs were requested
+         * @param turnIds the IDs of the turns found
+         */
+        public Found(List<Grant> grants, List<Turn> turns, List<String> turnIds) {
+            this(grants, turns, turnIds, Optional.empty());
+        }
+
+        static Found of(List<Grant> grants, List<Turn> turns, Optional<StreamOrigin> origin) {
+            return new Found(grants, turns, turns.stream().map(Turn::id).toList(), origin);
         }
     }
 
@@ -38,8 +52,9 @@
      *
      * @param turnIds the IDs of its turns
      * @param grants its grants
+     * @param origins its origins of streams
      */
-    record RecordList(List<String> turnIds, List<Grant> grants) implements ReplicaReply {}
+    record RecordList(List<String> turnIds, List<Grant> grants, List<StreamOrigin> origins) implements ReplicaReply {}
 
     /**
      * The epochs that the member has adopted and completed.
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaRequest.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaRequest.java
@@ -6,24 +6,29 @@
 /** A request to a store VM. */
 public sealed interface ReplicaRequest {
     /**
-     * Stores grants and a turn; answered once they are on disk.
+     * Stores grants, a turn and the origin of a stream; answered once they are on disk.
      *
      * @param epoch the epoch of the sender
      * @param retentionMillis the retention period in ms
      * @param grants the grants
      * @param turn the turn, if there is one
+     * @param origin the origin of a stream, if there is one
      */
-    record Write(long epoch, long retentionMillis, List<Grant> grants, Optional<Turn> turn) implements ReplicaRequest {}
+    record Write(
+            long epoch, long retentionMillis, List<Grant> grants, Optional<Turn> turn, Optional<StreamOrigin> origin)
+            implements ReplicaRequest {}
 
     /**
-     * Reads a program's grants and the chain that ends with a turn.
+     * Reads a program's grants, the chain that ends with a turn, and the origin of a stream.
      *
      * @param epoch the epoch of the sender
      * @param program the program; empty for none
      * @param lastTurn the ID of the last turn of the chain; empty for none
      * @param includesTexts whether to return the turns with their text rather than only their IDs
+     * @param stream the ID of the stream; empty for none
      */
-    record Read(long epoch, String program, String lastTurn, boolean includesTexts) implements ReplicaRequest {}
+    record Read(long epoch, String program, String lastTurn, boolean includesTexts, String stream)
+            implements ReplicaRequest {}
 
     /**
      * Reads single turns. Valid at every epoch, since turns are immutable.
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Dispatcher.java
@@ -171,14 +171,18 @@
         loads.retainRunners(incarnations);
         slots.retainRunners(incarnations);
         speeds.retainRunners(incarnations);
+        queuedRequests().forEach(QueuedRequest::runnersChanged);
         dispatch();
     }
 
     /** Notifies the queued requests of a new manifest, so that those it no longer permits withdraw. */
     void manifestChanged() {
-        Stream.concat(queue.stream().map(QueueEntry::request), slots.pending().stream())
-                .toList()
-                .forEach(QueuedRequest::manifestChanged);
+        queuedRequests().forEach(QueuedRequest::manifestChanged);
+    }
+
+    private List<QueuedRequest> queuedRequests() {
+        return Stream.concat(queue.stream().map(QueueEntry::request), slots.pending().stream())
+                .toList();
     }
 
     /** Assigns queued requests to runners, in order of precedence. */
@@ -263,7 +267,7 @@
         List<Runner> runners = registry.runners(request.service());
         speeds.refresh(request.service(), runners, now);
         List<Candidate> candidates = runners.stream()
-                .filter(each -> !request.excludedRunners().contains(each.incarnation()))
+                .filter(request::accepts)
                 .map(each -> candidate(each, request, limit, now))
                 .toList();
         TypicalRequest typical =
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/QueuedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/QueuedRequest.java
@@ -1,10 +1,10 @@
 package org.parsleydrift.relay;
 
 import java.util.List;
-import java.util.Set;
 import org.parsleydrift.placement.CachedPart;
 import org.parsleydrift.placement.Candidate;
 import org.parsleydrift.placement.PromptPart;
+import org.parsleydrift.registry.Runner;
 
 /** A request in the queue of the {@link Dispatcher}. */
 interface QueuedRequest {
@@ -17,8 +17,8 @@
     /** Returns the cached prompt parts that the store VMs have reported. */
     List<CachedPart> reportedParts();
 
-    /** Returns the ids of the runner incarnations that the request must not be sent to again. */
-    Set<String> excludedRunners();
+    /** Returns whether the request may be sent to a runner of its service. */
+    boolean accepts(Runner runner);
 
     /** Returns whether any free runner is acceptable, since the queue wait is nearly over. */
     boolean acceptsAnyRunner();
@@ -35,6 +35,9 @@
     /** Called after a change of the manifest; the request withdraws if its key was revoked. */
     void manifestChanged();
 
+    /** Called after a change of the runners; the request withdraws if none is left that it may be sent to. */
+    void runnersChanged();
+
     /** Sends the request to a runner, at which the dispatcher has reserved a slot. */
     void assign(Candidate chosen);
 }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayLimits.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayLimits.java
@@ -52,6 +52,12 @@
     /** Retry delay if no runner has a free slot; a usual turn ends in about 300 ms. */
     static final Duration RETRY_DELAY_NO_SLOT = Duration.ofMillis(300);
 
+    /**
+     * Retry delay if an interrupted stream cannot be continued. Short, since its origin may still be on its way to the
+     * store VMs, and otherwise the caller can only begin anew.
+     */
+    static final Duration RETRY_DELAY_RESUMPTION = Duration.ofMillis(100);
+
     /** Retry delay if the node has no usage reports from peers. */
     static final Duration RETRY_DELAY_NO_PEERS = Duration.ofMillis(300);
 
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayMetrics.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayMetrics.java
@@ -13,12 +13,13 @@
 import org.parsleydrift.registry.Runner;
 
 /**
- * Metrics of the relay: request counters by outcome and cause, timers of the phases of a request, and the runners that
- * accept requests by service and software version.
+ * Metrics of the relay: request counters by outcome and cause, counters of resumed streams by result, timers of the phases
+ * of a request, and the runners that accept requests by service and software version.
  */
 final class RelayMetrics {
     private final MeterRegistry registry;
     private final Map<String, Counter> outcomes = new HashMap<>();
+    private final Map<String, Counter> resumptions = new HashMap<>();
     private final Map<String, Timer> phases = new HashMap<>();
     private final MultiGauge runnersByVersion;
     private Map<Tags, Long> recordedRunners = Map.of();
@@ -54,6 +55,16 @@
                 .increment();
     }
 
+    void recordResumption(String result) {
+        resumptions
+                .computeIfAbsent(
+                        result,
+                        any -> Counter.builder("parsleydrift.streams.resumed")
+                                .tag("result", result)
+                                .register(registry))
+                .increment();
+    }
+
     void recordPhase(String phase, Duration time) {
         phases.computeIfAbsent(
                         phase,
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -6,7 +6,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.parsleydrift.conversation.BeginResult;
 import org.parsleydrift.kernel.Cancellable;
@@ -36,6 +35,7 @@
     private long manifestVersion;
     private Route route;
     private RequestTeam team;
+    private StreamBinding binding;
     private String service = "";
     private long deadlineNanos;
     private Cancellable deadlineTimer = () -> {};
@@ -83,18 +83,14 @@
                 params.deadlineMillis().orElse(route.timeout().toMillis()));
         deadlineNanos = startNanos + Duration.ofMillis(timeoutMillis).toNanos();
         deadlineTimer = relay.loop().schedule(Duration.ofMillis(leftMillis()), this::handleDeadline);
-        params.resumption().ifPresent(this::logResumption);
-        apply(new RequestEvent.Matched(params.isTurn(route), team.quotaRetryDelay()));
-    }
-
-    private void logResumption(StreamResumption resumption) {
-        LOG.log(
-                Logger.Level.INFO,
-                () -> logLine("stream_resumption")
-                        .with("stream", resumption.stream())
-                        .with("last_event", resumption.lastEventId())
-                        .with("service", service)
-                        .toString());
+        binding = new StreamBinding(relay, params, route, team.owner());
+        Optional<String> obstacle = binding.obstacle();
+        if (obstacle.isPresent()) {
+            apply(new RequestEvent.StreamUnservable(obstacle.get()));
+            return;
+        }
+        boolean recorded = params.isTurn(route) || binding.isResumption();
+        apply(new RequestEvent.Matched(recorded, team.quotaRetryDelay()));
     }
 
     private void apply(RequestEvent event) {
@@ -141,6 +137,13 @@
         }
     }
 
+    @Override
+    public void runnersChanged() {
+        if (lifecycle.stage() == RequestStage.QUEUED) {
+            binding.unavailability(service).ifPresent(each -> apply(new RequestEvent.StreamUnservable(each)));
+        }
+    }
+
     private RequestEvent keyRevoked() {
         return new RequestEvent.KeyRevoked(relay.registry().isManifestCurrent());
     }
@@ -180,8 +183,8 @@
     }
 
     @Override
-    public Set<String> excludedRunners() {
-        return lifecycle.attempts().excludedRunners();
+    public boolean accepts(Runner runner) {
+        return !lifecycle.attempts().excludedRunners().contains(runner.incarnation()) && binding.accepts(runner);
     }
 
     @Override
@@ -198,6 +201,7 @@
     public boolean isInProgress() {
         return !reportedParts.isEmpty()
                 || hasHistory
+                || binding.isResumption()
                 || (!params.isTurn(route) && !params.program().isEmpty());
     }
 
@@ -261,6 +265,10 @@
         return Math.max(0, (deadlineNanos - relay.loop().clock().nanos()) / 1_000_000);
     }
 
+    StreamBinding binding() {
+        return binding;
+    }
+
     CallerResponse response() {
         return response;
     }
@@ -279,8 +287,7 @@
                         .with("runner", runner.incarnation())
                         .with("reason", reason)
                         .toString());
-        apply(new RequestEvent.AttemptNotRun(
-                runner.incarnation(), reason, relay.dispatcher().runners(service)));
+        apply(new RequestEvent.AttemptNotRun(runner.incarnation(), reason, binding.eligibleRunners(service)));
     }
 
     private void handleLatencyTimeout(Runner runner, RunnerExchange attempt) {
@@ -307,10 +314,7 @@
     private boolean canRetry() {
         return route.isRetriable()
                 && leftMillis() > 0
-                && lifecycle.allowsRetry(
-                        route.maxAttempts(),
-                        exchange.incarnation(),
-                        relay.dispatcher().runners(service));
+                && lifecycle.allowsRetry(route.maxAttempts(), exchange.incarnation(), binding.eligibleRunners(service));
     }
 
     private void retry(Runner runner, String reason) {
@@ -362,15 +366,23 @@
     }
 
     private void beginTurn() {
-        TurnRecord record = new TurnRecord(relay, params, route, team.owner());
+        TurnRecord record = new TurnRecord(relay, params, route, team.owner(), binding);
         turn = Optional.of(record);
-        record.begin(boundedShare(RelayLimits.MAX_BEGIN_SHARE, RelayLimits.MAX_BEGIN_TIME))
+        record.begin(service, boundedShare(RelayLimits.MAX_BEGIN_SHARE, RelayLimits.MAX_BEGIN_TIME))
                 .thenAccept(this::handleBegin);
     }
 
     private void handleBegin(BeginResult result) {
         if (lifecycle.stage() == RequestStage.BEGINNING) {
             relay.metrics().recordPhase("begin", elapsed());
+            if (binding.isResumption() && result instanceof BeginResult.Granted granted) {
+                Optional<String> obstacle = binding.bindResumption(granted.resumedOrigin());
+                if (obstacle.isPresent()) {
+                    apply(new RequestEvent.StreamUnservable(obstacle.get()));
+                    return;
+                }
+                service = binding.boundService().orElseThrow();
+            }
         }
         apply(new RequestEvent.TurnBegun(result));
     }
@@ -388,6 +400,11 @@
             apply(keyRevoked());
             return;
         }
+        Optional<String> unavailability = binding.unavailability(service);
+        if (unavailability.isPresent()) {
+            apply(new RequestEvent.StreamUnservable(unavailability.get()));
+            return;
+        }
         switch (relay.admission().decide(this, leftMillis())) {
             case AdmissionDecision.Wait wait -> {
                 apply(new RequestEvent.Admitted());
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestEvent.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestEvent.java
@@ -41,6 +41,14 @@
      */
     record Matched(boolean turn, Optional<Duration> quotaRetryDelay) implements RequestEvent {}
 
+    /**
+     * No runner can serve the stream: it continues one whose origin is unknown, or no runner of its software version is
+     * left.
+     *
+     * @param reason reason for logs
+     */
+    record StreamUnservable(String reason) implements RequestEvent {}
+
     /**
      * The store VMs have answered, or did not in time.
      *
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestLifecycle.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestLifecycle.java
@@ -71,6 +71,7 @@
             case RequestEvent.MatchDenied denied -> respond(denied.status(), DENIED, denied.reason());
             case RequestEvent.MatchUndetermined result -> refuse(result.reason(), RelayLimits.RETRY_DELAY_OLD_MANIFEST);
             case RequestEvent.Matched matched -> handleMatch(matched);
+            case RequestEvent.StreamUnservable unservable -> handleUnservable(unservable.reason());
             case RequestEvent.TurnBegun begun -> handleBegin(begun.result());
             case RequestEvent.QuotaDecided decided -> handleQuota(decided.decision());
             case RequestEvent.Admitted ignored -> {
@@ -169,6 +170,18 @@
         return Stream.concat(withdrawal, ending.stream()).toList();
     }
 
+    private List<RequestAction> handleUnservable(String reason) {
+        if (in(RequestStage.ENDED)) {
+            return List.of();
+        }
+        Stream<RequestAction> withdrawal =
+                in(RequestStage.QUEUED) ? Stream.of(new RequestAction.Withdraw()) : Stream.empty();
+        List<RequestAction> ending = attempts.mayHaveRun()
+                ? respond(502, UNKNOWN, "an earlier attempt may have run; " + reason)
+                : refuse(reason, RelayLimits.RETRY_DELAY_RESUMPTION);
+        return Stream.concat(withdrawal, ending.stream()).toList();
+    }
+
     private List<RequestAction> handleQueueTimeout(Optional<Duration> retryDelay) {
         if (stage != RequestStage.QUEUED) {
             return List.of();
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerExchange.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerExchange.java
@@ -119,6 +119,7 @@
             connection.cancel();
             onFailure(true, "event ids out of order");
         } else if (complete.length > 0) {
+            request.binding().recordFirstEvent(runner);
             request.response().sendEvents(complete);
         }
     }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/TurnRecord.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/TurnRecord.java
@@ -9,6 +9,7 @@
 import org.parsleydrift.conversation.BeginResult;
 import org.parsleydrift.conversation.Grant;
 import org.parsleydrift.conversation.GrantState;
+import org.parsleydrift.conversation.StreamOrigin;
 import org.parsleydrift.conversation.Turn;
 import org.parsleydrift.kernel.LogLine;
 import org.parsleydrift.placement.PromptPart;
@@ -22,16 +23,18 @@
     private final RequestParameters parameters;
     private final Route route;
     private final String owner;
+    private final StreamBinding binding;
     private boolean reserved;
 
     /**
      * Creates a record whose turn and program ids are prefixed with the owner, as other owners may use the same ids.
      */
-    TurnRecord(Relay relay, RequestParameters parameters, Route route, String owner) {
+    TurnRecord(Relay relay, RequestParameters parameters, Route route, String owner, StreamBinding binding) {
         this.relay = relay;
         this.parameters = parameters;
         this.route = route;
         this.owner = owner;
+        this.binding = binding;
     }
 
     private String program() {
@@ -42,17 +45,32 @@
         return parameters.previousTurn().isEmpty() ? "" : owner + parameters.previousTurn();
     }
 
-    /** Reserves tokens and reads the conversation history. The future completes on the relay's loop and never fails. */
-    CompletableFuture<BeginResult> begin(Duration timeout) {
+    /**
+     * Reserves tokens, binds a new stream to a software version if possible, and reads the conversation history and the
+     * origin of a stream that is continued. The future completes on the relay's loop and never fails.
+     */
+    CompletableFuture<BeginResult> begin(String service, Duration timeout) {
         OptionalInt budget = parameters.program().isEmpty() ? OptionalInt.empty() : parameters.budget();
         String previous = route.stateful() ? previousTurn() : "";
+        Optional<StreamOrigin> origin = budget.isPresent() ? binding.bindNew(service) : Optional.empty();
         BeginRequest begin = new BeginRequest(
-                program(), parameters.id(), budget, parameters.maxTokens(), previous, route.retention(), timeout);
+                program(),
+                parameters.id(),
+                budget,
+                parameters.maxTokens(),
+                previous,
+                route.retention(),
+                timeout,
+                origin,
+                binding.resumedStream());
         return relay.conversations()
                 .begin(begin)
                 .thenApplyAsync(
                         result -> {
                             reserved = result instanceof BeginResult.Granted && budget.isPresent();
+                            if (reserved && origin.isPresent()) {
+                                binding.markRecorded();
+                            }
                             logDenial(result);
                             return result;
                         },
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/QueuedRequestFixture.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/QueuedRequestFixture.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.OptionalLong;
-import java.util.Set;
 import org.parsleydrift.placement.CachedPart;
 import org.parsleydrift.placement.Candidate;
 import org.parsleydrift.placement.PromptPart;
@@ -37,6 +36,9 @@
     @Override
     public void manifestChanged() {}
 
+    @Override
+    public void runnersChanged() {}
+
     @Override
     public String service() {
         return "s";
@@ -53,8 +55,8 @@
     }
 
     @Override
-    public Set<String> excludedRunners() {
-        return Set.of();
+    public boolean accepts(Runner each) {
+        return true;
     }
 
     @Override
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RequestLifecycleTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RequestLifecycleTest.java
@@ -95,7 +95,7 @@
                 new RequestEvent.MatchingBegun(),
                 new RequestEvent.Matched(true, Optional.empty()),
                 new RequestEvent.CallerLeft()));
-        BeginResult granted = new BeginResult.Granted(List.of(), List.of());
+        BeginResult granted = new BeginResult.Granted(List.of(), List.of(), Optional.empty());
         assertEquals(
                 lifecycle.apply(new RequestEvent.TurnBegun(granted)), List.of(new RequestAction.ReleaseReservation()));
     }
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/StreamFleet.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/StreamFleet.java
@@ -54,6 +54,7 @@
     private final Set<String> partitioned = ConcurrentHashMap.newKeySet();
     private final Map<String, Node> nodes = new LinkedHashMap<>();
     private final Map<String, ScriptedRunner> runners = new LinkedHashMap<>();
+    private final Set<String> rejecting = ConcurrentHashMap.newKeySet();
     private final Map<String, Runner> entries = new ConcurrentHashMap<>();
     private final StoreSet storeSet = new StoreSet(
             1, STORES.stream().map(each -> new StoreMember(each, each, each)).toList(), List.of());
@@ -120,11 +121,14 @@
 
         @Override
         public void send(String address, byte[] frame) {
-            loop.schedule(Duration.ZERO, () -> {
-                if (!partitioned.contains(from) && !partitioned.contains(address)) {
-                    calls.get(address).receive(frame);
-                }
-            });
+            // What a node has sent before it dies still arrives.
+            if (!partitioned.contains(from)) {
+                loop.schedule(Duration.ZERO, () -> {
+                    if (!partitioned.contains(address)) {
+                        calls.get(address).receive(frame);
+                    }
+                });
+            }
         }
 
         @Override
@@ -188,7 +192,8 @@
 
     /** Starts a runner that streams four events, or those after the last one that the request names. */
     void addRunner(String id, String service, String version) throws IOException {
-        ScriptedRunner runner = new ScriptedRunner(id, StreamFleet::stream);
+        ScriptedRunner runner =
+                new ScriptedRunner(id, request -> rejecting.contains(id) ? reject(request) : stream(request));
         runners.put(id, runner);
         Runner plain = runner.entry();
         entries.put(id, new Runner(id, service, plain.address(), "z", 8, false).withSoftwareVersion(version));
@@ -224,19 +229,24 @@
         nodes.values().forEach(each -> run(() -> each.registry.applyRunnerChanges(change)));
     }
 
-    /** Returns the requests that reached a runner. */
-    List<String> requestsAt(String runner) {
-        return runners.get(runner).requests;
+    /** Returns a runner that an attempt reached; empty if it reached none. */
+    Optional<String> runnerOf(String attempt) {
+        return runnersOf(attempt).stream().findFirst();
     }
 
-    /** Returns the runner that an attempt reached; empty if it reached none. */
-    Optional<String> runnerOf(String attempt) {
+    /** Returns the runners that an attempt reached. */
+    List<String> runnersOf(String attempt) {
         return runners.entrySet().stream()
                 .filter(each -> each.getValue().requests.stream()
                         .anyMatch(request -> ScriptedRunner.header(request, "Parsleydrift-Request")
                                 .equals(attempt)))
                 .map(Map.Entry::getKey)
-                .findFirst();
+                .toList();
+    }
+
+    /** Makes runners reject all requests as not executed. */
+    void rejectAt(String... ids) {
+        rejecting.addAll(List.of(ids));
     }
 
     /** Sends an attempt; the headers end with a line break each. */
@@ -254,16 +264,21 @@
     /** Sends an attempt and leaves after the first events; returns what was received. */
     String beginAndLeave(String node, String path, String attempt, String headers) throws IOException {
         try (Socket socket = send(node, path, attempt, headers)) {
-            StringBuilder text = new StringBuilder();
-            while (text.indexOf("id: 2\n") < 0) {
-                int next = socket.getInputStream().read();
-                if (next < 0) {
-                    return text.toString();
-                }
-                text.append((char) next);
+            return readUntil(socket, "id: 2\n");
+        }
+    }
+
+    /** Reads until a text has arrived or the connection has ended; returns what was received. */
+    static String readUntil(Socket socket, String expected) throws IOException {
+        StringBuilder text = new StringBuilder();
+        while (text.indexOf(expected) < 0) {
+            int next = socket.getInputStream().read();
+            if (next < 0) {
+                return text.toString();
             }
-            return text.toString();
+            text.append((char) next);
         }
+        return text.toString();
     }
 
     /** Sends an attempt that takes up a stream after its second event; returns the whole response. */
@@ -335,4 +350,8 @@
         return "HTTP/1.1 200 OK\r\nParsleydrift-Request: " + ScriptedRunner.header(request, "Parsleydrift-Request")
                 + "\r\nParsleydrift-Stamp: s\r\nContent-Length: " + (body.length() + missing) + "\r\n\r\n" + body;
     }
+
+    private static String reject(String request) {
+        return ScriptedRunner.response("503 Full", request, "Parsleydrift-Not-Executed: 1\r\n", "");
+    }
 }
