Randomised runs of processes under rolling upgrades of runners

bin/stream-soak starts entry and store processes on loopback with a platform and runners of several software versions, and draws kills, SIGTERM with grace, pauses, SIGHUP, losses of half of the entry processes, store VMs killed and paused, crashed and drained runners, whole and partial upgrades, and outages of the platform, in series and overlapping.

A run of 25 s of seed 1 is part of the tests.

--- /dev/null
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/Disturbances.java
@@ -0,0 +1,176 @@
+package org.parsleydrift.bench.streams;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/** Draws disturbances of the fleet, which come in series and overlap. */
+final class Disturbances implements AutoCloseable {
+    /** Limits of the longest pause between two disturbances of a run, which is drawn once for each run. */
+    private static final int MIN_LONGEST_PAUSE_MILLIS = 300;
+
+    private static final int MAX_LONGEST_PAUSE_MILLIS = 4000;
+    private static final int UPGRADE_GAP_MILLIS = 250;
+    private static final Duration DRAIN = Duration.ofMillis(1500);
+
+    private final SoakFleet fleet;
+    private final SplittableRandom random;
+    private final StreamSoakReport report;
+    private final ScheduledExecutorService executor = Executors.newScheduledThreadPool(2);
+    private int lastVersion = 1;
+
+    /** Kind of disturbance. */
+    private enum Kind {
+        ENTRY_KILLED,
+        ENTRY_TERMINATED,
+        ENTRY_PAUSED,
+        ENTRY_HANGUP,
+        HALF_OF_ENTRIES_KILLED,
+        STORE_KILLED,
+        STORE_PAUSED,
+        RUNNER_CRASHED,
+        RUNNER_DRAINED,
+        UPGRADE,
+        PARTIAL_UPGRADE,
+        PLATFORM_DOWN,
+        PLATFORM_SILENT
+    }
+
+    private interface Task {
+        void run() throws IOException;
+    }
+
+    Disturbances(SoakFleet fleet, SplittableRandom random, StreamSoakReport report) {
+        this.fleet = fleet;
+        this.random = random;
+        this.report = report;
+    }
+
+    /** Schedules disturbances for the given time; all of them have ended a few seconds after it. */
+    void schedule(Duration time) {
+        // The first upgrade is early, so that two versions serve for most of the run.
+        later(500, () -> upgrade(fleet.readyRunners().size() / 2));
+        int longestPause = random.nextInt(MIN_LONGEST_PAUSE_MILLIS, MAX_LONGEST_PAUSE_MILLIS);
+        for (long at = 1500; at < time.toMillis(); at += 50L + random.nextInt(longestPause)) {
+            Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
+            int target = random.nextInt(1 << 16);
+            long length = 200L + random.nextInt(2000);
+            later(at, () -> disturb(kind, target, length));
+        }
+    }
+
+    private void disturb(Kind kind, int target, long length) throws IOException {
+        report.count("disturbance_" + kind);
+        List<SoakFleet.EntryNode> entries = fleet.entries();
+        RoleProcess entry = entries.get(target % entries.size()).process();
+        RoleProcess store = fleet.stores().get(target % fleet.stores().size());
+        switch (kind) {
+            case ENTRY_KILLED -> restartAfterKill(entry, length);
+            case ENTRY_TERMINATED -> {
+                signal(entry, "TERM");
+                // Continues a paused process, which would not receive the signal otherwise.
+                signal(entry, "CONT");
+                later(SoakFleet.GRACE_SECONDS * 1000L, () -> restartAfterKill(entry, length / 4));
+            }
+            case ENTRY_PAUSED -> pause(entry, length);
+            case ENTRY_HANGUP -> signal(entry, "HUP");
+            case HALF_OF_ENTRIES_KILLED -> {
+                for (int i = 0; i < entries.size() / 2; i++) {
+                    restartAfterKill(entries.get((target + i) % entries.size()).process(), length);
+                }
+            }
+            case STORE_KILLED -> {
+                if (fleet.stores().stream().allMatch(RoleProcess::isRunning)) {
+                    restartAfterKill(store, length);
+                }
+            }
+            case STORE_PAUSED -> pause(store, length);
+            case RUNNER_CRASHED -> crash(target);
+            case RUNNER_DRAINED -> replace(runner(target), runner(target).version());
+            case UPGRADE -> upgrade(fleet.readyRunners().size());
+            case PARTIAL_UPGRADE -> upgrade(1 + target % 4);
+            case PLATFORM_DOWN -> {
+                fleet.setPlatformDown(true);
+                later(length, () -> fleet.setPlatformDown(false));
+            }
+            case PLATFORM_SILENT -> {
+                fleet.setPlatformSilent(true);
+                later(length, () -> fleet.setPlatformSilent(false));
+            }
+        }
+    }
+
+    private void restartAfterKill(RoleProcess process, long length) {
+        process.kill(fleet.clock().nanos());
+        later(Math.max(100, length), () -> process.start(fleet.clock().nanos()));
+    }
+
+    private void pause(RoleProcess process, long length) throws IOException {
+        signal(process, "STOP");
+        later(length, () -> signal(process, "CONT"));
+    }
+
+    private void signal(RoleProcess process, String signal) throws IOException {
+        process.signal(signal, fleet.clock().nanos());
+    }
+
+    private VersionedRunner runner(int target) {
+        List<VersionedRunner> ready = fleet.readyRunners();
+        return ready.get(target % ready.size());
+    }
+
+    /** A crashed runner's entry expires later than its successor starts. */
+    private void crash(int target) {
+        VersionedRunner crashed = runner(target);
+        fleet.stop(crashed);
+        later(300, () -> fleet.addRunner(crashed.version()));
+        later(DRAIN.toMillis(), () -> fleet.removeEntry(crashed));
+    }
+
+    /** Starts a runner, then drains another one and ends it. */
+    private void replace(VersionedRunner former, String version) {
+        fleet.addRunner(version);
+        fleet.drain(former);
+        later(DRAIN.toMillis(), () -> {
+            fleet.stop(former);
+            fleet.removeEntry(former);
+        });
+    }
+
+    /** Replaces runners by runners of the next version, one after the other. */
+    private void upgrade(int count) {
+        String version = "v" + ++lastVersion;
+        List<VersionedRunner> formers = new ArrayList<>(fleet.readyRunners());
+        for (int i = 0; i < Math.min(count, formers.size()); i++) {
+            VersionedRunner former = formers.get(i);
+            later((long) i * UPGRADE_GAP_MILLIS, () -> {
+                if (former.isReady()) {
+                    replace(former, version);
+                }
+            });
+        }
+    }
+
+    private void later(long millis, Task task) {
+        executor.schedule(
+                () -> {
+                    try {
+                        task.run();
+                    } catch (IOException | RuntimeException fault) {
+                        report.violation("disturbance failed: " + fault);
+                    }
+                },
+                millis,
+                TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void close() {
+        executor.shutdownNow();
+    }
+}
--- /dev/null
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/RoleProcess.java
@@ -0,0 +1,113 @@
+package org.parsleydrift.bench.streams;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/** An entry or store process of the system, started, stopped and sent signals by the run that created it. Thread-safe. */
+final class RoleProcess {
+    private static final List<String> OPTIONS = List.of(
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-Xmx110m",
+            "-Xss512k",
+            "-XX:-UsePerfData",
+            "--sun-misc-unsafe-memory-access=allow",
+            "--enable-native-access=ALL-UNNAMED");
+    private static final String MAIN = "org.parsleydrift.roles.RoleMain";
+
+    private final String name;
+    private final Path settings;
+    private final Path log;
+    private Optional<Process> process = Optional.empty();
+    private long disturbedNanos;
+
+    /**
+     * Creates a process that is not started yet.
+     *
+     * @param name name of its VM
+     * @param folder folder for its settings and its log
+     */
+    RoleProcess(String name, Path folder) {
+        this.name = name;
+        this.settings = folder.resolve(name + ".json");
+        this.log = folder.resolve(name + ".log");
+    }
+
+    String name() {
+        return name;
+    }
+
+    /** Writes the settings that apply from the next start on. */
+    void configure(String json) throws IOException {
+        Files.writeString(settings, json);
+    }
+
+    /** Starts the process; has no effect while it runs. */
+    synchronized void start(long nowNanos) throws IOException {
+        disturbedNanos = nowNanos;
+        if (isRunning()) {
+            return;
+        }
+        String classpath = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(OPTIONS);
+        command.addAll(List.of("-cp", classpath, MAIN, settings.toString()));
+        process = Optional.of(new ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+                .start());
+    }
+
+    /** Ends the process without warning. */
+    synchronized void kill(long nowNanos) {
+        disturbedNanos = nowNanos;
+        process.ifPresent(Process::destroyForcibly);
+    }
+
+    /** Sends a signal, such as TERM, STOP, CONT or HUP; has no effect on a process that has ended. */
+    synchronized void signal(String signal, long nowNanos) throws IOException {
+        disturbedNanos = nowNanos;
+        if (isRunning()) {
+            new ProcessBuilder(
+                            "kill",
+                            "-" + signal,
+                            Long.toString(process.orElseThrow().pid()))
+                    .start();
+        }
+    }
+
+    synchronized boolean isRunning() {
+        return process.filter(Process::isAlive).isPresent();
+    }
+
+    /** Returns the time of the latest start or signal. */
+    synchronized long disturbedNanos() {
+        return disturbedNanos;
+    }
+
+    /** Returns whether a text appears in the log. */
+    boolean hasLogged(String text) throws IOException {
+        return Files.exists(log) && Files.readString(log).contains(text);
+    }
+
+    /** Ends the process and waits until it is gone. */
+    void close() {
+        Optional<Process> running;
+        synchronized (this) {
+            running = process;
+        }
+        if (running.isPresent()) {
+            running.get()
+                    .destroyForcibly()
+                    .onExit()
+                    .orTimeout(10, TimeUnit.SECONDS)
+                    .join();
+        }
+    }
+}
--- /dev/null
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/SoakFleet.java
@@ -0,0 +1,257 @@
+package org.parsleydrift.bench.streams;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.locks.LockSupport;
+import org.parsleydrift.kernel.DisruptorEventLoop;
+import org.parsleydrift.kernel.RuntimeClock;
+import org.parsleydrift.kernel.SystemClock;
+import org.parsleydrift.registry.ObjectKind;
+import org.parsleydrift.standin.InMemorySharedObjects;
+import org.parsleydrift.standin.SharedObjectsServer;
+import org.parsleydrift.wire.HttpServer;
+import org.parsleydrift.wire.NetworkThreads;
+
+/** Entry and store processes on loopback, with a platform and runners inside this process. Thread-safe. */
+final class SoakFleet implements StreamCaller.Environment, AutoCloseable {
+    /** Grace time of the processes after SIGTERM, s. */
+    static final int GRACE_SECONDS = 3;
+
+    private static final int STORES = 3;
+    private static final int MAX_CONNECTIONS = 4096;
+    private static final Duration START_TIMEOUT = Duration.ofSeconds(60);
+    private static final Duration START_CHECK = Duration.ofMillis(100);
+    /** Time without disturbance after which a process counts as in touch. */
+    private static final Duration STABLE = Duration.ofSeconds(3);
+    /** Time after which a runner's entry counts as known to all nodes. */
+    private static final Duration KNOWN = Duration.ofSeconds(1);
+
+    private static final String MANIFEST = """
+            {"version": 1, "limits": {}, "services": [{"name": "desk", "engine": {"chunk_tokens": 5}}], "routes": [
+              {"name": "dispatch", "host": "127.0.0.1", "path_prefix": "/dispatch/", "type": "streaming",
+               "service": "desk", "timeout_ms": 3000, "resumable": true, "retention_s": 60}]}
+            """;
+
+    private final Path folder;
+    private final RuntimeClock clock = new SystemClock();
+    private final DisruptorEventLoop platformLoop = new DisruptorEventLoop("soak-platform", clock);
+    private final DisruptorEventLoop runnerLoop = new DisruptorEventLoop("soak-runners", clock);
+    private final NetworkThreads threads = new NetworkThreads("soak-platform-net", 2);
+    private final InMemorySharedObjects objects = new InMemorySharedObjects(platformLoop, Duration.ofMillis(2));
+    private final HttpServer platform;
+    private final List<RoleProcess> stores = new ArrayList<>();
+    private final List<EntryNode> entries = new ArrayList<>();
+    private final Map<String, VersionedRunner> runners = new ConcurrentHashMap<>();
+    private final Map<String, Long> readySince = new ConcurrentHashMap<>();
+    private volatile long platformDisturbedNanos;
+    private int lastRunner;
+
+    /** An entry process and its address for callers. */
+    final class EntryNode implements StreamCaller.Node {
+        private final RoleProcess process;
+        private final String address;
+
+        private EntryNode(RoleProcess process, String address) {
+            this.process = process;
+            this.address = address;
+        }
+
+        RoleProcess process() {
+            return process;
+        }
+
+        @Override
+        public String address() {
+            return address;
+        }
+
+        @Override
+        public boolean isInTouch() {
+            return process.isRunning()
+                    && isStable(process.disturbedNanos())
+                    && isStable(platformDisturbedNanos)
+                    && stores.stream().allMatch(each -> each.isRunning() && isStable(each.disturbedNanos()));
+        }
+    }
+
+    /** Creates the processes without starting them; the folder holds settings, logs and data. */
+    SoakFleet(Path folder, int entryCount) throws IOException {
+        this.folder = folder;
+        this.platform = new HttpServer(
+                threads, "127.0.0.1", 0, MAX_CONNECTIONS, new SharedObjectsServer(objects, platformLoop));
+        for (int i = 1; i <= STORES; i++) {
+            RoleProcess store = new RoleProcess("store" + i, folder);
+            store.configure(storeSettings(store.name(), address(), true));
+            stores.add(store);
+        }
+        for (int i = 1; i <= entryCount; i++) {
+            RoleProcess entry = new RoleProcess("entry" + i, folder);
+            String callers = address();
+            entry.configure(entrySettings(entry.name(), callers));
+            entries.add(new EntryNode(entry, callers));
+        }
+        write(ObjectKind.MANIFEST, "main", MANIFEST);
+    }
+
+    /** Starts all processes and waits until the nodes can serve. */
+    void start() throws IOException {
+        for (RoleProcess each : stores) {
+            each.start(clock.nanos());
+        }
+        for (EntryNode each : entries) {
+            each.process().start(clock.nanos());
+        }
+        long endNanos = clock.nanos() + START_TIMEOUT.toNanos();
+        while (!hasStarted()) {
+            if (clock.nanos() - endNanos >= 0) {
+                throw new IOException("processes did not start within " + START_TIMEOUT + "; logs in " + folder);
+            }
+            LockSupport.parkNanos(START_CHECK.toNanos());
+        }
+    }
+
+    private boolean hasStarted() throws IOException {
+        if (!stores.getFirst().hasLogged("event=store_complete epoch=" + STORES)) {
+            return false;
+        }
+        for (EntryNode each : entries) {
+            if (!each.process().hasLogged("event=manifest_in_force")) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    RuntimeClock clock() {
+        return clock;
+    }
+
+    List<RoleProcess> stores() {
+        return stores;
+    }
+
+    List<EntryNode> entries() {
+        return entries;
+    }
+
+    List<VersionedRunner> readyRunners() {
+        return runners.values().stream().filter(VersionedRunner::isReady).toList();
+    }
+
+    /** Starts a runner and writes its entry. */
+    synchronized void addRunner(String version) {
+        VersionedRunner runner = new VersionedRunner("r" + ++lastRunner, version, runnerLoop);
+        runners.put(runner.id(), runner);
+        readySince.put(runner.id(), clock.nanos());
+        write(ObjectKind.RUNNERS, runner.id(), runner.entry());
+    }
+
+    void drain(VersionedRunner runner) {
+        runner.setDraining();
+        write(ObjectKind.RUNNERS, runner.id(), runner.entry());
+    }
+
+    /** Ends a runner unless it has ended; its entry remains until {@link #removeEntry}. */
+    void stop(VersionedRunner runner) {
+        if (runners.remove(runner.id()) != null) {
+            readySince.remove(runner.id());
+            runner.close();
+        }
+    }
+
+    void removeEntry(VersionedRunner runner) {
+        platformLoop.execute(() -> objects.delete(ObjectKind.RUNNERS, runner.id()));
+    }
+
+    /** Makes the platform reject all calls, or serve again. */
+    void setPlatformDown(boolean down) {
+        platformDisturbedNanos = clock.nanos();
+        platformLoop.execute(() -> objects.down(down));
+    }
+
+    /** Makes the platform answer nothing, or answer again. */
+    void setPlatformSilent(boolean silent) {
+        platformDisturbedNanos = clock.nanos();
+        platformLoop.execute(() -> objects.silent(silent));
+    }
+
+    @Override
+    public StreamCaller.Node choose(SplittableRandom random, Optional<StreamCaller.Node> other) {
+        List<EntryNode> running = entries.stream()
+                .filter(each ->
+                        each.process().isRunning() && other.filter(each::equals).isEmpty())
+                .toList();
+        List<EntryNode> choices = running.isEmpty() ? entries : running;
+        return choices.get(random.nextInt(choices.size()));
+    }
+
+    @Override
+    public boolean isServed(String version) {
+        long now = clock.nanos();
+        return readyRunners().stream()
+                        .filter(each -> each.version().equals(version)
+                                && now - readySince.getOrDefault(each.id(), now) > KNOWN.toNanos())
+                        .count()
+                >= 2;
+    }
+
+    private boolean isStable(long disturbedNanos) {
+        return clock.nanos() - disturbedNanos > STABLE.toNanos();
+    }
+
+    private void write(ObjectKind kind, String name, String content) {
+        platformLoop.execute(() -> objects.write(kind, name, content.getBytes(UTF_8)));
+    }
+
+    private String storeSettings(String name, String link, boolean firstStart) {
+        return """
+                {"role": "store", "outside": "platform", "vm": "%s", "zone": "a", "link": "%s", "metrics": "127.0.0.1:0",
+                 "platform": "%s", "data_folder": "%s", "first_start": %s, "grace_s": %d}
+                """.formatted(name, link, platformAddress(), folder.resolve(name + "-data"), firstStart, GRACE_SECONDS);
+    }
+
+    private String entrySettings(String name, String callers) throws IOException {
+        return """
+                {"role": "entry", "outside": "platform", "vm": "%s", "zone": "a", "link": "%s", "callers": "%s",
+                 "readiness": "127.0.0.1:0", "directory": "127.0.0.1:0", "metrics": "127.0.0.1:0", "platform": "%s",
+                 "first_start": true, "grace_s": %d}
+                """.formatted(name, address(), callers, platformAddress(), GRACE_SECONDS);
+    }
+
+    private String platformAddress() {
+        return "127.0.0.1:" + platform.port();
+    }
+
+    /** Returns a free port of the loopback interface. */
+    private static String address() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return "127.0.0.1:" + socket.getLocalPort();
+        }
+    }
+
+    @Override
+    public void close() {
+        for (EntryNode each : entries) {
+            each.process().close();
+        }
+        for (RoleProcess each : stores) {
+            each.close();
+        }
+        runners.values().forEach(VersionedRunner::close);
+        platform.close();
+        threads.close();
+        platformLoop.close();
+        runnerLoop.close();
+    }
+}
--- /dev/null
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoak.java
@@ -0,0 +1,63 @@
+package org.parsleydrift.bench.streams;
+
+import java.io.IOException;
+import java.net.http.HttpClient;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.SplittableRandom;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.parsleydrift.kernel.RuntimeClock;
+
+/** One randomised run: callers stream through a fleet of processes that is disturbed meanwhile. */
+final class StreamSoak {
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
+    private final StreamSoakOptions options;
+
+    StreamSoak(StreamSoakOptions options) {
+        this.options = options;
+    }
+
+    /** Runs; the folder keeps settings, logs and data. */
+    StreamSoakReport run(Path folder) throws IOException {
+        Files.createDirectories(folder);
+        StreamSoakReport report = new StreamSoakReport();
+        SplittableRandom random = new SplittableRandom(options.seed());
+        try (SoakFleet fleet = new SoakFleet(folder, options.entries())) {
+            for (int i = 0; i < options.runners(); i++) {
+                fleet.addRunner("v1");
+            }
+            fleet.start();
+            try (Disturbances disturbances = new Disturbances(fleet, random.split(), report)) {
+                disturbances.schedule(options.time());
+                stream(fleet, random, report);
+            }
+        }
+        return report;
+    }
+
+    private void stream(SoakFleet fleet, SplittableRandom random, StreamSoakReport report) {
+        RuntimeClock clock = fleet.clock();
+        long endNanos = clock.nanos() + options.time().toNanos();
+        try (HttpClient client = HttpClient.newBuilder()
+                        .version(HttpClient.Version.HTTP_1_1)
+                        .connectTimeout(CONNECT_TIMEOUT)
+                        .build();
+                ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor()) {
+            for (int i = 1; i <= options.callers(); i++) {
+                StreamCaller caller = new StreamCaller("c" + i, fleet, client, random.split(), clock, report);
+                callers.submit(() -> {
+                    try {
+                        caller.run(endNanos);
+                    } catch (InterruptedException ended) {
+                        Thread.currentThread().interrupt();
+                    } catch (RuntimeException fault) {
+                        report.violation("caller failed: " + fault);
+                    }
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakMain.java
@@ -0,0 +1,92 @@
+package org.parsleydrift.bench.streams;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+
+/** Command-line entry point of randomised runs of processes: {@code bin/stream-soak --seed N --runs N}. */
+public final class StreamSoakMain {
+    private static final int EXIT_USAGE = 2;
+    private static final int MAX_PRINTED_VIOLATIONS = 20;
+    /** Limits of one run, which loads the machine that it runs on. */
+    private static final int MAX_ENTRIES = 120;
+
+    private static final int MAX_SECONDS = 300;
+
+    private StreamSoakMain() {}
+
+    /**
+     * Prints one line per run; exits with 1 if an invariant was violated, with 2 on invalid arguments.
+     *
+     * @param arguments see {@code --help}
+     * @throws IOException if a process cannot be started or the help cannot be printed
+     */
+    public static void main(String[] arguments) throws IOException {
+        OptionParser parser = new OptionParser();
+        OptionSpec<Long> seed = parser.accepts("seed", "seed of the first run")
+                .withRequiredArg()
+                .ofType(Long.class)
+                .defaultsTo(1L);
+        OptionSpec<Integer> runs = integer(parser, "runs", "number of runs", 1);
+        OptionSpec<Integer> seconds = integer(parser, "seconds", "duration of a run, at most " + MAX_SECONDS, 25);
+        OptionSpec<Integer> entries = integer(parser, "entries", "entry processes, at most " + MAX_ENTRIES, 5);
+        OptionSpec<Integer> runners = integer(parser, "runners", "runners at the start", 9);
+        OptionSpec<Integer> callers = integer(parser, "callers", "concurrent callers", 24);
+        OptionSpec<String> folder = parser.accepts("folder", "where settings, logs and data of the runs go")
+                .withRequiredArg()
+                .defaultsTo("target/stream-soak");
+        parser.accepts("help", "print this").forHelp();
+        OptionSet options;
+        try {
+            options = parser.parse(arguments);
+        } catch (OptionException fault) {
+            System.err.println("stream-soak: " + fault.getMessage());
+            System.exit(EXIT_USAGE);
+            return;
+        }
+        if (options.has("help")) {
+            parser.printHelpOn(System.out);
+            return;
+        }
+        if (options.valueOf(seconds) > MAX_SECONDS || options.valueOf(entries) > MAX_ENTRIES) {
+            System.err.println("stream-soak: at most " + MAX_SECONDS + " s and " + MAX_ENTRIES + " entry processes");
+            System.exit(EXIT_USAGE);
+            return;
+        }
+        int violations = 0;
+        for (int run = 0; run < options.valueOf(runs); run++) {
+            StreamSoakOptions one = new StreamSoakOptions(
+                    options.valueOf(seed) + run,
+                    options.valueOf(entries),
+                    options.valueOf(runners),
+                    options.valueOf(callers),
+                    Duration.ofSeconds(options.valueOf(seconds)));
+            violations += run(one, Path.of(options.valueOf(folder)).toAbsolutePath());
+        }
+        System.exit(violations == 0 ? 0 : 1);
+    }
+
+    private static OptionSpec<Integer> integer(OptionParser parser, String name, String description, int value) {
+        return parser.accepts(name, description)
+                .withRequiredArg()
+                .ofType(Integer.class)
+                .defaultsTo(value);
+    }
+
+    private static int run(StreamSoakOptions options, Path folder) throws IOException {
+        Files.createDirectories(folder);
+        Path own = Files.createTempDirectory(folder, "seed" + options.seed() + "-");
+        StreamSoakReport report = new StreamSoak(options).run(own);
+        List<String> violations = report.violations();
+        System.out.println("stream-soak seed=" + options.seed() + " entries=" + options.entries() + " violations="
+                + violations.size() + " " + report);
+        violations.stream().limit(MAX_PRINTED_VIOLATIONS).forEach(each -> System.out.println("  violation " + each));
+        return violations.size();
+    }
+}
--- /dev/null
+++ b/parsleydrift-bench/src/test/java/org/parsleydrift/bench/streams/StreamSoakTest.java
@@ -0,0 +1,26 @@
+package org.parsleydrift.bench.streams;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import org.testng.annotations.Test;
+
+/** A short randomised run of processes under rolling upgrades. */
+public class StreamSoakTest {
+    private static final long SEED = 1;
+
+    /** Guards against streams joined from two software versions, incomplete or lost, while processes and runners fail. */
+    @Test
+    public void streamsGoOnAtTheirSoftwareVersion() throws IOException {
+        Path folder = Files.createTempDirectory(Files.createDirectories(Path.of("target", "stream-soak")), "ci");
+        StreamSoakOptions options = new StreamSoakOptions(SEED, 4, 9, 16, Duration.ofSeconds(25));
+        StreamSoakReport report = new StreamSoak(options).run(folder.toAbsolutePath());
+        assertEquals(report.violations(), List.of(), report.toString());
+        assertTrue(report.toString().contains("resumed_200"), report.toString());
+    }
+}
