A resumed stream must follow the event at which it was interrupted

The reader of a resumed stream now starts from Last-Event-Id, and a stream that does not follow it is cut before an event of it is passed on.

Tested: EventStreamReaderTest.resumedStreamFollowsItsLastEvent (new), ResumedStreamTest, RelayTest: 54 tests of the relay run, all pass.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/EventStreamReader.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/EventStreamReader.java
@@ -21,8 +21,22 @@
     private boolean eventHasLines;
     private boolean outOfOrder;
 
+    /** Creates a reader of a new stream. */
     EventStreamReader(boolean collectData) {
+        this(collectData, "");
+    }
+
+    /**
+     * Creates a reader of a stream that goes on after an event.
+     *
+     * @param collectData whether to collect the data of the events
+     * @param lastEventId id of the event that precedes the first one; the empty string for a new stream
+     */
+    EventStreamReader(boolean collectData, String lastEventId) {
         this.collectData = collectData;
+        if (!lastEventId.isEmpty()) {
+            checkId(lastEventId);
+        }
     }
 
     /** Parses the next bytes of the stream and returns the events that they complete; empty if none. */
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -265,6 +265,11 @@
         return Math.max(0, (deadlineNanos - relay.loop().clock().nanos()) / 1_000_000);
     }
 
+    /** Returns the id of the event after which the stream goes on; the empty string for a new stream. */
+    String lastEventId() {
+        return params.resumption().map(StreamResumption::lastEventId).orElse("");
+    }
+
     StreamBinding binding() {
         return binding;
     }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerExchange.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerExchange.java
@@ -33,7 +33,7 @@
         this.chosen = chosen;
         this.runner = chosen.runner();
         this.streaming = streaming;
-        this.events = new EventStreamReader(collectData);
+        this.events = new EventStreamReader(collectData, request.lastEventId());
     }
 
     void start() {
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/EventStreamReaderTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/EventStreamReaderTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.util.List;
 import org.testng.annotations.Test;
 
 public class EventStreamReaderTest {
@@ -33,6 +34,18 @@
         assertTrue(reader.isOutOfOrder());
     }
 
+    /** Guards against a resumed stream with a gap or a repeated event where the two runs meet. */
+    @Test
+    public void resumedStreamFollowsItsLastEvent() {
+        EventStreamReader following = new EventStreamReader(false, "2");
+        assertEquals(parse(following, "id: 3\ndata: c\n\n"), "id: 3\ndata: c\n\n");
+        for (String id : List.of("1", "2", "4")) {
+            EventStreamReader reader = new EventStreamReader(false, "2");
+            assertEquals(parse(reader, "id: " + id + "\ndata: x\n\n"), "");
+            assertTrue(reader.isOutOfOrder());
+        }
+    }
+
     @Test
     public void keepsUnknownFields() {
         EventStreamReader reader = new EventStreamReader(true);
