Turns of system-driven programs resume at the same engine process only

Each line of a turn now names the engine's process; a line of another process, or of one that does not name itself, ends the turn with an unknown outcome, and the program runs the turn anew, which voids what callers got of it.

--- a/parsleydrift-daemon/src/main/java/org/parsleydrift/daemon/HttpEngineClient.java
+++ b/parsleydrift-daemon/src/main/java/org/parsleydrift/daemon/HttpEngineClient.java
@@ -28,7 +28,10 @@
 import org.parsleydrift.wire.HttpRequestSpec;
 import org.parsleydrift.wire.LineSplitter;
 
-/** HTTP client of model engines. A turn is a stream of JSON lines with a stream id; the last has {@code done}. */
+/**
+ * HTTP client of model engines. A turn is a stream of JSON lines, each with a stream id and the id of the engine process; the
+ * last has {@code done}.
+ */
 final class HttpEngineClient implements EngineClient {
     private static final Duration STREAM_IDLE_TIMEOUT = Duration.ofSeconds(4);
     private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(2);
@@ -68,7 +71,10 @@
                 });
     }
 
-    /** One turn, resumed on a new connection after a failure. Synchronized on itself. */
+    /**
+     * One turn, resumed on a new connection after a failure, but only at the engine process that began its text: another
+     * one generates another text. Synchronized on itself.
+     */
     private final class Turn {
         private final String runner;
         private final TurnRequest request;
@@ -76,6 +82,7 @@
         private final CompletableFuture<TurnResult> done;
         private final StringBuilder text = new StringBuilder();
         private final LineSplitter lines = new LineSplitter(this::handleLine);
+        private String engine = "";
         private HttpCall call;
         private int resumes;
         private boolean cancelled;
@@ -123,6 +130,12 @@
                             false,
                             "expected stream " + request.streamId() + ", got " + node.path("stream"));
                     call.cancel().run();
+                } else if (!isContinuedBy(node.path("engine").asText())) {
+                    fail(
+                            CallFailure.UNKNOWN,
+                            false,
+                            "text began at engine " + engine + ", and goes on at " + node.path("engine"));
+                    call.cancel().run();
                 } else if (node.path("done").asBoolean()) {
                     finish(node);
                 } else {
@@ -136,6 +149,14 @@
             }
         }
 
+        /** Returns whether an engine process can add to the text; one that does not name itself cannot resume it. */
+        private boolean isContinuedBy(String process) {
+            if (text.isEmpty()) {
+                engine = process;
+            }
+            return engine.equals(process) && (resumes == 0 || text.isEmpty() || !process.isEmpty());
+        }
+
         private void finish(JsonNode node) {
             if (node.path("length").asInt() != text.length()) {
                 fail(
--- a/parsleydrift-standin/src/main/java/org/parsleydrift/standin/EngineServer.java
+++ b/parsleydrift-standin/src/main/java/org/parsleydrift/standin/EngineServer.java
@@ -19,6 +19,7 @@
     private static final String LINES = "application/x-ndjson";
 
     private final StandInEngine engine;
+    private final String process;
 
     /**
      * Makes a server.
@@ -29,6 +30,7 @@
     public EngineServer(StandInEngine engine, EventLoop loop) {
         super(loop);
         this.engine = engine;
+        this.process = "e" + loop.clock().instant().toEpochMilli();
     }
 
     @Override
@@ -93,9 +95,10 @@
         return end;
     }
 
-    private static String line(TurnRequest request, Map<String, Object> fields) {
+    private String line(TurnRequest request, Map<String, Object> fields) {
         Map<String, Object> all = new LinkedHashMap<>();
         all.put("stream", request.streamId());
+        all.put("engine", process);
         all.putAll(fields);
         try {
             return JsonDocument.MAPPER.writeValueAsString(all) + "\n";
