Randomised runs use ports that outgoing connections do not take

Ports came from the range that the system assigns to outgoing connections; they now lie below it and differ between runs.

--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/SoakFleet.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/SoakFleet.java
@@ -3,6 +3,7 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Path;
@@ -29,6 +30,9 @@
     static final int GRACE_SECONDS = 3;
 
     private static final int STORES = 3;
+    private static final int FIRST_PORT = 12_000;
+    private static final int PORTS = 20_000;
+    private static final int PORTS_PER_RUN = 300;
     private static final int MAX_CONNECTIONS = 4096;
     private static final Duration START_TIMEOUT = Duration.ofSeconds(60);
     private static final Duration START_CHECK = Duration.ofMillis(100);
@@ -56,6 +60,8 @@
     private final Map<String, Long> readySince = new ConcurrentHashMap<>();
     private volatile long platformDisturbedNanos;
     private int lastRunner;
+    /** Differs between processes, so that runs side by side try different ports. */
+    private int nextPort = (int) (ProcessHandle.current().pid() * PORTS_PER_RUN % PORTS);
 
     /** An entry process and its address for callers. */
     final class EntryNode implements StreamCaller.Node {
@@ -233,11 +239,20 @@
         return "127.0.0.1:" + platform.port();
     }
 
-    /** Returns a free port of the loopback interface. */
-    private static String address() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return "127.0.0.1:" + socket.getLocalPort();
+    /**
+     * Returns a free address of the loopback interface. Its port is below those that the system assigns to outgoing
+     * connections, which could otherwise take it while a process is down.
+     */
+    private String address() throws IOException {
+        for (int i = 0; i < PORTS; i++) {
+            int port = FIRST_PORT + Math.floorMod(nextPort++, PORTS);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return "127.0.0.1:" + socket.getLocalPort();
+            } catch (BindException taken) {
+                continue;
+            }
         }
+        throw new IOException("no free port from " + FIRST_PORT + " on");
     }
 
     @Override
