--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/SoakFleet.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/SoakFleet.java
@@ -249,7 +249,7 @@
             try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
                 return "127.0.0.1:" + socket.getLocalPort();
             } catch (BindException taken) {
-                continue;
+                // Tries the next port.
             }
         }
         throw new IOException("no free port from " + FIRST_PORT + " on");
