--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/SoakFleet.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/SoakFleet.java
@@ -108,6 +108,8 @@
             entries.add(new EntryNode(entry, callers));
         }
         write(ObjectKind.MANIFEST, "main", MANIFEST);
+        // The processes would outlive a run that is ended by a signal.
+        Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses, "soak-end"));
     }
 
     /** Starts all processes and waits until the nodes can serve. */
@@ -255,14 +257,14 @@
         throw new IOException("no free port from " + FIRST_PORT + " on");
     }
 
+    private void endProcesses() {
+        entries.forEach(each -> each.process().close());
+        stores.forEach(RoleProcess::close);
+    }
+
     @Override
     public void close() {
-        for (EntryNode each : entries) {
-            each.process().close();
-        }
-        for (RoleProcess each : stores) {
-            each.close();
-        }
+        endProcesses();
         runners.values().forEach(VersionedRunner::close);
         platform.close();
         threads.close();
