--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RequestLifecycleTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RequestLifecycleTest.java
@@ -43,6 +43,7 @@
             {new RequestEvent.KeyRevoked(true), 502},
             {new RequestEvent.KeyRevoked(false), 502},
             {new RequestEvent.AdmissionRefused("full", Duration.ofMillis(200)), 502},
+            {new RequestEvent.StreamUnservable("no runner of its version"), 502},
         };
     }
 
@@ -64,6 +65,17 @@
         assertTrue(actions.contains(new RequestAction.Respond(502)), actions.toString());
     }
 
+    /** A stream of whose version no runner is left leaves the queue and is reported as not run. */
+    @Test
+    public void unservableStreamIsWithdrawnAndRefused() {
+        List<RequestAction> actions = queued().apply(new RequestEvent.StreamUnservable("no runner of its version"));
+        assertEquals(actions.getFirst(), new RequestAction.Withdraw());
+        assertTrue(
+                actions.contains(new RequestAction.RespondRetryLater(503, RelayLimits.RETRY_DELAY_RESUMPTION, true)),
+                actions.toString());
+        assertTrue(actions.contains(new RequestAction.ReleaseReservation()), actions.toString());
+    }
+
     /** A rejection by the admission policy gives back what the request holds and states its delay without jitter. */
     @Test
     public void refusedAdmissionReleasesAll() {
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/ResumedStreamTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/ResumedStreamTest.java
@@ -134,6 +134,28 @@
         assertEquals(fleet.runnerOf("q3").orElseThrow(), "sv1-1");
     }
 
+    /** Guards against waiting on for a version whose last runner leaves while the request is in the queue. */
+    @Test
+    public void waitingStreamIsRejectedWhenItsVersionIsGone() throws IOException {
+        addRunners(1, "s", "v1");
+        fleet.beginAndLeave("a", PATH, "q1", BUDGET.formatted(1));
+        List<Socket> open = new ArrayList<>();
+        for (int i = 0; i < 3 * StreamFleet.SLOTS; i++) {
+            open.add(fleet.send("b", PATH, "busy" + i, ""));
+        }
+        int occupied = fleet.awaitQueued("b", 1);
+        try (Socket waiting =
+                fleet.send("b", PATH, "q2", "Last-Event-Id: 2\r\nParsleydrift-Resumes: q1\r\n" + BUDGET.formatted(1))) {
+            fleet.awaitQueued("b", occupied + 1);
+            addRunners(1, "s", "v2");
+            fleet.removeRunner("sv1-1");
+            assertRejected("q2", StreamFleet.readUntil(waiting, "\r\n\r\n"));
+        }
+        for (Socket each : open) {
+            each.close();
+        }
+    }
+
     /** Guards against a guess by a node that is cut off from the store VMs, which hold the origins. */
     @Test
     public void nodeCutOffFromStoresDoesNotGuess() throws IOException {
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/StreamFleet.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/StreamFleet.java
@@ -18,6 +18,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.parsleydrift.conversation.ConversationClient;
 import org.parsleydrift.conversation.ConversationReplica;
 import org.parsleydrift.conversation.Conversations;
@@ -46,6 +47,9 @@
 final class StreamFleet implements AutoCloseable {
     private static final int TIMEOUT_MILLIS = 20_000;
     private static final int EVENTS = 4;
+    /** Slots of each runner. */
+    static final int SLOTS = 8;
+
     private static final List<String> STORES = List.of("store1", "store2", "store3");
 
     private final NetworkThreads threads = new NetworkThreads("stream-fleet", 1);
@@ -65,6 +69,7 @@
     /** One entry node. */
     final class Node {
         private final Registry registry = new Registry(loop, new Decoder());
+        private final Dispatcher dispatcher;
         private final CallerServer server;
 
         private Node(String name) {
@@ -72,11 +77,12 @@
             calls.put(name, own);
             ConversationClient client = new ConversationClient(loop, own);
             run(() -> client.adopt(storeSet));
+            dispatcher = new Dispatcher(registry, new Random(name.hashCode()), "z", loop.clock()::nanos);
             Relay relay = new Relay(
                     threads,
                     loop,
                     registry,
-                    new Dispatcher(registry, new Random(name.hashCode()), "z", loop.clock()::nanos),
+                    dispatcher,
                     new Conversations(client),
                     new QuotaTracker(
                             loop.clock()::nanos, new Random(3), new QuotaPolicy(Duration.ofSeconds(5), 20), () -> true),
@@ -196,7 +202,7 @@
                 new ScriptedRunner(id, request -> rejecting.contains(id) ? reject(request) : stream(request));
         runners.put(id, runner);
         Runner plain = runner.entry();
-        entries.put(id, new Runner(id, service, plain.address(), "z", 8, false).withSoftwareVersion(version));
+        entries.put(id, new Runner(id, service, plain.address(), "z", SLOTS, false).withSoftwareVersion(version));
         publish(id, false);
     }
 
@@ -210,7 +216,8 @@
     void restoreRunner(String id, String service, String version) {
         entries.put(
                 id,
-                new Runner(id, service, runners.get(id).entry().address(), "z", 8, false).withSoftwareVersion(version));
+                new Runner(id, service, runners.get(id).entry().address(), "z", SLOTS, false)
+                        .withSoftwareVersion(version));
         publish(id, false);
     }
 
@@ -244,6 +251,16 @@
                 .toList();
     }
 
+    /** Waits until a node has at least the given number of requests in its queue; returns their number. */
+    int awaitQueued(String node, int atLeast) {
+        AtomicInteger queued = new AtomicInteger();
+        long endNanos = loop.clock().nanos() + Duration.ofMillis(TIMEOUT_MILLIS).toNanos();
+        do {
+            run(() -> queued.set(nodes.get(node).dispatcher.queueLength()));
+        } while (queued.get() < atLeast && loop.clock().nanos() - endNanos < 0);
+        return queued.get();
+    }
+
     /** Makes runners reject all requests as not executed. */
     void rejectAt(String... ids) {
         rejecting.addAll(List.of(ids));
