The test of a waiting stream fills the runner for requests with prompts

Traced: a fault of the test. The requests that occupy the runner had no prompt, and a runner takes more requests with prompts than without, so the resumption was at times sent to it at once instead of waiting. They have prompts now, the test waits until the resumption is queued, and it checks that the rejection isn't that of a wait that is over.

--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/RecordIndex.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/RecordIndex.java
@@ -182,28 +182,22 @@
     }
 
     private static DurableLog.Entry entry(Turn turn, long expiresAtMillis) {
-        return new DurableLog.Entry(
-                MessagePackFrames.encode(out -> {
-                    out.packByte(TURN);
-                    ConversationCodec.turn(out, turn);
-                }),
-                expiresAtMillis);
+        return entry(TURN, out -> ConversationCodec.turn(out, turn), expiresAtMillis);
     }
 
     private static DurableLog.Entry entry(Grant grant, long expiresAtMillis) {
-        return new DurableLog.Entry(
-                MessagePackFrames.encode(out -> {
-                    out.packByte(GRANT);
-                    ConversationCodec.grant(out, grant);
-                }),
-                expiresAtMillis);
+        return entry(GRANT, out -> ConversationCodec.grant(out, grant), expiresAtMillis);
     }
 
     private static DurableLog.Entry entry(StreamOrigin origin, long expiresAtMillis) {
+        return entry(STREAM_ORIGIN, out -> ConversationCodec.origin(out, origin), expiresAtMillis);
+    }
+
+    private static DurableLog.Entry entry(byte type, MessagePackFrames.Writer record, long expiresAtMillis) {
         return new DurableLog.Entry(
                 MessagePackFrames.encode(out -> {
-                    out.packByte(STREAM_ORIGIN);
-                    ConversationCodec.origin(out, origin);
+                    out.packByte(type);
+                    record.write(out);
                 }),
                 expiresAtMillis);
     }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -89,8 +89,8 @@
             apply(new RequestEvent.StreamUnservable(obstacle.get()));
             return;
         }
-        boolean recorded = params.isTurn(route) || binding.isResumption();
-        apply(new RequestEvent.Matched(recorded, team.quotaRetryDelay()));
+        boolean needsRecords = params.isTurn(route) || binding.isResumption();
+        apply(new RequestEvent.Matched(needsRecords, team.quotaRetryDelay()));
     }
 
     private void apply(RequestEvent event) {
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestEvent.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestEvent.java
@@ -36,10 +36,10 @@
     /**
      * The request has a route.
      *
-     * @param turn whether the store VMs record it
+     * @param needsRecords whether the store VMs record it or hold the origin of the stream that it continues
      * @param quotaRetryDelay retry delay if the team's quota is exhausted already, else empty
      */
-    record Matched(boolean turn, Optional<Duration> quotaRetryDelay) implements RequestEvent {}
+    record Matched(boolean needsRecords, Optional<Duration> quotaRetryDelay) implements RequestEvent {}
 
     /**
      * No runner can serve the stream: it continues one whose origin is unknown, or no runner of its software version is
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestLifecycle.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestLifecycle.java
@@ -119,7 +119,7 @@
         if (matched.quotaRetryDelay().isPresent()) {
             return refuse(429, QUOTA_EXHAUSTED, matched.quotaRetryDelay().get(), true);
         }
-        if (matched.turn()) {
+        if (matched.needsRecords()) {
             stage = RequestStage.BEGINNING;
             return List.of(new RequestAction.BeginTurn());
         }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/StreamBinding.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/StreamBinding.java
@@ -42,6 +42,14 @@
         return route.isStreaming() && parameters.resumption().isPresent();
     }
 
+    /**
+     * Returns whether streams of the route can be continued. Those of stateful routes cannot, since the record of a turn
+     * must hold all events, of which the node that continues it receives only the last ones.
+     */
+    private boolean canBeContinued() {
+        return route.isStreaming() && route.resumable() && !route.stateful();
+    }
+
     /** Returns the id of the stream that the request continues; the empty string if there is none or it is not named. */
     String resumedStream() {
         String named = isResumption() ? parameters.resumption().get().stream() : "";
@@ -53,8 +61,7 @@
         if (!isResumption()) {
             return Optional.empty();
         }
-        // The turn record of a stateful route must hold all events, of which this node has received only the last ones.
-        if (!route.resumable() || route.stateful()) {
+        if (!canBeContinued()) {
             return rejected("route_not_resumable", Optional.empty());
         }
         return resumedStream().isEmpty() ? rejected("unknown_origin", Optional.empty()) : Optional.empty();
@@ -66,7 +73,7 @@
      * @return the origin to write with the reservation; empty if the version is not determined yet
      */
     Optional<StreamOrigin> bindNew(String service) {
-        if (!route.isStreaming() || !route.resumable() || isResumption()) {
+        if (!canBeContinued() || isResumption()) {
             return Optional.empty();
         }
         Set<String> versions = relay.dispatcher().runners(service).stream()
@@ -136,7 +143,7 @@
 
     /** Writes the origin before the first event is forwarded, unless the store VMs hold it already. */
     void recordFirstEvent(Runner runner) {
-        if (!recorded && route.resumable() && !runner.softwareVersion().isEmpty()) {
+        if (!recorded && canBeContinued() && !runner.softwareVersion().isEmpty()) {
             record(origin(runner.service(), runner.softwareVersion()));
         }
     }
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/ResumedStreamTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/ResumedStreamTest.java
@@ -7,6 +7,7 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import org.parsleydrift.placement.Candidate;
 import org.parsleydrift.registry.Destination;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -140,16 +141,19 @@
         addRunners(1, "s", "v1");
         fleet.beginAndLeave("a", PATH, "q1", BUDGET.formatted(1));
         List<Socket> open = new ArrayList<>();
-        for (int i = 0; i < 3 * StreamFleet.SLOTS; i++) {
-            open.add(fleet.send("b", PATH, "busy" + i, ""));
+        for (int i = 0; i <= Candidate.maxLoad(StreamFleet.SLOTS, true); i++) {
+            open.add(fleet.send("b", PATH, "busy" + i, BUDGET.formatted(100 + i)));
         }
-        int occupied = fleet.awaitQueued("b", 1);
+        fleet.awaitQueued("b", 1);
         try (Socket waiting =
                 fleet.send("b", PATH, "q2", "Last-Event-Id: 2\r\nParsleydrift-Resumes: q1\r\n" + BUDGET.formatted(1))) {
-            fleet.awaitQueued("b", occupied + 1);
+            fleet.awaitQueued("b", 2);
             addRunners(1, "s", "v2");
             fleet.removeRunner("sv1-1");
-            assertRejected("q2", StreamFleet.readUntil(waiting, "\r\n\r\n"));
+            String response = StreamFleet.readUntil(waiting, "\r\n\r\n");
+            assertRejected("q2", response);
+            // The delay of a request that has waited in vain until its wait is over is longer.
+            assertTrue(response.contains("Retry-After: 0.1"), response);
         }
         for (Socket each : open) {
             each.close();
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/StreamFleet.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/StreamFleet.java
@@ -251,14 +251,13 @@
                 .toList();
     }
 
-    /** Waits until a node has at least the given number of requests in its queue; returns their number. */
-    int awaitQueued(String node, int atLeast) {
+    /** Waits until a node has at least the given number of requests in its queue. */
+    void awaitQueued(String node, int atLeast) {
         AtomicInteger queued = new AtomicInteger();
         long endNanos = loop.clock().nanos() + Duration.ofMillis(TIMEOUT_MILLIS).toNanos();
         do {
             run(() -> queued.set(nodes.get(node).dispatcher.queueLength()));
         } while (queued.get() < atLeast && loop.clock().nanos() - endNanos < 0);
-        return queued.get();
     }
 
     /** Makes runners reject all requests as not executed. */
