Streams that callers do not name go on if their program began all alike

Cause: "not named" was taken for "not known". Every turn with a budget has a grant at a write quorum before a runner receives it, so the grants of a program list all streams that it may have begun. A resumption without a name now reads the origins of all of them; only if each has one, and all the same, the stream goes on there, else it is rejected as before.

Tested: ResumedStreamTest.unnamedStreamGoesOnIfItsProgramKnowsOneVersion (would be 503 before) and unnamedStreamIsRejectedIfItsProgramKnowsTwoVersions are new; 113 tests of six classes of relay and conversation run, all pass.

--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/BeginRequest.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/BeginRequest.java
@@ -15,7 +15,7 @@
  * @param retention the retention period of the reservation
  * @param timeout how long to retry each request to the store VMs
  * @param origin the origin of the turn's stream, written with the reservation; empty if the turn is not bound to one
- * @param resumedStream the ID of the stream that the turn continues, whose origin is read; empty for none
+ * @param resumption the stream that the turn continues, whose origin is read
  */
 public record BeginRequest(
         String program,
@@ -26,7 +26,7 @@
         Duration retention,
         Duration timeout,
         Optional<StreamOrigin> origin,
-        String resumedStream) {
+        ResumedStream resumption) {
     /**
      * Creates a request for a turn whose stream neither has a known origin nor continues another one.
      *
@@ -46,6 +46,15 @@
             String previous,
             Duration retention,
             Duration timeout) {
-        this(program, request, budget, maxTokens, previous, retention, timeout, Optional.empty(), "");
+        this(
+                program,
+                request,
+                budget,
+                maxTokens,
+                previous,
+                retention,
+                timeout,
+                Optional.empty(),
+                new ResumedStream.None());
     }
 }
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationClient.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationClient.java
@@ -145,18 +145,18 @@
     }
 
     /**
-     * Reads the grants of a program, a chain of turns and the origin of a stream from the nearest read quorum. Only the
+     * Reads the grants of a program, a chain of turns and the origins of streams from the nearest read quorum. Only the
      * nearest member sends the turns themselves, the others only their IDs, to limit the traffic between availability
      * zones.
      *
      * @param program the program; empty for none
      * @param lastTurn the ID of the last turn of the chain; empty for none
-     * @param stream the ID of the stream; empty for none
+     * @param streams the IDs of the streams
      * @param timeout how long to retry
      * @return completes with the merged replies; fails with StepException on a timeout
      */
-    CompletableFuture<MergedRecords> read(String program, String lastTurn, String stream, Duration timeout) {
-        return read(program, lastTurn, stream, true, timeout);
+    CompletableFuture<MergedRecords> read(String program, String lastTurn, List<String> streams, Duration timeout) {
+        return read(program, lastTurn, streams, true, timeout);
     }
 
     /**
@@ -168,13 +168,13 @@
      * @return completes with the merged replies of the first read quorum; fails with StepException on a timeout
      */
     CompletableFuture<MergedRecords> readFromAll(String program, String lastTurn, Duration timeout) {
-        return read(program, lastTurn, "", false, timeout);
+        return read(program, lastTurn, List.of(), false, timeout);
     }
 
     private CompletableFuture<MergedRecords> read(
-            String program, String lastTurn, String stream, boolean nearestFirst, Duration timeout) {
+            String program, String lastTurn, List<String> streams, boolean nearestFirst, Duration timeout) {
         QuorumCall call = new QuorumCall(
-                (epoch, includesTexts) -> new ReplicaRequest.Read(epoch, program, lastTurn, includesTexts, stream),
+                (epoch, includesTexts) -> new ReplicaRequest.Read(epoch, program, lastTurn, includesTexts, streams),
                 StoreSet::readQuorum,
                 nearestFirst,
                 timeout);
@@ -206,26 +206,32 @@
      * @param grants the grants by request ID
      * @param turns the turns by ID
      * @param turnIds the IDs of all turns found, including those that were not sent
-     * @param origin the origin of the stream; empty if no member has it or members have different ones
+     * @param origins the origins of streams by ID; those of which members have different ones are omitted
      */
     record MergedRecords(
-            Map<String, Grant> grants, Map<String, Turn> turns, Set<String> turnIds, Optional<StreamOrigin> origin) {
+            Map<String, Grant> grants,
+            Map<String, Turn> turns,
+            Set<String> turnIds,
+            Map<String, StreamOrigin> origins) {
         static MergedRecords of(List<ReplicaReply> replies) {
             Map<String, Grant> grants = new HashMap<>();
             Map<String, Turn> turns = new HashMap<>();
             Set<String> turnIds = new HashSet<>();
-            Set<StreamOrigin> origins = new HashSet<>();
+            Map<String, StreamOrigin> origins = new HashMap<>();
+            Set<String> ambiguous = new HashSet<>();
             replies.stream().map(ReplicaReply.Found.class::cast).forEach(found -> {
                 found.grants().forEach(each -> grants.merge(each.request(), each, Grant::merge));
                 found.turns().forEach(each -> turns.put(each.id(), each));
                 turnIds.addAll(found.turnIds());
-                found.origin().ifPresent(origins::add);
+                found.origins().forEach(each -> {
+                    StreamOrigin known = origins.putIfAbsent(each.stream(), each);
+                    if (known != null && !known.equals(each)) {
+                        ambiguous.add(each.stream());
+                    }
+                });
             });
-            return new MergedRecords(
-                    grants,
-                    turns,
-                    turnIds,
-                    origins.size() == 1 ? origins.stream().findAny() : Optional.empty());
+            origins.keySet().removeAll(ambiguous);
+            return new MergedRecords(grants, turns, turnIds, origins);
         }
     }
 
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationCodec.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationCodec.java
@@ -24,13 +24,14 @@
                 list(out, write.turn().stream().toList(), ConversationCodec::turn);
                 list(out, write.origin().stream().toList(), ConversationCodec::origin);
             }
-            case ReplicaRequest.Read read ->
+            case ReplicaRequest.Read read -> {
                 out.packByte((byte) 2)
                         .packLong(read.epoch())
                         .packString(read.program())
                         .packString(read.lastTurn())
-                        .packBoolean(read.includesTexts())
-                        .packString(read.stream());
+                        .packBoolean(read.includesTexts());
+                list(out, read.streams(), MessagePacker::packString);
+            }
             case ReplicaRequest.Fetch fetch -> {
                 out.packByte((byte) 3);
                 list(out, fetch.turnIds(), MessagePacker::packString);
@@ -62,7 +63,7 @@
                         in.unpackString(),
                         in.unpackString(),
                         in.unpackBoolean(),
-                        in.hasNext() ? in.unpackString() : "");
+                        optionalList(in, MessageUnpacker::unpackString));
             case 3 -> new ReplicaRequest.Fetch(list(in, MessageUnpacker::unpackString));
             case 4 -> new ReplicaRequest.ListRecords(set(in));
             case 5 -> new ReplicaRequest.Heartbeat(first(list(in, ConversationCodec::set)));
@@ -78,7 +79,7 @@
                 list(out, found.grants(), ConversationCodec::grant);
                 list(out, found.turns(), ConversationCodec::turn);
                 list(out, found.turnIds(), MessagePacker::packString);
-                list(out, found.origin().stream().toList(), ConversationCodec::origin);
+                list(out, found.origins(), ConversationCodec::origin);
             }
             case ReplicaReply.Stale stale -> {
                 out.packByte((byte) 3);
@@ -110,7 +111,7 @@
                         list(in, ConversationCodec::grant),
                         list(in, ConversationCodec::turn),
                         list(in, MessageUnpacker::unpackString),
-                        first(optionalList(in, ConversationCodec::origin)));
+                        optionalList(in, ConversationCodec::origin));
             case 3 -> new ReplicaReply.Stale(set(in));
             case 4 -> new ReplicaReply.Behind();
             case 5 -> new ReplicaReply.Incomplete();
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationReplica.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationReplica.java
@@ -188,18 +188,20 @@
     private ReplicaReply find(ReplicaRequest.Read read) {
         List<Grant> grants = records.ledger(read.program());
         List<Turn> chain = records.chain(read.lastTurn());
-        Optional<StreamOrigin> origin = records.origin(read.stream());
+        List<StreamOrigin> origins = read.streams().stream()
+                .flatMap(each -> records.origin(each).stream())
+                .toList();
         return read.includesTexts()
-                ? ReplicaReply.Found.of(grants, chain, origin)
+                ? ReplicaReply.Found.of(grants, chain, origins)
                 : new ReplicaReply.Found(
-                        grants, List.of(), chain.stream().map(Turn::id).toList(), origin);
+                        grants, List.of(), chain.stream().map(Turn::id).toList(), origins);
     }
 
     private ReplicaReply fetch(ReplicaRequest.Fetch fetch) {
         List<Turn> found = fetch.turnIds().stream()
                 .flatMap(id -> records.turn(id).stream())
                 .toList();
-        return ReplicaReply.Found.of(List.of(), found, Optional.empty());
+        return ReplicaReply.Found.of(List.of(), found, List.of());
     }
 
     private Optional<ReplicaReply> checkEpoch(long epoch) {
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/Conversations.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/Conversations.java
@@ -5,6 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.parsleydrift.kernel.LogLine;
@@ -61,7 +62,7 @@
                         request.retention(),
                         request.timeout());
         return reserved.thenCompose(done ->
-                        client.read(request.program(), request.previous(), request.resumedStream(), request.timeout()))
+                        client.read(request.program(), request.previous(), namedStream(request), request.timeout()))
                 .thenCompose(records -> {
                     recordQuorumReply();
                     return admit(request, records);
@@ -186,34 +187,82 @@
         if (!request.previous().isEmpty() && !records.turnIds().contains(request.previous())) {
             return CompletableFuture.completedFuture(new BeginResult.NoSuchTurn());
         }
-        return assembleChain(request, records, settled, true);
+        return resumedOrigin(request, records)
+                .thenCompose(origin -> assembleChain(request, records, settled, origin, true));
+    }
+
+    private static List<String> namedStream(BeginRequest request) {
+        return request.resumption() instanceof ResumedStream.Named named ? List.of(named.stream()) : List.of();
+    }
+
+    private CompletableFuture<Optional<StreamOrigin>> resumedOrigin(
+            BeginRequest request, ConversationClient.MergedRecords records) {
+        return switch (request.resumption()) {
+            case ResumedStream.None ignored -> CompletableFuture.completedFuture(Optional.empty());
+            case ResumedStream.Named named ->
+                CompletableFuture.completedFuture(
+                        Optional.ofNullable(records.origins().get(named.stream())));
+            case ResumedStream.OfProgram program -> sharedOrigin(request, records, program.streamPrefix());
+        };
+    }
+
+    /**
+     * Reads the origins of all streams that the program may have begun. Each of them has a grant at a write quorum since
+     * before a runner received it, so if all have the same origin, an interrupted one has it as well.
+     */
+    private CompletableFuture<Optional<StreamOrigin>> sharedOrigin(
+            BeginRequest request, ConversationClient.MergedRecords records, String streamPrefix) {
+        List<String> streams = records.grants().values().stream()
+                .filter(each -> each.state() != GrantState.RELEASED)
+                .map(Grant::request)
+                .filter(each -> !each.equals(request.request()))
+                .map(streamPrefix::concat)
+                .toList();
+        return client.read("", "", streams, request.timeout()).thenApply(found -> {
+            Map<String, StreamOrigin> origins = found.origins();
+            boolean shared = origins.values().stream()
+                            .map(StreamOrigin::place)
+                            .distinct()
+                            .count()
+                    == 1;
+            return shared && origins.keySet().containsAll(streams)
+                    ? origins.values().stream().findAny()
+                    : Optional.empty();
+        });
     }
 
     /** Assembles the chain from the turns read; reads a missing turn and those before it from all members. */
     private CompletableFuture<BeginResult> assembleChain(
-            BeginRequest request, ConversationClient.MergedRecords records, List<Grant> settled, boolean canFetch) {
+            BeginRequest request,
+            ConversationClient.MergedRecords records,
+            List<Grant> settled,
+            Optional<StreamOrigin> origin,
+            boolean canFetch) {
         Deque<Turn> chain = new ArrayDeque<>();
         String id = request.previous();
         while (!id.isEmpty()) {
             Turn turn = records.turns().get(id);
             if (turn == null) {
                 return canFetch
-                        ? fetchMissingTurn(request, records, settled, id)
+                        ? fetchMissingTurn(request, records, settled, origin, id)
                         : CompletableFuture.completedFuture(new BeginResult.Unavailable(
                                 "turn " + id + " of the chain was not found at a read quorum"));
             }
             chain.addFirst(turn);
             id = turn.previous();
         }
-        return CompletableFuture.completedFuture(
-                new BeginResult.Granted(List.copyOf(chain), settled, records.origin()));
+        return CompletableFuture.completedFuture(new BeginResult.Granted(List.copyOf(chain), settled, origin));
     }
 
     private CompletableFuture<BeginResult> fetchMissingTurn(
-            BeginRequest request, ConversationClient.MergedRecords records, List<Grant> settled, String missing) {
+            BeginRequest request,
+            ConversationClient.MergedRecords records,
+            List<Grant> settled,
+            Optional<StreamOrigin> origin,
+            String missing) {
         return client.readFromAll("", missing, request.timeout()).thenCompose(more -> {
             records.turns().putAll(more.turns());
-            return assembleChain(request, records, settled, more.turns().containsKey(missing));
+            return assembleChain(request, records, settled, origin, more.turns().containsKey(missing));
         });
     }
 
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaReply.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaReply.java
@@ -1,7 +1,6 @@
 package org.parsleydrift.conversation;
 
 import java.util.List;
-import java.util.Optional;
 
 /** A reply of a store VM. */
 public sealed interface ReplicaReply {
@@ -14,23 +13,23 @@
      * @param grants the grants of the program, in no order
      * @param turns the turns found; empty if only their IDs were requested
      * @param turnIds the IDs of the turns found
-     * @param origin the origin of the stream, if it was found
+     * @param origins the origins found of the streams
      */
-    record Found(List<Grant> grants, List<Turn> turns, List<String> turnIds, Optional<StreamOrigin> origin)
+    record Found(List<Grant> grants, List<Turn> turns, List<String> turnIds, List<StreamOrigin> origins)
             implements ReplicaReply {
         /**
-         * Creates a reply without the origin of a stream.
+         * Creates a reply without origins of streams.
          *
          * @param grants the grants of the program, in no order
          * @param turns the turns found; empty if only their IDs were requested
          * @param turnIds the IDs of the turns found
          */
         public Found(List<Grant> grants, List<Turn> turns, List<String> turnIds) {
-            this(grants, turns, turnIds, Optional.empty());
+            this(grants, turns, turnIds, List.of());
         }
 
-        static Found of(List<Grant> grants, List<Turn> turns, Optional<StreamOrigin> origin) {
-            return new Found(grants, turns, turns.stream().map(Turn::id).toList(), origin);
+        static Found of(List<Grant> grants, List<Turn> turns, List<StreamOrigin> origins) {
+            return new Found(grants, turns, turns.stream().map(Turn::id).toList(), origins);
         }
     }
 
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaRequest.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaRequest.java
@@ -19,15 +19,15 @@
             implements ReplicaRequest {}
 
     /**
-     * Reads a program's grants, the chain that ends with a turn, and the origin of a stream.
+     * Reads a program's grants, the chain that ends with a turn, and the origins of streams.
      *
      * @param epoch the epoch of the sender
      * @param program the program; empty for none
      * @param lastTurn the ID of the last turn of the chain; empty for none
      * @param includesTexts whether to return the turns with their text rather than only their IDs
-     * @param stream the ID of the stream; empty for none
+     * @param streams the IDs of the streams
      */
-    record Read(long epoch, String program, String lastTurn, boolean includesTexts, String stream)
+    record Read(long epoch, String program, String lastTurn, boolean includesTexts, List<String> streams)
             implements ReplicaRequest {}
 
     /**
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/StreamBinding.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/StreamBinding.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.parsleydrift.conversation.ResumedStream;
 import org.parsleydrift.conversation.StreamOrigin;
 import org.parsleydrift.kernel.LogLine;
 import org.parsleydrift.registry.Destination;
@@ -50,10 +51,16 @@
         return route.isStreaming() && route.resumable() && !route.stateful();
     }
 
-    /** Returns the id of the stream that the request continues; the empty string if there is none or it is not named. */
-    String resumedStream() {
-        String named = isResumption() ? parameters.resumption().get().stream() : "";
-        return named.isEmpty() ? "" : owner + named;
+    /**
+     * Returns the stream that the request continues. If the caller does not name it, it is one of those of its program,
+     * all of which have grants if the program has a budget.
+     */
+    ResumedStream resumedStream() {
+        if (!isResumption()) {
+            return new ResumedStream.None();
+        }
+        String named = parameters.resumption().get().stream();
+        return named.isEmpty() ? new ResumedStream.OfProgram(owner) : new ResumedStream.Named(owner + named);
     }
 
     /** Returns why the request cannot continue a stream, whatever its origin; empty if it can or is a new request. */
@@ -64,7 +71,8 @@
         if (!canBeContinued()) {
             return rejected("route_not_resumable", Optional.empty());
         }
-        return resumedStream().isEmpty() ? rejected("unknown_origin", Optional.empty()) : Optional.empty();
+        boolean findable = resumedStream() instanceof ResumedStream.Named || parameters.isTurn(route);
+        return findable ? Optional.empty() : rejected("unknown_origin", Optional.empty());
     }
 
     /**
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/ResumedStreamTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/ResumedStreamTest.java
@@ -92,6 +92,32 @@
         addRunners(3, "s", "v2");
         assertRejected("r1", fleet.resume("b", PATH, "r1", "nobody", BUDGET.formatted(1)));
         assertRejected("r2", fleet.resume("b", PATH, "r2", "", BUDGET.formatted(2)));
+        assertRejected("r3", fleet.resume("b", PATH, "r3", "", ""));
+    }
+
+    /** Guards against rejecting callers that do not name the stream while all streams of their program began alike. */
+    @Test
+    public void unnamedStreamGoesOnIfItsProgramKnowsOneVersion() throws IOException {
+        addRunners(2, "s", "v1");
+        fleet.beginAndLeave("a", PATH, "q1", BUDGET.formatted(1));
+        fleet.beginAndLeave("a", PATH, "q2", BUDGET.formatted(1));
+        addRunners(8, "s", "v2");
+        assertComplete(fleet.resume("b", PATH, "q3", "", BUDGET.formatted(1)));
+        assertEquals(version(fleet.runnerOf("q3").orElseThrow()), "sv1");
+    }
+
+    /** Guards against a guess for callers that do not name the stream and have begun streams at two versions. */
+    @Test
+    public void unnamedStreamIsRejectedIfItsProgramKnowsTwoVersions() throws IOException {
+        addRunners(2, "s", "v1");
+        fleet.beginAndLeave("a", PATH, "q1", BUDGET.formatted(1));
+        addRunners(2, "s", "v2");
+        fleet.removeRunner("sv1-1");
+        fleet.removeRunner("sv1-2");
+        fleet.beginAndLeave("a", PATH, "q2", BUDGET.formatted(1));
+        fleet.restoreRunner("sv1-1", "s", "v1");
+        fleet.restoreRunner("sv1-2", "s", "v1");
+        assertRejected("q3", fleet.resume("b", PATH, "q3", "", BUDGET.formatted(1)));
     }
 
     /** Guards against rejecting what could be known: the node at which the stream began is dead. */
