Randomised runs have callers that do not name the stream

One of four streams is resumed without its name, with and without a token budget, so that continuing by program is checked for joined versions under upgrades as well; the share in touch counts named ones only.

--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamCaller.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamCaller.java
@@ -23,6 +23,9 @@
 final class StreamCaller {
     private static final Duration DEADLINE = Duration.ofSeconds(3);
     private static final int MAX_RESUMPTIONS = 3;
+    /** One of so many streams is resumed without its name, as by callers of the interface before software versions. */
+    private static final int NAMELESS_SHARE = 4;
+
     private static final Duration PAUSE = Duration.ofMillis(40);
 
     private final String name;
@@ -84,10 +87,11 @@
     private void stream() throws InterruptedException {
         String stream = name + "-" + ++streams;
         boolean budgeted = random.nextBoolean();
+        boolean names = random.nextInt(NAMELESS_SHARE) > 0;
         Received received = new Received();
         Node node = environment.choose(random, Optional.empty());
         for (int attempt = 0; attempt <= MAX_RESUMPTIONS; attempt++) {
-            if (send(stream, attempt, budgeted, node, received)) {
+            if (send(stream, attempt, budgeted, names, node, received)) {
                 report.count("complete");
                 check(stream, received);
                 return;
@@ -102,13 +106,13 @@
     }
 
     /** Sends one attempt; returns whether the stream is complete. */
-    private boolean send(String stream, int attempt, boolean budgeted, Node node, Received received)
+    private boolean send(String stream, int attempt, boolean budgeted, boolean names, Node node, Received received)
             throws InterruptedException {
         String id = stream + "-" + attempt;
         boolean resumes = received.events > 0;
         boolean inTouch = node.isInTouch();
-        boolean served = resumes && environment.isServed(received.versions.first());
-        HttpRequest request = request(id, stream, budgeted, node, received);
+        boolean served = resumes && names && environment.isServed(received.versions.first());
+        HttpRequest request = request(id, stream, budgeted, names, node, received);
         int before = received.events;
         try {
             HttpResponse<InputStream> response = client.send(request, HttpResponse.BodyHandlers.ofInputStream());
@@ -149,7 +153,8 @@
         }
     }
 
-    private HttpRequest request(String id, String program, boolean budgeted, Node node, Received received) {
+    private HttpRequest request(
+            String id, String program, boolean budgeted, boolean names, Node node, Received received) {
         HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + node.address() + "/dispatch/"))
                 .timeout(DEADLINE)
                 .header("X-Attempt-Id", id)
@@ -161,7 +166,10 @@
             request.header("X-Token-Budget", "1000");
         }
         if (received.events > 0) {
-            request.header("Last-Event-Id", Integer.toString(received.events)).header("Resumes", received.firstAttempt);
+            request.header("Last-Event-Id", Integer.toString(received.events));
+        }
+        if (received.events > 0 && names) {
+            request.header("Resumes", received.firstAttempt);
         }
         return request.build();
     }
