--- a/review/build.sh
+++ b/review/build.sh
@@ -5,4 +5,4 @@
 JAVA_HOME=$(bin/jdk)
 rm -rf target/review
 mkdir -p target/review
-"$JAVA_HOME/bin/javac" -d target/review review/standins/*.java
+"$JAVA_HOME/bin/javac" -d target/review review/*.java review/[123]/*.java
