--- a/review/Fleet.java
+++ b/review/Fleet.java
@@ -124,7 +124,8 @@
             fleet.startAll();
             code = steps.run(fleet).map(broken -> broken ? 1 : 0).orElse(2);
             fleet.note("exit code " + code);
-        } catch (Exception failure) {
+        } catch (Throwable failure) {
+            code = 2;
             failure.printStackTrace();
         }
         System.exit(code);
--- a/review/PlatformStore.java
+++ b/review/PlatformStore.java
@@ -23,6 +23,7 @@
     private final Map<String, TreeMap<String, Stored>> kinds = new HashMap<>();
     private final List<Event> history = new ArrayList<>();
     private long revision = 1;
+    private volatile boolean isDown;
 
     private record Stored(String name, long revision, String spec, String status) {
         String json() {
@@ -44,6 +45,11 @@
         return "127.0.0.1:" + server.getAddress().getPort();
     }
 
+    /** While the store is down, it answers each call with 503. */
+    void setDown(boolean down) {
+        isDown = down;
+    }
+
     synchronized void put(String kind, String name, String spec) {
         store(kind, new Stored(name, ++revision, spec, "null"));
     }
@@ -76,6 +82,11 @@
         Map<String, String> query = query(exchange.getRequestURI().getRawQuery());
         int[] status = {200};
         String answer;
+        if (isDown) {
+            exchange.sendResponseHeaders(503, -1);
+            exchange.close();
+            return;
+        }
         try {
             answer = switch (exchange.getRequestMethod()) {
                 case "GET" -> query.containsKey("watch_rev")
