--- a/review/Fleet.java
+++ b/review/Fleet.java
@@ -6,6 +6,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.PrintWriter;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -22,6 +23,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 
@@ -34,6 +36,8 @@
     static final int EVENTS_PER_TURN = 6;
     static final int MAX_TURN_TOKENS = TOKENS_PER_EVENT * EVENTS_PER_TURN;
     static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
+    private static final int FIRST_PORT = 12_000;
+    private static final int LAST_PORT = 30_000;
     private static final String HOST = "case.example";
     private static final String PATH_PREFIX = "/turns/";
 
@@ -150,10 +154,17 @@
         }
     }
 
+    /** Returns an address with a free port below the range from which the kernel takes ports of outgoing connections. */
     private static String freeAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return "127.0.0.1:" + socket.getLocalPort();
+        for (int i = 0; i < 1000; i++) {
+            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                return "127.0.0.1:" + socket.getLocalPort();
+            } catch (BindException taken) {
+                continue;
+            }
         }
+        throw new IOException("no free port found");
     }
 
     private String settings(String role, String name, String zone, String extra) throws IOException {
