--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/EndingCaller.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/EndingCaller.java
@@ -7,6 +7,7 @@
 import java.net.http.HttpResponse;
 import java.net.http.HttpTimeoutException;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.locks.LockSupport;
@@ -19,8 +20,10 @@
 final class EndingCaller {
     private static final int ATTEMPTS = 9;
     private static final Duration DEADLINE = Duration.ofSeconds(3);
-    /** Longer than the deadline, so that a node that runs answers first. */
-    private static final Duration TIMEOUT = DEADLINE.plusMillis(500);
+    /** Deadline of requests whose runners fall silent; a call is sent to a second runner before it. */
+    private static final Duration SILENT_DEADLINE = Duration.ofMillis(1500);
+    /** Time after the deadline at which a caller gives up, so that a node that runs answers first. */
+    private static final Duration TIMEOUT_MARGIN = Duration.ofMillis(500);
 
     private static final Duration PAUSE = Duration.ofMillis(40);
 
@@ -31,10 +34,18 @@
     private final SplittableRandom random;
     private final RuntimeClock clock;
     private final StreamSoakReport report;
+    private final List<RunnerEnd> ends;
     private int workCount;
 
-    EndingCaller(String name, SoakFleet fleet, HttpClient client, SplittableRandom random, StreamSoakReport report) {
+    EndingCaller(
+            String name,
+            SoakFleet fleet,
+            HttpClient client,
+            SplittableRandom random,
+            StreamSoakReport report,
+            List<RunnerEnd> ends) {
         this.name = name;
+        this.ends = List.copyOf(ends);
         this.environment = fleet;
         this.works = fleet.endingWorks();
         this.client = client;
@@ -47,24 +58,25 @@
     void run(long endNanos) throws InterruptedException {
         while (clock.nanos() - endNanos < 0) {
             boolean isTurn = random.nextBoolean();
-            String work = VersionedRunner.ENDING + name + "-" + ++workCount;
+            RunnerEnd end = ends.size() == 1 ? ends.getFirst() : ends.get(random.nextInt(ends.size()));
+            String work = end.prefix() + name + "-" + ++workCount;
             String path = (isTurn ? "/dispatch/" : VersionedRunner.CALLS) + work;
             Optional<StreamCaller.Node> last = Optional.empty();
             for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
                 StreamCaller.Node node = environment.choose(random, last);
-                send(node, work, path, attempt, isTurn);
+                send(node, work, path, attempt, isTurn, end.isSilent() ? SILENT_DEADLINE : DEADLINE);
                 last = Optional.of(node);
                 LockSupport.parkNanos(PAUSE.toNanos());
             }
         }
     }
 
-    private void send(StreamCaller.Node node, String work, String path, int attempt, boolean isTurn)
+    private void send(StreamCaller.Node node, String work, String path, int attempt, boolean isTurn, Duration deadline)
             throws InterruptedException {
         HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + node.address() + path))
-                .timeout(TIMEOUT)
+                .timeout(deadline.plus(TIMEOUT_MARGIN))
                 .header("X-Attempt-Id", work + "-" + attempt)
-                .header("X-Deadline-Ms", Long.toString(DEADLINE.toMillis()))
+                .header("X-Deadline-Ms", Long.toString(deadline.toMillis()))
                 .header("X-Program-Id", work)
                 .POST(HttpRequest.BodyPublishers.ofString("go"));
         if (isTurn) {
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/EndingWorks.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/EndingWorks.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -56,7 +57,8 @@
     void report(StreamSoakReport report) {
         works.forEach((path, work) -> {
             synchronized (work) {
-                report.count("ended_runners_" + work.endedRunners.size());
+                String end = RunnerEnd.of(path).name().toLowerCase(Locale.ROOT);
+                report.count("ended_runners_" + end + "_" + work.endedRunners.size());
                 if (work.endedRunners.size() - work.endedBesideOthers > MAX_ENDED_RUNNERS) {
                     report.violation("under " + path + " ended " + work.endedRunners + ", " + work.endedBesideOthers
                             + " of them while another attempt was under way");
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/SoakFleet.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/SoakFleet.java
@@ -3,6 +3,7 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -54,7 +55,7 @@
     static final Duration RETENTION = Duration.ofSeconds(6);
 
     private static final String MANIFEST = """
-            {"version": 1, "limits": {}, "services": [{"name": "desk", "engine": {"chunk_tokens": 5}}], "routes": [
+            {"version": 1, "limits": {}, "services": [{"name": "desk", "health_path": "/healthz", "engine": {"chunk_tokens": 5}}], "routes": [
               {"name": "dispatch", "host": "127.0.0.1", "path_prefix": "/dispatch/", "type": "streaming",
                "service": "desk", "timeout_ms": 3000, "resumable": true, "retention_s": 60},
               {"name": "chains", "host": "127.0.0.1", "path_prefix": "/chains/", "type": "streaming",
@@ -64,8 +65,8 @@
             """.formatted(RETENTION.toSeconds());
     /** Time from the end of a crashed runner to the start of its successor. */
     private static final Duration SUCCESSOR_DELAY = Duration.ofMillis(300);
-    /** Time for which the entry of a crashed runner remains. */
-    private static final Duration ENTRY_LIFE = Duration.ofMillis(1500);
+    /** Time for which the connections of a silent runner stay open. */
+    private static final Duration SILENT_TIME = Duration.ofSeconds(10);
 
     private final Path folder;
     private final RuntimeClock clock = new SystemClock();
@@ -221,8 +222,12 @@
     }
 
     /** Starts a runner and writes its entry. */
-    synchronized void addRunner(String version) {
-        VersionedRunner runner = new VersionedRunner("r" + ++lastRunner, version, runnerLoop, this);
+    void addRunner(String version) {
+        addRunner(version, 0);
+    }
+
+    private synchronized void addRunner(String version, int port) {
+        VersionedRunner runner = new VersionedRunner("r" + ++lastRunner, version, port, runnerLoop, this);
         runners.put(runner.id(), runner);
         readySince.put(runner.id(), clock.nanos());
         write(ObjectKind.RUNNERS, runner.id(), runner.entry());
@@ -234,9 +239,9 @@
     }
 
     @Override
-    public void onEnding(VersionedRunner runner, String path) {
+    public void onEnding(VersionedRunner runner, String path, RunnerEnd end) {
         endingWorks.recordEnd(path, runner.id());
-        crashes.execute(() -> crash(runner));
+        crashes.execute(() -> end(runner, end));
     }
 
     @Override
@@ -251,9 +256,48 @@
 
     /** Ends a runner and starts a successor; its entry expires later than the successor starts. */
     void crash(VersionedRunner runner) {
-        stop(runner);
-        crashes.schedule(() -> addRunner(runner.version()), SUCCESSOR_DELAY.toMillis(), TimeUnit.MILLISECONDS);
-        crashes.schedule(() -> removeEntry(runner), ENTRY_LIFE.toMillis(), TimeUnit.MILLISECONDS);
+        end(runner, RunnerEnd.RESET);
+    }
+
+    private void end(VersionedRunner runner, RunnerEnd end) {
+        if (end.isSilent()) {
+            silence(runner);
+        } else if (end == RunnerEnd.LISTENER_FIRST) {
+            forget(runner);
+        } else {
+            stop(runner);
+        }
+        if (end.isReplaced()) {
+            later(end.restartTime(), () -> replace(runner));
+        } else {
+            later(SUCCESSOR_DELAY, () -> addRunner(runner.version()));
+        }
+        later(end.entryLife(), () -> removeEntry(runner));
+    }
+
+    private void silence(VersionedRunner runner) {
+        if (forget(runner)) {
+            try {
+                runner.fallSilent();
+            } catch (IOException fault) {
+                throw new UncheckedIOException(fault);
+            }
+            later(SILENT_TIME, runner::close);
+        }
+    }
+
+    /** Starts a successor at the address of a runner that has ended. */
+    private void replace(VersionedRunner runner) {
+        try {
+            runner.stopListening();
+        } catch (IOException fault) {
+            throw new UncheckedIOException(fault);
+        }
+        addRunner(runner.version(), runner.port());
+    }
+
+    private void later(Duration delay, Runnable task) {
+        crashes.schedule(task, delay.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     void drain(VersionedRunner runner) {
@@ -263,12 +307,17 @@
 
     /** Ends a runner unless it has ended; its entry remains until {@link #removeEntry}. */
     void stop(VersionedRunner runner) {
-        if (runners.remove(runner.id()) != null) {
-            readySince.remove(runner.id());
+        if (forget(runner)) {
             runner.close();
         }
     }
 
+    /** Counts a runner as ended; returns whether it did not before. */
+    private boolean forget(VersionedRunner runner) {
+        readySince.remove(runner.id());
+        return runners.remove(runner.id()) != null;
+    }
+
     void removeEntry(VersionedRunner runner) {
         platformLoop.execute(() -> objects.delete(ObjectKind.RUNNERS, runner.id()));
     }
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoak.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoak.java
@@ -57,7 +57,8 @@
                 submit(callers, () -> caller.run(endNanos), report);
             }
             for (int i = 1; i <= options.endingCallers(); i++) {
-                EndingCaller caller = new EndingCaller("e" + i, fleet, client, random.split(), report);
+                EndingCaller caller =
+                        new EndingCaller("e" + i, fleet, client, random.split(), report, options.runnerEnds());
                 submit(callers, () -> caller.run(endNanos), report);
             }
             for (int i = 1; i <= options.chainCallers(); i++) {
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakMain.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakMain.java
@@ -41,6 +41,12 @@
         OptionSpec<Integer> callers = integer(parser, "callers", "concurrent callers", 24);
         OptionSpec<Integer> endingCallers =
                 integer(parser, "ending-callers", "callers whose requests end their runners", 0);
+        OptionSpec<RunnerEnd> runnerEnds = parser.accepts(
+                        "runner-ends", "how runners end under these requests: " + List.of(RunnerEnd.values()))
+                .withRequiredArg()
+                .ofType(RunnerEnd.class)
+                .withValuesSeparatedBy(',')
+                .defaultsTo(RunnerEnd.RESET);
         OptionSpec<Integer> chainCallers = integer(parser, "chain-callers", "callers of stored conversations", 0);
         parser.accepts("undisturbed", "disturb neither processes nor runners nor the platform");
         OptionSpec<String> former = parser.accepts(
@@ -75,6 +81,7 @@
                     options.valueOf(runners),
                     options.valueOf(callers),
                     options.valueOf(endingCallers),
+                    options.valuesOf(runnerEnds),
                     options.valueOf(chainCallers),
                     !options.has("undisturbed"),
                     Duration.ofSeconds(options.valueOf(seconds)),
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakOptions.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakOptions.java
@@ -1,6 +1,7 @@
 package org.parsleydrift.bench.streams;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -11,6 +12,7 @@
  * @param runners number of runners at the start
  * @param callers number of callers that stream concurrently
  * @param endingCallers number of callers whose requests end their runners
+ * @param runnerEnds how runners end under these requests, drawn for each piece of work
  * @param chainCallers number of callers of stored conversations; with them, disks of store VMs are lost as well
  * @param disturbed whether processes, runners and the platform are disturbed
  * @param time duration of the load
@@ -22,7 +24,13 @@
         int runners,
         int callers,
         int endingCallers,
+        List<RunnerEnd> runnerEnds,
         int chainCallers,
         boolean disturbed,
         Duration time,
-        Optional<String> formerClassPath) {}
+        Optional<String> formerClassPath) {
+    /** Copies the list. */
+    public StreamSoakOptions {
+        runnerEnds = List.copyOf(runnerEnds);
+    }
+}
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/VersionedRunner.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/VersionedRunner.java
@@ -1,5 +1,6 @@
 package org.parsleydrift.bench.streams;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.Map;
 import org.parsleydrift.kernel.EventLoop;
@@ -11,7 +12,7 @@
 /**
  * Stand-in runner of one software version. A turn is a stream of events that name the version; like the users' runners it
  * goes on after any {@code Last-Event-Id}, whatever version began the stream. A call is answered at once. Its process ends
- * under requests whose path contains {@link #ENDING}.
+ * under requests whose path contains {@link #ENDING}, in the way that the path names.
  */
 final class VersionedRunner implements HttpHandler, AutoCloseable {
     /** Number of events of a stream. */
@@ -23,11 +24,15 @@
     static final String STORED = "/chains/";
     /** Beginning of the paths of calls. */
     static final String CALLS = "/calls/";
+    /** Path of health checks. */
+    static final String HEALTH = "/healthz";
 
     private static final Duration STEP = Duration.ofMillis(60);
     private static final int MAX_CONNECTIONS = 512;
     private static final int SLOTS = 8;
     private static final String TEXT = "text/plain";
+    /** Time for which connections other than that of the request answer after {@link RunnerEnd#LISTENER_FIRST}. */
+    private static final Duration LATE_CONNECTIONS = Duration.ofMillis(700);
 
     private final String id;
     private final String version;
@@ -38,11 +43,12 @@
     private int running;
     private volatile boolean ready = true;
     private volatile boolean ended;
+    private SilentListener silentListener;
 
     /** Receives the requests that runners begin to run. Its methods must not block. */
     interface Listener {
         /** Called when a runner ends under a request with the given path. */
-        void onEnding(VersionedRunner runner, String path);
+        void onEnding(VersionedRunner runner, String path, RunnerEnd end);
 
         /** Called when a runner begins a turn of a stored conversation. */
         void onTurn(String request, String body);
@@ -57,12 +63,29 @@
      * @param listener receives the requests that the runner begins to run
      */
     VersionedRunner(String id, String version, EventLoop loop, Listener listener) {
+        this(id, version, 0, loop, listener);
+    }
+
+    /**
+     * Starts a runner on a port of the loopback interface.
+     *
+     * @param id id of this incarnation
+     * @param version version of its software
+     * @param port port to listen on; 0 for a free one
+     * @param loop event loop for its timers
+     * @param listener receives the requests that the runner begins to run
+     */
+    VersionedRunner(String id, String version, int port, EventLoop loop, Listener listener) {
         this.listener = listener;
         this.id = id;
         this.version = version;
         this.loop = loop;
         this.threads = new NetworkThreads(id, 1);
-        this.server = new HttpServer(threads, "127.0.0.1", 0, MAX_CONNECTIONS, this);
+        this.server = new HttpServer(threads, "127.0.0.1", port, MAX_CONNECTIONS, this);
+    }
+
+    int port() {
+        return server.port();
     }
 
     String id() {
@@ -104,8 +127,10 @@
             exchange.respond(421, TEXT, "", headers(request));
         } else if (running >= SLOTS) {
             exchange.respond(503, TEXT, "", Map.of("X-Attempt-Id", request, "X-Not-Executed", "1"));
+        } else if (exchange.path().equals(HEALTH)) {
+            exchange.respond(200, TEXT, "", Map.of("X-Instance-Id", id));
         } else if (exchange.path().contains(ENDING)) {
-            listener.onEnding(this, exchange.path());
+            end(exchange, request);
         } else if (exchange.path().startsWith(CALLS)) {
             exchange.respond(200, TEXT, "", headers(request));
         } else {
@@ -118,6 +143,23 @@
         }
     }
 
+    private void end(HttpExchange exchange, String request) {
+        RunnerEnd end = RunnerEnd.of(exchange.path());
+        if (end == RunnerEnd.LISTENER_FIRST) {
+            ready = false;
+            server.close();
+            exchange.abort();
+            loop.schedule(LATE_CONNECTIONS, this::close);
+        } else {
+            if (end == RunnerEnd.SILENT_WITHIN_RESPONSE) {
+                exchange.beginStream("text/event-stream", headers(request));
+                exchange.write("id: 1\ndata: " + version + "\n\n");
+            }
+            ended = end.isSilent();
+        }
+        listener.onEnding(this, exchange.path(), end);
+    }
+
     private Map<String, String> headers(String request) {
         return Map.of("X-Attempt-Id", request, "X-Server-Stamp", id + "." + request, "X-Instance-Id", id);
     }
@@ -137,6 +179,22 @@
         });
     }
 
+    /** Answers nothing more; connections stay open, and new ones are not established. */
+    void fallSilent() throws IOException {
+        ready = false;
+        ended = true;
+        server.close();
+        silentListener = new SilentListener(server.port());
+    }
+
+    /** Frees the address of a silent runner for a successor. */
+    void stopListening() throws IOException {
+        if (silentListener != null) {
+            silentListener.close();
+            silentListener = null;
+        }
+    }
+
     /** Ends all work, then breaks the connections one after the other, as the end of the process does. */
     @Override
     public void close() {
