Log line and counter of attempts cancelled before the end of the response

Change: runner_silent with work, runner, silence and progress; parsleydrift.runners.silent by service; runner_lost says whether the head had arrived.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayMetrics.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayMetrics.java
@@ -14,7 +14,7 @@
 
 /**
  * Metrics of the relay: request counters by outcome and cause, counters of resumed streams by result and of connections
- * lost under requests by service, timers of the phases of a request, and the runners that accept requests by service and
+ * lost and attempts cancelled under requests by service, timers of the phases of a request, and the runners that accept requests by service and
  * software version.
  */
 final class RelayMetrics {
@@ -22,6 +22,7 @@
     private final Map<String, Counter> outcomes = new HashMap<>();
     private final Map<String, Counter> resumptions = new HashMap<>();
     private final Map<String, Counter> lostRunners = new HashMap<>();
+    private final Map<String, Counter> silentRunners = new HashMap<>();
     private final Map<String, Timer> phases = new HashMap<>();
     private final MultiGauge runnersByVersion;
     private Map<Tags, Long> recordedRunners = Map.of();
@@ -77,6 +78,16 @@
                 .increment();
     }
 
+    void recordRunnerSilent(String service) {
+        silentRunners
+                .computeIfAbsent(
+                        service,
+                        any -> Counter.builder("parsleydrift.runners.silent")
+                                .tag("service", service)
+                                .register(registry))
+                .increment();
+    }
+
     void recordPhase(String phase, Duration time) {
         phases.computeIfAbsent(
                         phase,
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -86,7 +86,7 @@
         deadlineNanos = startNanos + Duration.ofMillis(timeoutMillis).toNanos();
         deadlineTimer = relay.loop().schedule(Duration.ofMillis(leftMillis()), this::handleDeadline);
         binding = new StreamBinding(relay, params, route, team.owner());
-        work = new RequestWork(relay, request, team.owner());
+        work = new RequestWork(relay, request, params, route, team.owner());
         if (work.isRejected()) {
             apply(new RequestEvent.WorkRejected());
             return;
@@ -325,12 +325,9 @@
         }
     }
 
-    /** Records that the connection to a runner was lost before the end of its response. */
-    void recordRunnerLost(Runner runner, String reason) {
-        LogLine line = logLine("runner_lost")
-                .with("offer", lifecycle.attempts().count())
-                .with("events", exchange.forwardedEvents());
-        work.recordLost(runner, line, reason);
+    /** Returns the number of runners that the request was sent to. */
+    int attemptCount() {
+        return lifecycle.attempts().count();
     }
 
     /** Handles a missing response of a runner that may have started the request. Nothing was sent to the caller yet. */
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestWork.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestWork.java
@@ -1,8 +1,10 @@
 package org.parsleydrift.relay;
 
 import java.lang.System.Logger;
+import java.time.Duration;
 import org.parsleydrift.kernel.LogLine;
 import org.parsleydrift.placement.WorkKey;
+import org.parsleydrift.registry.Route;
 import org.parsleydrift.registry.Runner;
 
 /** The work that a request asks for, and the runners that were lost under it. */
@@ -11,12 +13,26 @@
 
     private final Relay relay;
     private final CallerRequest request;
+    private final RequestParameters parameters;
+    private final Route route;
     private final String owner;
     private WorkKey key;
 
-    RequestWork(Relay relay, CallerRequest request, String owner) {
+    /**
+     * How far an attempt has come at a runner.
+     *
+     * @param runner the runner
+     * @param attempt number of the attempt, from 1
+     * @param headSeen whether the head of the response has arrived
+     * @param events number of events forwarded to the caller
+     */
+    record Progress(Runner runner, int attempt, boolean headSeen, int events) {}
+
+    RequestWork(Relay relay, CallerRequest request, RequestParameters parameters, Route route, String owner) {
         this.relay = relay;
         this.request = request;
+        this.parameters = parameters;
+        this.route = route;
         this.owner = owner;
     }
 
@@ -28,22 +44,46 @@
     /**
      * Records that the connection to a runner was lost before the end of its response.
      *
-     * @param runner the runner
-     * @param line log line of the request, to be completed
+     * @param progress the attempt at the runner
      * @param reason how the connection was lost
      */
-    void recordLost(Runner runner, LogLine line, String reason) {
+    void recordLost(Progress progress, String reason) {
+        Runner runner = progress.runner();
         relay.metrics().recordRunnerLost(runner.service());
         relay.losses().recordLost(key(), runner);
         LOG.log(
                 Logger.Level.INFO,
-                () -> line.with("work", key())
-                        .with("target", request.target())
-                        .with("runner", runner.incarnation())
-                        .with("reason", reason)
+                () -> logLine("runner_lost", progress).with("reason", reason).toString());
+    }
+
+    /**
+     * Logs that an attempt was cancelled before the end of its response.
+     *
+     * @param progress the attempt at the runner
+     * @param silence time since the runner was last heard in this attempt
+     */
+    void logSilence(Progress progress, Duration silence) {
+        relay.metrics().recordRunnerSilent(progress.runner().service());
+        LOG.log(
+                Logger.Level.INFO,
+                () -> logLine("runner_silent", progress)
+                        .with("silent_ms", silence.toMillis())
                         .toString());
     }
 
+    private LogLine logLine(String event, Progress progress) {
+        return LogLine.of(event)
+                .with("request", parameters.id())
+                .with("program", parameters.program())
+                .with("route", route.name())
+                .with("work", key())
+                .with("target", request.target())
+                .with("runner", progress.runner().incarnation())
+                .with("offer", progress.attempt())
+                .with("head", progress.headSeen())
+                .with("events", progress.events());
+    }
+
     /** Records that the request was cancelled before a runner began to answer it. */
     void recordSilence(Runner runner) {
         relay.losses().recordSilence(key(), runner);
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerExchange.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerExchange.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
+import java.time.Duration;
 import java.util.Optional;
 import org.parsleydrift.placement.Candidate;
 import org.parsleydrift.placement.speed.RunnerObservation;
@@ -25,6 +26,9 @@
     private HttpHeaders headers;
     private int status;
     private long sentNanos;
+    /** Time at which the runner was last heard in this exchange, ns; at first the time of sending. */
+    private long heardNanos;
+
     private boolean streamBegun;
     private boolean ended;
 
@@ -47,8 +51,11 @@
     void cancel() {
         if (connection != null) {
             connection.cancel();
-            if (!ended && headers == null) {
-                request.work().recordSilence(runner);
+            if (!ended) {
+                request.work().logSilence(progress(), Duration.ofNanos(nowNanos() - heardNanos));
+                if (headers == null) {
+                    request.work().recordSilence(runner);
+                }
             }
         }
         observation.ifPresent(each -> each.fail(nowNanos()));
@@ -64,6 +71,10 @@
         return streamBegun ? events.eventCount() : 0;
     }
 
+    private RequestWork.Progress progress() {
+        return new RequestWork.Progress(runner, request.attemptCount(), headers != null, forwardedEvents());
+    }
+
     boolean streamBegun() {
         return streamBegun;
     }
@@ -95,6 +106,7 @@
         }
         connection = acquired;
         sentNanos = nowNanos();
+        heardNanos = sentNanos;
         observation = Optional.of(relay.dispatcher()
                 .speeds()
                 .begin(runner, streaming, chosen.uncachedTokens(), chosen.load(), nowNanos()));
@@ -103,6 +115,7 @@
 
     @Override
     public void onHead(int newStatus, HttpHeaders newHeaders) {
+        heardNanos = nowNanos();
         status = newStatus;
         headers = newHeaders;
         if (streaming && status == 200) {
@@ -116,6 +129,7 @@
         if (ended) {
             return;
         }
+        heardNanos = nowNanos();
         if (!streamBegun) {
             buffer(bytes);
             return;
@@ -184,7 +198,7 @@
     @Override
     public void onConnectionLost(String reason) {
         if (!ended) {
-            request.recordRunnerLost(runner, reason);
+            request.work().recordLost(progress(), reason);
             onFailure(true, reason);
         }
     }
