A runner that is silent under a cancelled request counts as lost until a check shows that it lives

Callers saw: a request under which runners fall silent was sent to one runner after the other, 4 to 18 of them.

Cause: a cancelled attempt counted only if no head had arrived and if this node then happened to fail to connect to the runner for another request within 5 s. Health, lines and leases steer other requests away from it. Class: a belief that only further traffic can decide, about a peer to which no traffic goes.

Change: a silence counts at once for its work and is reported to all entry nodes; a health check on a connection of its own confirms it (unreachable, or another process at the address) or takes it back, there and at the peers (new frame RETRACTION). Lost connections are taken back only by answers on connections that are established after them, and are checked once a work has two. Unreachable runners are suspended for other requests as well.

RunnerEndingRequestTest: silent runners three, runners that only delay are never counted.

--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/RunnerLoss.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/RunnerLoss.java
@@ -1,7 +1,7 @@
 package org.parsleydrift.placement;
 
 /**
- * A runner whose connection was lost while it worked on a request, so that it may have ended under it.
+ * A runner whose connection was lost, or which was silent, while it worked on a request, so that it may have ended under it.
  *
  * @param work the work that the request asked for
  * @param runner {@link org.parsleydrift.registry.RunnerKey} of the runner's incarnation
--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/RunnerLossTracker.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/RunnerLossTracker.java
@@ -8,12 +8,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 
 /**
  * Tracks the runners that were lost under each piece of work, over all attempts and all nodes, and decides when the work
- * must not be sent to another one. Each runner counts once for a piece of work, and no longer once it answers a request
- * that was sent to it after the loss: then it has only broken off its response.
+ * must not be sent to another one. Each runner counts once for a piece of work, and no longer once it answers on a connection
+ * that was established after the loss: then it has only broken off its response. Connections may outlive the listener of a
+ * process that ends, so answers on older ones show this only for a runner that was silent.
  *
  * <p>Memory is bounded: beyond {@link #MAX_WORKS}, the work whose last loss is the oldest is forgotten. Not thread-safe.
  */
@@ -39,9 +41,17 @@
 
     private int rejectedWorks;
 
-    /** Lost runners of one piece of work, with the time at which each loss became known, ns. */
+    /**
+     * Loss of one runner under one piece of work.
+     *
+     * @param evidence the strongest evidence
+     * @param nanos time at which it became known, ns
+     */
+    private record Loss(LossEvidence evidence, long nanos) {}
+
+    /** Lost runners of one piece of work. */
     private static final class Losses {
-        private final Map<Long, Long> runners = new HashMap<>();
+        private final Map<Long, Loss> runners = new HashMap<>();
         private long lastNanos;
 
         private boolean areAtLimit() {
@@ -50,20 +60,35 @@
     }
 
     /**
-     * Records a lost runner.
+     * Records a runner whose connection was lost.
      *
      * @param loss the loss
      * @param nowNanos monotonic time, ns
      * @return false if the loss was known
      */
     public boolean record(RunnerLoss loss, long nowNanos) {
+        return record(loss, LossEvidence.CONNECTION_LOST, nowNanos);
+    }
+
+    /**
+     * Records a lost runner, or stronger evidence for a known loss.
+     *
+     * @param loss the loss
+     * @param evidence what suggests it
+     * @param nowNanos monotonic time, ns
+     * @return false if the loss was known
+     */
+    public boolean record(RunnerLoss loss, LossEvidence evidence, long nowNanos) {
         removeExpired(nowNanos);
         Losses losses = works.remove(loss.work());
         if (losses == null) {
             losses = new Losses();
         }
         boolean wasAtLimit = losses.areAtLimit();
-        boolean added = losses.runners.putIfAbsent(loss.runner(), nowNanos) == null;
+        Loss known = losses.runners.get(loss.runner());
+        if (known == null || known.evidence().compareTo(evidence) < 0) {
+            losses.runners.put(loss.runner(), new Loss(evidence, nowNanos));
+        }
         losses.lastNanos = nowNanos;
         works.put(loss.work(), losses);
         worksByRunner.computeIfAbsent(loss.runner(), any -> new HashSet<>()).add(loss.work());
@@ -71,7 +96,34 @@
         if (works.size() > MAX_WORKS) {
             forgetEldest();
         }
-        return added;
+        return known == null;
+    }
+
+    /**
+     * Returns whether a loss counts.
+     *
+     * @param loss the loss
+     * @return true unless it is unknown, was taken back or has expired
+     */
+    public boolean contains(RunnerLoss loss) {
+        Losses losses = works.get(loss.work());
+        return losses != null && losses.runners.containsKey(loss.runner());
+    }
+
+    /**
+     * Returns the runners that may not have ended although they count as lost.
+     *
+     * @param work key of the work
+     * @return keys of the runners' incarnations
+     */
+    public List<Long> unconfirmedRunners(WorkKey work) {
+        Losses losses = works.get(work);
+        return losses == null
+                ? List.of()
+                : losses.runners.entrySet().stream()
+                        .filter(each -> each.getValue().evidence() != LossEvidence.UNREACHABLE)
+                        .map(Map.Entry::getKey)
+                        .toList();
     }
 
     /**
@@ -93,13 +145,16 @@
     }
 
     /**
-     * Records that a runner could not be reached.
+     * Records that a runner could not be reached, which confirms its losses.
      *
      * @param runner key of the runner's incarnation
      * @param nowNanos monotonic time, ns
-     * @return the losses that this shows, which are not recorded yet
+     * @return the losses that this shows beyond those, which are not recorded yet
      */
     public List<RunnerLoss> lossesOfUnreachable(long runner, long nowNanos) {
+        worksByRunner
+                .getOrDefault(runner, Set.of())
+                .forEach(each -> works.get(each).runners.put(runner, new Loss(LossEvidence.UNREACHABLE, nowNanos)));
         Map<WorkKey, Long> unanswered = silences.remove(runner);
         return unanswered == null
                 ? List.of()
@@ -110,19 +165,49 @@
     }
 
     /**
-     * Records that a runner has answered a request, and takes back the losses from before that request was sent.
+     * Records that a runner has answered a request, and takes back the losses that the answer disproves.
      *
      * @param runner key of the runner's incarnation
-     * @param sentNanos time at which the request was sent, ns
-     * @return the work whose losses were taken back
+     * @param connectedNanos time at which the connection of the request was established, ns
+     * @return the losses that were taken back
      */
-    public List<WorkKey> recordAnswer(long runner, long sentNanos) {
+    public List<RunnerLoss> recordAnswer(long runner, long connectedNanos) {
         silences.remove(runner);
-        List<WorkKey> answered = worksByRunner.getOrDefault(runner, Set.of()).stream()
-                .filter(each -> works.get(each).runners.get(runner) - sentNanos < 0)
+        return takeBack(runner, each -> each.evidence() == LossEvidence.SILENCE || each.nanos() - connectedNanos < 0);
+    }
+
+    /**
+     * Takes back the losses that only the silence of a runner suggests. They count again if the runner turns out to be
+     * unreachable.
+     *
+     * @param runner key of the runner's incarnation
+     * @param nowNanos monotonic time, ns
+     * @return the losses that were taken back
+     */
+    public List<RunnerLoss> withdrawSilence(long runner, long nowNanos) {
+        List<RunnerLoss> withdrawn = takeBack(runner, each -> each.evidence() == LossEvidence.SILENCE);
+        withdrawn.forEach(each -> recordSilence(each, nowNanos));
+        return withdrawn;
+    }
+
+    /**
+     * Takes back a loss, if it is known.
+     *
+     * @param loss the loss
+     */
+    public void remove(RunnerLoss loss) {
+        if (contains(loss)) {
+            takeBack(loss.work(), loss.runner());
+        }
+    }
+
+    private List<RunnerLoss> takeBack(long runner, Predicate<Loss> condition) {
+        List<RunnerLoss> losses = worksByRunner.getOrDefault(runner, Set.of()).stream()
+                .filter(each -> condition.test(works.get(each).runners.get(runner)))
+                .map(each -> new RunnerLoss(each, runner))
                 .toList();
-        answered.forEach(each -> takeBack(each, runner));
-        return answered;
+        losses.forEach(this::remove);
+        return losses;
     }
 
     /**
--- a/parsleydrift-placement/src/test/java/org/parsleydrift/placement/RunnerLossTrackerTest.java
+++ b/parsleydrift-placement/src/test/java/org/parsleydrift/placement/RunnerLossTrackerTest.java
@@ -41,7 +41,7 @@
     public void runnerThatAnswersLaterIsNotLost() {
         lose(WORK, 10, 1, 2, 3);
         tracker.recordAnswer(2, 10);
-        assertTrue(tracker.isRejected(WORK, 20), "the request that was answered was sent before the loss");
+        assertTrue(tracker.isRejected(WORK, 20), "the connection was established before the loss");
         tracker.recordAnswer(2, 11);
         assertFalse(tracker.isRejected(WORK, 20));
         assertEquals(tracker.lostRunners(WORK), 2);
@@ -59,6 +59,29 @@
         assertEquals(tracker.lossesOfUnreachable(3, 6 * SECOND), List.of());
     }
 
+    /** Guards against rejections of requests at which runners are only slow, so that they are cancelled while silent. */
+    @Test
+    public void anyAnswerShowsThatASilentRunnerHasNotEnded() {
+        LongStream.of(1, 2, 3).forEach(each -> tracker.record(new RunnerLoss(WORK, each), LossEvidence.SILENCE, 10));
+        assertTrue(tracker.isRejected(WORK, 10));
+        assertEquals(tracker.recordAnswer(1, 0), List.of(new RunnerLoss(WORK, 1)));
+        assertEquals(tracker.withdrawSilence(2, 20), List.of(new RunnerLoss(WORK, 2)));
+        assertEquals(tracker.lostRunners(WORK), 1);
+        assertEquals(tracker.lossesOfUnreachable(2, 30), List.of(new RunnerLoss(WORK, 2)));
+    }
+
+    /** Guards against losses that are taken back by connections that outlive the runner's listener. */
+    @Test
+    public void confirmedLossIsTakenBackByALaterConnectionOnly() {
+        tracker.record(new RunnerLoss(WORK, 1), LossEvidence.SILENCE, 10);
+        assertEquals(tracker.unconfirmedRunners(WORK), List.of(1L));
+        assertEquals(tracker.lossesOfUnreachable(1, 20), List.of());
+        assertEquals(tracker.unconfirmedRunners(WORK), List.of());
+        assertEquals(tracker.recordAnswer(1, 15), List.of());
+        assertEquals(tracker.recordAnswer(1, 21), List.of(new RunnerLoss(WORK, 1)));
+        assertTrue(tracker.isEmpty());
+    }
+
     /** Guards against rejections that outlive the attempts of the caller, or end while it still asks. */
     @Test
     public void workIsForgottenOnceNobodyAsksForIt() {
--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/Runner.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/Runner.java
@@ -1,5 +1,7 @@
 package org.parsleydrift.registry;
 
+import java.net.InetSocketAddress;
+
 /**
  * One incarnation of an upstream process. A restarted process has the id and address of its predecessor but none of its
  * state, and an address may be reassigned to another service. Load, health and cached prompts are therefore tracked by
@@ -74,6 +76,16 @@
         return new Runner(id, startMillis, incarnation, service, address, zone, slots, draining, version);
     }
 
+    /**
+     * Returns the address to connect to.
+     *
+     * @return IP and port as a socket address
+     */
+    public InetSocketAddress socketAddress() {
+        int colon = address.lastIndexOf(':');
+        return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+    }
+
     /**
      * Whether the runner is known to have a software version.
      *
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Relay.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Relay.java
@@ -10,6 +10,7 @@
 import org.parsleydrift.placement.ContentionSettings;
 import org.parsleydrift.placement.QuotaTracker;
 import org.parsleydrift.registry.Registry;
+import org.parsleydrift.registry.Runner;
 import org.parsleydrift.wire.NetworkThreads;
 
 /**
@@ -63,7 +64,9 @@
         this.headerNames = headerNames;
         this.random = random;
         this.metrics = new RelayMetrics(meters);
-        this.losses = new RunnerLosses(loop.clock()::nanos, () -> loop.execute(dispatcher::workRejected));
+        RunnerChecks checks = new RunnerChecks(
+                loop, new RunnerProbe(threads, loop, headerNames), registry, this::suspendUnreachable, meters);
+        this.losses = new RunnerLosses(loop, checks, () -> loop.execute(dispatcher::workRejected));
         meters.gauge("parsleydrift.work.rejected", losses, RunnerLosses::rejectedWorks);
         registry.onChange(this::registryChanged);
     }
@@ -137,6 +140,12 @@
         }
     }
 
+    private void suspendUnreachable(Runner runner) {
+        dispatcher
+                .health(runner.incarnation())
+                .recordConnectFailure(loop.clock().nanos());
+    }
+
     private void registryChanged() {
         resumeWaiting();
         metrics.recordRunners(registry.allRunners());
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestWork.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestWork.java
@@ -57,18 +57,19 @@
     }
 
     /**
-     * Logs that an attempt was cancelled before the end of its response.
+     * Records that an attempt was cancelled before the end of its response.
      *
      * @param progress the attempt at the runner
      * @param silence time since the runner was last heard in this attempt
      */
-    void logSilence(Progress progress, Duration silence) {
+    void recordSilence(Progress progress, Duration silence) {
         relay.metrics().recordRunnerSilent(progress.runner().service());
         LOG.log(
                 Logger.Level.INFO,
                 () -> logLine("runner_silent", progress)
                         .with("silent_ms", silence.toMillis())
                         .toString());
+        relay.losses().recordSilence(key(), progress.runner(), silence);
     }
 
     private LogLine logLine(String event, Progress progress) {
@@ -84,11 +85,6 @@
                 .with("events", progress.events());
     }
 
-    /** Records that the request was cancelled before a runner began to answer it. */
-    void recordSilence(Runner runner) {
-        relay.losses().recordSilence(key(), runner);
-    }
-
     private WorkKey key() {
         if (key == null) {
             key = WorkKeys.of(owner, request, relay.headerNames());
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnectionPool.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnectionPool.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -96,10 +95,6 @@
     private CompletableFuture<RunnerConnection> connect(Runner runner) {
         CompletableFuture<RunnerConnection> connected = new CompletableFuture<>();
         RunnerConnection connection = new RunnerConnection(this, runner.incarnation(), headerNames, loop.clock());
-        int colon = runner.address().lastIndexOf(':');
-        var address = new InetSocketAddress(
-                runner.address().substring(0, colon),
-                Integer.parseInt(runner.address().substring(colon + 1)));
         bootstrap
                 .clone()
                 .handler(new ChannelInitializer<>() {
@@ -111,7 +106,7 @@
                                 .addLast(connection);
                     }
                 })
-                .connect(address)
+                .connect(runner.socketAddress())
                 .addListener((ChannelFuture done) -> {
                     if (done.isSuccess()) {
                         connected.complete(connection);
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerExchange.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerExchange.java
@@ -25,7 +25,6 @@
     private RunnerConnection connection;
     private HttpHeaders headers;
     private int status;
-    private long sentNanos;
     /** Time at which the runner was last heard in this exchange, ns; at first the time of sending. */
     private long heardNanos;
 
@@ -52,10 +51,7 @@
         if (connection != null) {
             connection.cancel();
             if (!ended) {
-                request.work().logSilence(progress(), Duration.ofNanos(nowNanos() - heardNanos));
-                if (headers == null) {
-                    request.work().recordSilence(runner);
-                }
+                request.work().recordSilence(progress(), Duration.ofNanos(nowNanos() - heardNanos));
             }
         }
         observation.ifPresent(each -> each.fail(nowNanos()));
@@ -105,8 +101,7 @@
             return;
         }
         connection = acquired;
-        sentNanos = nowNanos();
-        heardNanos = sentNanos;
+        heardNanos = nowNanos();
         observation = Optional.of(relay.dispatcher()
                 .speeds()
                 .begin(runner, streaming, chosen.uncachedTokens(), chosen.load(), nowNanos()));
@@ -223,7 +218,7 @@
             return;
         }
         relay.dispatcher().health(runner.incarnation()).recordSuccess();
-        relay.losses().recordAnswer(runner, connection.connectedNanos(), sentNanos);
+        relay.losses().recordAnswer(runner, connection.connectedNanos());
         if (streamBegun) {
             if (events.isWellFormed()) {
                 request.commitStream(runner, events);
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerLosses.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerLosses.java
@@ -2,11 +2,15 @@
 
 import java.lang.System.Logger;
 import java.time.Duration;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.parsleydrift.kernel.EventLoop;
 import org.parsleydrift.kernel.LogLine;
+import org.parsleydrift.placement.LossEvidence;
 import org.parsleydrift.placement.RunnerLoss;
 import org.parsleydrift.placement.RunnerLossTracker;
 import org.parsleydrift.placement.WorkKey;
@@ -15,15 +19,30 @@
 
 /**
  * The runners that were lost under requests, as this node and its peers have seen them. A request that runners end under
- * is retried by its caller at any node, so each loss is reported to all peers. Confined to the event loop.
+ * is retried by its caller at any node, so each loss is reported to all peers. A runner that is silent under a request counts
+ * as lost until a health check shows whether it has ended. Confined to the event loop.
  */
 public final class RunnerLosses {
     private static final Logger LOG = System.getLogger(RunnerLosses.class.getName());
 
+    /** Silence from which on a runner counts under work that has lost no other one; callers that leave sooner prove nothing. */
+    private static final Duration MIN_SILENCE = Duration.ofMillis(200);
+    /** Time within which a health check usually disproves a first loss, so that it need not be reported. */
+    private static final Duration CHECK_TIME = Duration.ofMillis(20);
+    /** Number of losses of a piece of work from which on those that may be none are checked. */
+    private static final int CHECKED_LOSSES = 2;
+    /** Maximum number of reported losses that are remembered to be taken back. */
+    private static final int MAX_REPORTED = 3 * RunnerLossTracker.MAX_WORKS;
+
     private final RunnerLossTracker tracker = new RunnerLossTracker();
     private final RunnerRestarts restarts;
+    private final EventLoop loop;
     private final LongSupplier nanos;
+    private final RunnerChecks checks;
     private final Runnable rejectionListener;
+    /** Losses that this node has reported and not taken back, the eldest one first. */
+    private final Set<RunnerLoss> reported = new LinkedHashSet<>();
+
     private Publisher publisher = (loss, lostRunners) -> {};
     private BooleanSupplier current = () -> true;
 
@@ -37,16 +56,26 @@
          * @param lostRunners number of runners that were lost under the work so far, including this one
          */
         void publish(RunnerLoss loss, int lostRunners);
+
+        /**
+         * Takes back losses that were reported.
+         *
+         * @param losses the losses
+         */
+        default void retract(List<RunnerLoss> losses) {}
     }
 
     /**
      * Creates an empty collection.
      *
-     * @param nanos monotonic clock of the loop, ns
+     * @param loop the event loop
+     * @param checks checks runners that may have ended
      * @param rejectionListener called when work is rejected from now on, so that queued requests for it withdraw
      */
-    RunnerLosses(LongSupplier nanos, Runnable rejectionListener) {
-        this.nanos = nanos;
+    RunnerLosses(EventLoop loop, RunnerChecks checks, Runnable rejectionListener) {
+        this.loop = loop;
+        this.nanos = loop.clock()::nanos;
+        this.checks = checks;
         this.restarts = new RunnerRestarts(nanos);
         this.rejectionListener = rejectionListener;
     }
@@ -80,7 +109,16 @@
      * @param losses the losses
      */
     public void recordReported(List<RunnerLoss> losses) {
-        losses.forEach(each -> record(each, "peer"));
+        losses.forEach(each -> record(each, LossEvidence.CONNECTION_LOST, "peer"));
+    }
+
+    /**
+     * Takes back losses that a peer has reported, unless this node has seen them as well.
+     *
+     * @param losses the losses
+     */
+    public void recordRetracted(List<RunnerLoss> losses) {
+        losses.stream().filter(each -> !reported.contains(each)).forEach(tracker::remove);
     }
 
     /**
@@ -104,12 +142,53 @@
 
     /** Records that the connection to a runner was lost under a request. */
     void recordLost(WorkKey work, Runner runner) {
-        recordOwn(new RunnerLoss(work, RunnerKey.of(runner.incarnation())));
+        recordOwn(new RunnerLoss(work, RunnerKey.of(runner.incarnation())), LossEvidence.CONNECTION_LOST);
+        if (tracker.lostRunners(work) >= CHECKED_LOSSES) {
+            tracker.unconfirmedRunners(work).forEach(this::check);
+        }
     }
 
-    /** Records that a request was cancelled before its runner began to answer it. */
-    void recordSilence(WorkKey work, Runner runner) {
-        tracker.recordSilence(new RunnerLoss(work, RunnerKey.of(runner.incarnation())), nanos.getAsLong());
+    /**
+     * Records that a request was cancelled at a runner before the end of its response. The runner counts as lost at once, as
+     * the caller may try again at once, and is checked.
+     *
+     * @param work the work that the request asks for
+     * @param runner the runner
+     * @param silence time since the runner was last heard in this attempt
+     */
+    void recordSilence(WorkKey work, Runner runner, Duration silence) {
+        RunnerLoss loss = new RunnerLoss(work, RunnerKey.of(runner.incarnation()));
+        if (tracker.lostRunners(work) > 0) {
+            recordOwn(loss, LossEvidence.SILENCE);
+        } else if (silence.compareTo(MIN_SILENCE) >= 0) {
+            record(loss, LossEvidence.SILENCE, "self");
+            loop.schedule(CHECK_TIME, () -> reportIfCounted(loss));
+        } else {
+            tracker.recordSilence(loss, nanos.getAsLong());
+            return;
+        }
+        checks.check(runner, result -> handleCheck(runner, result));
+    }
+
+    private void reportIfCounted(RunnerLoss loss) {
+        if (tracker.contains(loss) && !reported.contains(loss)) {
+            report(loss);
+        }
+    }
+
+    private void check(long runner) {
+        checks.check(runner, this::handleCheck);
+    }
+
+    private void handleCheck(Runner runner, ProbeResult result) {
+        long key = RunnerKey.of(runner.incarnation());
+        switch (result) {
+            case ProbeResult.Answered answered -> recordAnswer(runner, answered.connectedNanos());
+            case ProbeResult.Unreachable ignored -> recordUnreachable(runner);
+            case ProbeResult.Replaced ignored -> recordUnreachable(runner);
+            case ProbeResult.Unanswered ignored ->
+                handleTakenBack(runner, tracker.withdrawSilence(key, nanos.getAsLong()));
+        }
     }
 
     /**
@@ -131,7 +210,7 @@
         restarts.recordLost(RunnerKey.of(runner.incarnation()));
         if (!tracker.isEmpty()) {
             tracker.lossesOfUnreachable(RunnerKey.of(runner.incarnation()), nanos.getAsLong())
-                    .forEach(this::recordOwn);
+                    .forEach(each -> recordOwn(each, LossEvidence.UNREACHABLE));
         }
     }
 
@@ -140,18 +219,24 @@
      *
      * @param runner the runner
      * @param connectedNanos time at which the connection of the request was established, ns
-     * @param sentNanos time at which the request was sent, ns
      */
-    void recordAnswer(Runner runner, long connectedNanos, long sentNanos) {
+    void recordAnswer(Runner runner, long connectedNanos) {
         restarts.recordAnswer(runner, connectedNanos);
         if (!tracker.isEmpty()) {
-            tracker.recordAnswer(RunnerKey.of(runner.incarnation()), sentNanos)
-                    .forEach(each -> LOG.log(
-                            Logger.Level.INFO,
-                            () -> LogLine.of("runner_loss_taken_back")
-                                    .with("work", each)
-                                    .with("runner", runner.incarnation())
-                                    .toString()));
+            handleTakenBack(runner, tracker.recordAnswer(RunnerKey.of(runner.incarnation()), connectedNanos));
+        }
+    }
+
+    private void handleTakenBack(Runner runner, List<RunnerLoss> losses) {
+        losses.forEach(each -> LOG.log(
+                Logger.Level.INFO,
+                () -> LogLine.of("runner_loss_taken_back")
+                        .with("work", each.work())
+                        .with("runner", runner.incarnation())
+                        .toString()));
+        List<RunnerLoss> retracted = losses.stream().filter(reported::remove).toList();
+        if (!retracted.isEmpty()) {
+            publisher.retract(retracted);
         }
     }
 
@@ -160,21 +245,33 @@
         return tracker.hasRejectedWork();
     }
 
-    /** Returns whether work must not be sent to another runner. */
+    /** Returns whether work must not be sent to another runner. Losses that lead to a rejection are checked. */
     boolean isRejected(WorkKey work) {
-        return tracker.isRejected(work, nanos.getAsLong());
+        boolean rejected = tracker.isRejected(work, nanos.getAsLong());
+        if (rejected) {
+            tracker.unconfirmedRunners(work).forEach(this::check);
+        }
+        return rejected;
+    }
+
+    private void recordOwn(RunnerLoss loss, LossEvidence evidence) {
+        if (record(loss, evidence, "self")) {
+            report(loss);
+        }
     }
 
-    private void recordOwn(RunnerLoss loss) {
-        if (record(loss, "self")) {
-            publisher.publish(loss, tracker.lostRunners(loss.work()));
+    private void report(RunnerLoss loss) {
+        reported.add(loss);
+        if (reported.size() > MAX_REPORTED) {
+            reported.remove(reported.iterator().next());
         }
+        publisher.publish(loss, tracker.lostRunners(loss.work()));
     }
 
-    private boolean record(RunnerLoss loss, String source) {
+    private boolean record(RunnerLoss loss, LossEvidence evidence, String source) {
         boolean wasRejected = tracker.lostRunners(loss.work()) >= RunnerLossTracker.MAX_LOST_RUNNERS;
-        boolean added = tracker.record(loss, nanos.getAsLong());
-        if (added) {
+        boolean added = tracker.record(loss, evidence, nanos.getAsLong());
+        if (added && evidence != LossEvidence.SILENCE) {
             restarts.recordLost(loss.runner());
         }
         int lost = tracker.lostRunners(loss.work());
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/AbortedTurnTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/AbortedTurnTest.java
@@ -155,7 +155,7 @@
                         Duration.ofSeconds(60),
                         false,
                         List.of(new Destination("s", 1)))),
-                withService ? List.of(new UpstreamService("s", 100, true, TOKENS_PER_EVENT)) : List.of(),
+                withService ? List.of(new UpstreamService("s", 100, true, TOKENS_PER_EVENT, "")) : List.of(),
                 CallerLimits.defaults());
     }
 
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RunnerEndingRequestTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RunnerEndingRequestTest.java
@@ -28,8 +28,11 @@
     public void start() throws IOException {
         fleet = new StreamFleet();
         NODES.forEach(fleet::addNode);
+    }
+
+    private void addRunners(String reply) throws IOException {
         for (int i = 0; i < RUNNERS; i++) {
-            fleet.addFragileRunner("r" + i, "s", "deadly");
+            fleet.addFragileRunner("r" + i, "s", "deadly", reply);
         }
     }
 
@@ -61,10 +64,28 @@
 
     /** Guards against a request that ends one runner after the other, as each attempt of its caller begins anew. */
     @Test(dataProvider = "kinds")
-    public void requestIsSentNoMoreAfterThreeRunnersEnded(String path, String headers) {
+    public void requestIsSentNoMoreAfterThreeRunnersEnded(String path, String headers) throws IOException {
+        addRunners(ScriptedRunner.CRASH);
         List<String> responses = sendAll(path + "deadly", headers.formatted(1));
         assertEquals(fleet.arrivals("deadly"), MAX_LOST_RUNNERS, responses.toString());
         String last = responses.getLast();
         assertTrue(last.startsWith("HTTP/1.1 503 ") && !last.contains("Retry-After"), last);
     }
+
+    /** Guards against a request that ends one runner after the other, as those that fall silent are not counted. */
+    @Test
+    public void requestIsSentNoMoreAfterThreeRunnersFellSilent() throws IOException {
+        addRunners(ScriptedRunner.VANISH);
+        List<String> responses = sendAll("/brief/deadly", TURN.formatted(1));
+        assertEquals(fleet.arrivals("deadly"), MAX_LOST_RUNNERS, responses.toString());
+        assertTrue(responses.getLast().startsWith("HTTP/1.1 503 "), responses.getLast());
+    }
+
+    /** Guards against the rejection of a request that takes longer than its callers wait, at runners that are well. */
+    @Test
+    public void requestThatRunnersOnlyDelayIsNotRejected() throws IOException {
+        addRunners(ScriptedRunner.SILENCE);
+        List<String> responses = sendAll("/brief/deadly", TURN.formatted(1));
+        assertEquals(fleet.arrivals("deadly"), ATTEMPTS, responses.toString());
+    }
 }
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/ScriptedRunner.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/ScriptedRunner.java
@@ -28,6 +28,9 @@
     /** Reply that is never sent; the connection stays open. */
     static final String SILENCE = "silence";
 
+    /** Reply that ends the runner silently: it accepts no more connections, and those that are open stay so. */
+    static final String VANISH = "vanish";
+
     /** Pause of a slow reply between the bytes that it repeats. */
     private static final long SLOW_PAUSE_NANOS = 5_000_000;
     /** Separates the bytes that an endless reply begins with from those that it repeats. */
@@ -141,10 +144,13 @@
                     crash();
                     return;
                 }
+                if (reply.equals(VANISH)) {
+                    listener.close();
+                }
                 if (reply.contains(REPEATED)) {
                     writeEndlessly(socket.getOutputStream(), reply.split(REPEATED, 2));
                 }
-                if (!reply.equals(SILENCE)) {
+                if (!reply.equals(SILENCE) && !reply.equals(VANISH)) {
                     socket.getOutputStream().write(reply.getBytes(ISO_8859_1));
                 }
             }
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/StreamFleet.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/StreamFleet.java
@@ -208,11 +208,10 @@
         addRunner(id, service, version, request -> rejecting.contains(id) ? reject(request) : stream(request));
     }
 
-    /** Starts a runner that ends under each request whose target contains the text. */
-    void addFragileRunner(String id, String service, String text) throws IOException {
-        Function<String, String> script = request -> target(request).contains(text)
-                ? ScriptedRunner.CRASH
-                : ScriptedRunner.response("200 OK", request, "", "");
+    /** Starts a runner that replies in a given way to requests with a target that contains the text. */
+    void addFragileRunner(String id, String service, String text, String reply) throws IOException {
+        Function<String, String> script =
+                request -> target(request).contains(text) ? reply : ScriptedRunner.response("200 OK", request, "", "");
         addRunner(id, service, "v1", script);
     }
 
@@ -392,7 +391,7 @@
                         route("/stored/", false, true, Duration.ofSeconds(5)),
                         calls()),
                 services.stream()
-                        .map(each -> new UpstreamService(each, 100, true, 10))
+                        .map(each -> new UpstreamService(each, 100, true, 10, "/health"))
                         .toList(),
                 CallerLimits.defaults());
     }
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -19,6 +19,7 @@
 import org.parsleydrift.kernel.StepException;
 import org.parsleydrift.placement.ContentionSettings;
 import org.parsleydrift.placement.QuotaTracker;
+import org.parsleydrift.placement.RunnerLoss;
 import org.parsleydrift.placement.fleet.FleetReports;
 import org.parsleydrift.placement.lease.LeaseLimit;
 import org.parsleydrift.placement.speed.RunnerSpeeds;
@@ -139,7 +140,7 @@
                 Map.of(ObjectKind.RUNNERS, runners, ObjectKind.MANIFEST, manifests, ObjectKind.STORE_SET, storeSets),
                 nodes::setWatching);
         lossExchange = createLossExchange(frames);
-        relay.losses().publishTo(lossExchange::publish);
+        relay.losses().publishTo(lossExchange);
         relay.losses().setCurrent(() -> started && lossExchange.isCurrent());
         relay.losses().setEntryStaleness(runners::staleness);
         mesh.setPeerReadyListener(lossExchange::peerReady);
@@ -297,12 +298,26 @@
                 frames,
                 self.link(),
                 mesh::plan,
-                relay.losses()::recordReported,
+                lossReceiver(),
                 relay.losses()::latest,
                 relay::resumeWaiting,
                 context.meters);
     }
 
+    private RunnerLossExchange.Receiver lossReceiver() {
+        return new RunnerLossExchange.Receiver() {
+            @Override
+            public void recordReported(List<RunnerLoss> losses) {
+                relay.losses().recordReported(losses);
+            }
+
+            @Override
+            public void recordRetracted(List<RunnerLoss> losses) {
+                relay.losses().recordRetracted(losses);
+            }
+        };
+    }
+
     private SlotLeaseExchange createLeases(TcpFrameSender frames) {
         return new SlotLeaseExchange(
                 context.loop, frames, self, context.random.nextLong(), leaseFleet(), LeaseLimit.USUAL, context.meters);
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RunnerLossExchange.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RunnerLossExchange.java
@@ -9,20 +9,20 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
-import java.util.function.Consumer;
 import java.util.function.IntFunction;
 import java.util.function.Supplier;
 import org.parsleydrift.conversation.FrameSender;
 import org.parsleydrift.kernel.EventLoop;
 import org.parsleydrift.kernel.LogLine;
 import org.parsleydrift.placement.RunnerLoss;
+import org.parsleydrift.relay.RunnerLosses;
 
 /**
  * Reports the runners that were lost under requests to all entry nodes, in large fleets through the hubs of
  * {@link MeshPlan}. A node that has just started asks a few peers for the latest ones, and each peer that it hears for the
  * first time or again, as reports to nodes that are not connected are lost. Confined to its event loop.
  */
-final class RunnerLossExchange {
+final class RunnerLossExchange implements RunnerLosses.Publisher {
     private static final Logger LOG = System.getLogger(RunnerLossExchange.class.getName());
     /** Time within which only a few of the peers that become ready are asked. */
     private static final Duration QUERY_PERIOD = Duration.ofMillis(100);
@@ -35,7 +35,7 @@
     private final FrameSender frames;
     private final String ownLink;
     private final Supplier<MeshPlan> plan;
-    private final Consumer<List<RunnerLoss>> receiver;
+    private final Receiver receiver;
     private final IntFunction<List<RunnerLoss>> latest;
     private final List<RunnerLoss> unsent = new ArrayList<>();
     private final Counter sent;
@@ -48,6 +48,20 @@
     private long periodStartNanos;
     private int queriesInPeriod;
 
+    /** Creates frames of one kind. */
+    private interface Frames {
+        RunnerLossFrame create(RunnerLossFrame.Scope scope, List<RunnerLoss> losses);
+    }
+
+    /** Receives what peers report. */
+    interface Receiver {
+        /** Records losses. */
+        void recordReported(List<RunnerLoss> losses);
+
+        /** Takes back losses that the same peers have reported. */
+        void recordRetracted(List<RunnerLoss> losses);
+    }
+
     /**
      * Creates the exchange.
      *
@@ -55,7 +69,7 @@
      * @param frames sends frames to other nodes
      * @param ownLink link address of this node
      * @param plan current receivers of this node's status
-     * @param receiver receives the losses that peers report
+     * @param receiver receives what peers report
      * @param latest returns the latest known losses, at most as many as given
      * @param currentListener called when the losses that the peers have seen are known from now on
      * @param meters registry for the metrics
@@ -65,7 +79,7 @@
             FrameSender frames,
             String ownLink,
             Supplier<MeshPlan> plan,
-            Consumer<List<RunnerLoss>> receiver,
+            Receiver receiver,
             IntFunction<List<RunnerLoss>> latest,
             Runnable currentListener,
             MeterRegistry meters) {
@@ -111,7 +125,8 @@
      * Reports a loss that this node has seen. First losses of the same moment share a frame, since all requests at a runner
      * are lost with it. A further one under the same work is sent at once, before the caller is answered and tries again.
      */
-    void publish(RunnerLoss loss, int lostRunners) {
+    @Override
+    public void publish(RunnerLoss loss, int lostRunners) {
         unsent.add(loss);
         if (lostRunners > 1) {
             sendUnsent();
@@ -120,6 +135,13 @@
         }
     }
 
+    @Override
+    public void retract(List<RunnerLoss> losses) {
+        // A retraction must not overtake its report.
+        sendUnsent();
+        sendToAll(RunnerLossFrame.Retraction::new, losses);
+    }
+
     /** Handles a frame; returns false if its type is not one of the exchange. */
     boolean receive(byte[] frame) {
         if (!RunnerLossFrame.isLossFrame(frame)) {
@@ -128,8 +150,13 @@
         switch (RunnerLossFrame.decode(frame)) {
             case RunnerLossFrame.Report report -> {
                 accept(report.losses());
-                forward(report.scope(), report.losses());
-                sendToAskers(report.losses());
+                forward(RunnerLossFrame.Report::new, report.scope(), report.losses());
+                sendToAskers(RunnerLossFrame.Report::new, report.losses());
+            }
+            case RunnerLossFrame.Retraction retraction -> {
+                receiver.recordRetracted(retraction.losses());
+                forward(RunnerLossFrame.Retraction::new, retraction.scope(), retraction.losses());
+                sendToAskers(RunnerLossFrame.Retraction::new, retraction.losses());
             }
             case RunnerLossFrame.Query asked -> answer(asked.link());
             case RunnerLossFrame.Answer answer -> {
@@ -178,7 +205,7 @@
                         .with("losses", losses.size())
                         .with("work", losses.getFirst().work())
                         .toString());
-        receiver.accept(losses);
+        receiver.recordReported(losses);
     }
 
     private void sendUnsent() {
@@ -195,18 +222,22 @@
                         .with("work", losses.getFirst().work())
                         .with("receivers", plan.get().stateReceivers().size())
                         .toString());
+        sendToAll(RunnerLossFrame.Report::new, losses);
+    }
+
+    private void sendToAll(Frames kind, List<RunnerLoss> losses) {
         for (int from = 0; from < losses.size(); from += RunnerLossFrame.MAX_LOSSES) {
             List<RunnerLoss> part = losses.subList(from, Math.min(losses.size(), from + RunnerLossFrame.MAX_LOSSES));
             if (plan.get().isHub()) {
-                forward(RunnerLossFrame.Scope.ALL_ZONES, part);
+                forward(kind, RunnerLossFrame.Scope.ALL_ZONES, part);
             } else {
-                send(links(plan.get().stateReceivers()), RunnerLossFrame.Scope.ALL_ZONES, part);
+                send(links(plan.get().stateReceivers()), kind.create(RunnerLossFrame.Scope.ALL_ZONES, part));
             }
-            sendToAskers(part);
+            sendToAskers(kind, part);
         }
     }
 
-    private void sendToAskers(List<RunnerLoss> losses) {
+    private void sendToAskers(Frames kind, List<RunnerLoss> losses) {
         long now = loop.clock().nanos();
         askers.values().removeIf(each -> now - each > REPORTED_TO_ASKER.toNanos());
         List<String> receivers = links(plan.get().stateReceivers());
@@ -214,25 +245,24 @@
                 askers.keySet().stream()
                         .filter(each -> !receivers.contains(each))
                         .toList(),
-                RunnerLossFrame.Scope.RECEIVER,
-                losses);
+                kind.create(RunnerLossFrame.Scope.RECEIVER, losses));
     }
 
     /** Forwards losses to the nodes that have yet to receive them, if this node is a hub. */
-    private void forward(RunnerLossFrame.Scope scope, List<RunnerLoss> losses) {
+    private void forward(Frames kind, RunnerLossFrame.Scope scope, List<RunnerLoss> losses) {
         MeshPlan current = plan.get();
         if (!current.isHub() || scope == RunnerLossFrame.Scope.RECEIVER) {
             return;
         }
-        send(links(current.allSummariesReceivers()), RunnerLossFrame.Scope.RECEIVER, losses);
+        send(links(current.allSummariesReceivers()), kind.create(RunnerLossFrame.Scope.RECEIVER, losses));
         if (scope == RunnerLossFrame.Scope.ALL_ZONES) {
-            send(links(current.summaryReceivers()), RunnerLossFrame.Scope.OWN_ZONE, losses);
+            send(links(current.summaryReceivers()), kind.create(RunnerLossFrame.Scope.OWN_ZONE, losses));
         }
     }
 
-    private void send(List<String> links, RunnerLossFrame.Scope scope, List<RunnerLoss> losses) {
-        byte[] frame = new RunnerLossFrame.Report(scope, losses).encode();
-        links.forEach(each -> frames.send(each, frame));
+    private void send(List<String> links, RunnerLossFrame frame) {
+        byte[] encoded = frame.encode();
+        links.forEach(each -> frames.send(each, encoded));
     }
 
     private static List<String> links(List<NodeIdentity> nodes) {
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RunnerLossFrame.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RunnerLossFrame.java
@@ -18,12 +18,14 @@
     byte QUERY = 25;
     /** Type of {@link Answer}. */
     byte ANSWER = 26;
+    /** Type of {@link Retraction}. */
+    byte RETRACTION = 27;
     /** Maximum number of losses in a frame; more are malformed. */
     int MAX_LOSSES = 1024;
 
     /** Returns whether a frame has one of the types, which follow MessagePack's encoding of small integers. */
     static boolean isLossFrame(byte[] frame) {
-        return frame.length > 0 && (frame[0] == REPORT || frame[0] == QUERY || frame[0] == ANSWER);
+        return frame.length > 0 && frame[0] >= REPORT && frame[0] <= RETRACTION;
     }
 
     /** Reads a frame with one of the types; throws a {@link org.parsleydrift.kernel.StepException} if malformed. */
@@ -34,6 +36,7 @@
                 case REPORT -> Report.read(in);
                 case QUERY -> new Query(in.unpackString());
                 case ANSWER -> new Answer(losses(in));
+                case RETRACTION -> new Retraction(Scope.of(in.unpackInt()), losses(in));
                 default -> throw new IOException("unknown frame type " + type);
             };
         });
@@ -139,4 +142,22 @@
             RunnerLossFrame.losses(out.packByte(ANSWER), losses);
         }
     }
+
+    /**
+     * Losses that a node has reported and that were none.
+     *
+     * @param scope nodes to which the receiver forwards the frame
+     * @param losses the losses
+     */
+    record Retraction(Scope scope, List<RunnerLoss> losses) implements RunnerLossFrame {
+        /** Copies the list. */
+        public Retraction {
+            losses = List.copyOf(losses);
+        }
+
+        @Override
+        public void write(MessagePacker out) throws IOException {
+            RunnerLossFrame.losses(out.packByte(RETRACTION).packInt(scope.code), losses);
+        }
+    }
 }
--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/RunnerLossExchangeTest.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/RunnerLossExchangeTest.java
@@ -46,7 +46,7 @@
                 member.frames,
                 member.identity.link(),
                 member.mesh::plan,
-                losses -> losses.forEach(each -> tracker.record(each, 0)),
+                receiver(tracker),
                 tracker::latest,
                 () -> {},
                 meters);
@@ -55,6 +55,20 @@
         exchanges.put(name, exchange);
     }
 
+    private static RunnerLossExchange.Receiver receiver(RunnerLossTracker tracker) {
+        return new RunnerLossExchange.Receiver() {
+            @Override
+            public void recordReported(List<RunnerLoss> losses) {
+                losses.forEach(each -> tracker.record(each, 0));
+            }
+
+            @Override
+            public void recordRetracted(List<RunnerLoss> losses) {
+                losses.forEach(tracker::remove);
+            }
+        };
+    }
+
     private void publish(String node, long runner) {
         RunnerLoss loss = new RunnerLoss(WORK, runner);
         trackers.get(node).record(loss, 0);
@@ -80,6 +94,20 @@
         assertEquals(lostRunners(), List.of(RunnerLossTracker.MAX_LOST_RUNNERS));
     }
 
+    /** Guards against requests that other nodes reject although the runners were only silent. */
+    @Test(dataProvider = "sizes")
+    public void retractionReachesAllNodesAfterItsReport(int nodes) {
+        MeshFleet fleet = connectedFleet(nodes);
+        String node = List.copyOf(fleet.members.keySet()).getLast();
+        publish(node, 10);
+        RunnerLoss loss = new RunnerLoss(WORK, 10);
+        trackers.get(node).remove(loss);
+        exchanges.get(node).retract(List.of(loss));
+        publish(node, 11);
+        fleet.time.advance(RETURN_OF_CALLER);
+        assertEquals(lostRunners(), List.of(1));
+    }
+
     /** Guards against a node that sends a request on, as it has started after the runners ended. */
     @Test
     public void startingNodeLearnsEarlierLosses() {
