--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/Disturbances.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/Disturbances.java
@@ -23,6 +23,7 @@
     private static final int UPGRADE_STORE_GAP_MILLIS = 8000;
 
     private static final int UPGRADE_ENTRY_GAP_MILLIS = 2000;
+    private static final int REJOIN_PERIOD_MILLIS = 9000;
     private static final Duration DRAIN = Duration.ofMillis(1500);
 
     private final SoakFleet fleet;
@@ -83,6 +84,22 @@
         }
     }
 
+    /**
+     * Schedules rolling upgrades of the runners, in the course of each of which all entry processes are killed at once, so
+     * that streams are taken up again while two versions serve or the former one has just left.
+     */
+    void scheduleRejoins(Duration time) {
+        for (long at = 1000; at < time.toMillis(); at += REJOIN_PERIOD_MILLIS) {
+            boolean whole = random.nextBoolean();
+            later(at, () -> upgrade(fleet.readyRunners().size() / (whole ? 1 : 2)));
+            long length = 300L + random.nextInt(1000);
+            later(at + random.nextInt(REJOIN_PERIOD_MILLIS / 2), () -> {
+                report.count("all_entries_killed");
+                fleet.entries().forEach(each -> restartAfterKill(each.process(), length));
+            });
+        }
+    }
+
     /** Schedules the restarts of all processes, one after the other, from which on they run the software of this run. */
     void scheduleSoftwareUpgrade() {
         long at = UPGRADE_STORE_GAP_MILLIS / 2;
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamCaller.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamCaller.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.InputStreamReader;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -26,6 +27,8 @@
     /** One of so many streams is resumed without its name, as by callers of the interface before software versions. */
     private static final int NAMELESS_SHARE = 4;
 
+    private static final Duration CONNECT_PAUSE = Duration.ofMillis(100);
+    private static final int MAX_CONNECTS = 40;
     private static final Duration PAUSE = Duration.ofMillis(40);
 
     private final String name;
@@ -103,11 +106,27 @@
                 break;
             }
             node = environment.choose(random, Optional.of(node));
+            if (received.events > 0) {
+                awaitListening(node);
+            }
         }
         report.count("given_up");
         check(stream, received);
     }
 
+    /** Waits until a node accepts connections, for as long as callers keep an interrupted stream. */
+    private static void awaitListening(Node node) {
+        URI address = URI.create("http://" + node.address());
+        for (int i = 0; i < MAX_CONNECTS; i++) {
+            try {
+                new Socket(address.getHost(), address.getPort()).close();
+                return;
+            } catch (IOException down) {
+                LockSupport.parkNanos(CONNECT_PAUSE.toNanos());
+            }
+        }
+    }
+
     /** Sends one attempt; returns whether the stream is complete. */
     private boolean send(String stream, int attempt, boolean budgeted, boolean names, Node node, Received received)
             throws InterruptedException {
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoak.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoak.java
@@ -34,6 +34,9 @@
                 if (options.formerClassPath().isPresent()) {
                     disturbances.scheduleSoftwareUpgrade();
                 }
+                if (options.rejoining()) {
+                    disturbances.scheduleRejoins(options.time());
+                }
                 if (options.disturbed()) {
                     disturbances.schedule(options.time(), options.chainCallers() > 0);
                 }
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakMain.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakMain.java
@@ -49,6 +49,7 @@
                 .defaultsTo(RunnerEnd.RESET);
         OptionSpec<Integer> chainCallers = integer(parser, "chain-callers", "callers of stored conversations", 0);
         parser.accepts("undisturbed", "disturb neither processes nor runners nor the platform");
+        parser.accepts("rejoining", "kill all entry processes during upgrades of the runners");
         OptionSpec<String> former = parser.accepts(
                         "former-class-path", "class path of an earlier version, as which the processes start")
                 .withRequiredArg();
@@ -84,6 +85,7 @@
                     options.valuesOf(runnerEnds),
                     options.valueOf(chainCallers),
                     !options.has("undisturbed"),
+                    options.has("rejoining"),
                     Duration.ofSeconds(options.valueOf(seconds)),
                     Optional.ofNullable(options.valueOf(former)));
             violations += run(one, Path.of(options.valueOf(folder)).toAbsolutePath());
--- a/parsleydrift-bench/src/test/java/org/parsleydrift/bench/streams/StreamSoakTest.java
+++ b/parsleydrift-bench/src/test/java/org/parsleydrift/bench/streams/StreamSoakTest.java
@@ -19,8 +19,8 @@
     @Test
     public void streamsGoOnAtTheirSoftwareVersion() throws IOException {
         Path folder = Files.createTempDirectory(Files.createDirectories(Path.of("target", "stream-soak")), "ci");
-        StreamSoakOptions options =
-                new StreamSoakOptions(SEED, 4, 9, 16, 0, List.of(), 0, true, Duration.ofSeconds(25), Optional.empty());
+        StreamSoakOptions options = new StreamSoakOptions(
+                SEED, 4, 9, 16, 0, List.of(), 0, true, false, Duration.ofSeconds(25), Optional.empty());
         StreamSoakReport report = new StreamSoak(options).run(folder.toAbsolutePath());
         assertEquals(report.violations(), List.of(), report.toString());
         assertTrue(report.toString().contains("resumed_200"), report.toString());
@@ -30,8 +30,8 @@
     @Test
     public void chainsOutliveTheProgramsTheyBeginIn() throws IOException {
         Path folder = Files.createTempDirectory(Files.createDirectories(Path.of("target", "stream-soak")), "chains");
-        StreamSoakOptions options =
-                new StreamSoakOptions(SEED, 2, 6, 0, 0, List.of(), 6, false, Duration.ofSeconds(35), Optional.empty());
+        StreamSoakOptions options = new StreamSoakOptions(
+                SEED, 2, 6, 0, 0, List.of(), 6, false, false, Duration.ofSeconds(35), Optional.empty());
         StreamSoakReport report = new StreamSoak(options).run(folder.toAbsolutePath());
         assertEquals(report.violations(), List.of(), report.toString());
         assertTrue(report.toString().contains("chains_continued_by_other_program"), report.toString());
@@ -42,7 +42,7 @@
     public void requestEndsThreeRunnersAtMost() throws IOException {
         Path folder = Files.createTempDirectory(Files.createDirectories(Path.of("target", "stream-soak")), "ending");
         StreamSoakOptions options = new StreamSoakOptions(
-                SEED, 3, 14, 4, 2, List.of(RunnerEnd.RESET), 0, false, Duration.ofSeconds(10), Optional.empty());
+                SEED, 3, 14, 4, 2, List.of(RunnerEnd.RESET), 0, false, false, Duration.ofSeconds(10), Optional.empty());
         StreamSoakReport report = new StreamSoak(options).run(folder.toAbsolutePath());
         assertEquals(report.violations(), List.of(), report.toString());
         assertTrue(report.toString().contains("ended_runners_reset_3"), report.toString());
@@ -53,7 +53,17 @@
     public void requestEndsThreeRunnersAtMostHoweverTheyEnd() throws IOException {
         Path folder = Files.createTempDirectory(Files.createDirectories(Path.of("target", "stream-soak")), "ends");
         StreamSoakOptions options = new StreamSoakOptions(
-                SEED, 3, 24, 4, 3, List.of(RunnerEnd.values()), 0, false, Duration.ofSeconds(20), Optional.empty());
+                SEED,
+                3,
+                24,
+                4,
+                3,
+                List.of(RunnerEnd.values()),
+                0,
+                false,
+                false,
+                Duration.ofSeconds(20),
+                Optional.empty());
         StreamSoakReport report = new StreamSoak(options).run(folder.toAbsolutePath());
         assertEquals(report.violations(), List.of(), report.toString());
         assertTrue(report.toString().contains("ended_runners_silent_3"), report.toString());
