Nodes that start while the platform is away learn of each other from the peers that they hear

Cause: without the platform's list a starting node knows only those that it hears, which know it from before. Two nodes that start together hear the same survivors but never each other, so their losses do not reach each other.

Change: such a node asks each peer that becomes ready for the peers that it knows, before it asks for lost runners; the answer of one peer no longer suffices then.

--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -85,6 +85,7 @@
     private final Relay relay;
     private final NodeMesh mesh;
     private final RunnerLossExchange lossExchange;
+    private final PeerIntroductions introductions;
     private final WatchedObjects runners;
     private final WatchedObjects manifests;
     private final WatchedObjects storeSets;
@@ -140,10 +141,9 @@
                 Map.of(ObjectKind.RUNNERS, runners, ObjectKind.MANIFEST, manifests, ObjectKind.STORE_SET, storeSets),
                 nodes::setWatching);
         lossExchange = createLossExchange(frames);
-        relay.losses().publishTo(lossExchange);
-        relay.losses().setCurrent(() -> started && lossExchange.isCurrent());
-        relay.losses().setEntryStaleness(runners::staleness);
-        mesh.setPeerReadyListener(lossExchange::peerReady);
+        connectLosses();
+        introductions = new PeerIntroductions(frames, self.link(), mesh::knownPeers, mesh::addPeer);
+        mesh.setPeerReadyListener(this::handlePeerReady);
         calls.setForwarders(
                 new StoreForwarderSelector(mesh::storeForwarders, context.random, context.loop.clock()::nanos));
         callerServer = new CallerServer(
@@ -155,6 +155,12 @@
         serveAuxiliary(settings);
     }
 
+    private void connectLosses() {
+        relay.losses().publishTo(lossExchange);
+        relay.losses().setCurrent(() -> started && lossExchange.isCurrent());
+        relay.losses().setEntryStaleness(runners::staleness);
+    }
+
     /** Serves readiness and directory, and registers the gauges. */
     private void serveAuxiliary(RoleSettings settings) {
         context.serve(settings.readiness().orElseThrow(), MAX_AUXILIARY_CONNECTIONS, this::respondReadiness);
@@ -252,12 +258,22 @@
                 Map.of());
     }
 
+    /** Learns from a peer which other nodes there are, and then which runners they have lost. */
+    private void handlePeerReady(NodeIdentity peer) {
+        introductions.ask(peer);
+        lossExchange.peerReady(peer);
+    }
+
     private void receive(byte[] frame) {
         // Links are open before all parts of this role exist.
         if (!started) {
             return;
         }
-        if (!leases.receive(frame) && !lossExchange.receive(frame) && !mesh.receive(frame)) {
+        boolean handled = leases.receive(frame)
+                || lossExchange.receive(frame)
+                || introductions.receive(frame)
+                || mesh.receive(frame);
+        if (!handled) {
             calls.receive(frame);
         }
     }
@@ -370,6 +386,7 @@
         }
         forEachReadable(changes, each -> mesh.addPeer(NodeIdentity.fromJson(each.content())));
         if (first) {
+            introductions.peersListed();
             lossExchange.peersListed();
         }
     }
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/NodeMesh.java
@@ -96,6 +96,11 @@
         peers.add(identity);
     }
 
+    /** Returns all known peers, whether they are heard or not. */
+    List<NodeIdentity> knownPeers() {
+        return peers.stream().map(each -> each.identity).toList();
+    }
+
     /** Returns all ready nodes, including this one. */
     List<NodeIdentity> readyNodes() {
         Stream<NodeIdentity> others = peers.stream()
