A node that stops reports the runners at which its requests are open

Cause: a process that ends its drain cuts its open attempts without a word; how their runners take it is seen by nobody.

Change: before it exits, the node reports the runner of each open attempt as silent; peers take it back by an answer or a check, as any other silence. Relay keeps the open requests in place of their number; RunnerLosses implements LossReceiver.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Relay.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Relay.java
@@ -2,8 +2,10 @@
 
 import io.micrometer.core.instrument.MeterRegistry;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.parsleydrift.conversation.Conversations;
 import org.parsleydrift.kernel.EventLoop;
@@ -30,7 +32,7 @@
     private final ResponseBuffers responseBuffers = ResponseBuffers.ofHeap();
     private final List<RelayedRequest> awaitingPreparation = new ArrayList<>();
     private AdmissionPolicy admission = AdmissionPolicy.DEFAULT;
-    private int openRequests;
+    private final Set<RelayedRequest> openRequests = new HashSet<>();
 
     /**
      * Creates a relay and subscribes it to changes of the registry.
@@ -75,7 +77,7 @@
     public Runnable handle(CallerRequest request, CallerResponse response) {
         Optional<RequestParameters> parameters = RequestParameters.parse(request.headers(), headerNames);
         RelayedRequest relayed = new RelayedRequest(this, request, parameters, response);
-        openRequests++;
+        openRequests.add(relayed);
         relayed.start();
         return relayed::handleDisconnect;
     }
@@ -107,7 +109,12 @@
      * @return number of requests
      */
     public int openRequests() {
-        return openRequests;
+        return openRequests.size();
+    }
+
+    /** Reports the runners at which requests are open, as this node stops before their responses end. */
+    public void abandonOpenRequests() {
+        openRequests.forEach(RelayedRequest::abandon);
     }
 
     /**
@@ -153,8 +160,8 @@
         dispatcher.runnersChanged();
     }
 
-    void requestEnded() {
-        openRequests--;
+    void requestEnded(RelayedRequest request) {
+        openRequests.remove(request);
     }
 
     EventLoop loop() {
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -181,6 +181,13 @@
         apply(new RequestEvent.CallerLeft());
     }
 
+    /** Reports the runner that the request is at, if any, as this node stops. */
+    void abandon() {
+        if (exchange != null) {
+            exchange.reportAbandoned();
+        }
+    }
+
     @Override
     public String service() {
         return service;
@@ -259,7 +266,7 @@
         if (attempt == 1) {
             relay.dispatcher().retryBudget(service).recordFirstAttempt();
         }
-        exchange = new RunnerExchange(this, relay, chosen, route.isStreaming(), route.stateful());
+        exchange = new RunnerExchange(this, relay, chosen, attempt, route);
         scheduleLatencyTimeout(runner, exchange);
         // Must come last: if a pooled connection fails at once, the request is queued again from within this call.
         exchange.start();
@@ -325,11 +332,6 @@
         }
     }
 
-    /** Returns the number of runners that the request was sent to. */
-    int attemptCount() {
-        return lifecycle.attempts().count();
-    }
-
     /** Handles a missing response of a runner that may have started the request. Nothing was sent to the caller yet. */
     void handleUnknown(Runner runner, String reason) {
         if (canRetry() && relay.dispatcher().retryBudget(service).tryAcquire()) {
@@ -465,7 +467,7 @@
         preparationTimer.cancel();
         queueWait.cancel();
         latencyTimer.cancel();
-        relay.requestEnded();
+        relay.requestEnded(this);
         boolean causeUnbounded = outcome.equals(RequestLifecycle.REFUSED) || outcome.equals(RequestLifecycle.UNKNOWN);
         relay.metrics().recordOutcome(outcome, causeUnbounded ? "-" : cause);
         relay.metrics().recordPhase("whole", elapsed());
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestWork.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestWork.java
@@ -72,6 +72,11 @@
         relay.losses().recordSilence(key(), progress.runner(), silence);
     }
 
+    /** Records that this node stops while the request is at a runner. */
+    void recordAbandoned(Runner runner) {
+        relay.losses().recordAbandoned(key(), runner);
+    }
+
     private LogLine logLine(String event, Progress progress) {
         return LogLine.of(event)
                 .with("request", parameters.id())
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerExchange.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerExchange.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.parsleydrift.placement.Candidate;
 import org.parsleydrift.placement.speed.RunnerObservation;
+import org.parsleydrift.registry.Route;
 import org.parsleydrift.registry.Runner;
 
 /** One attempt to run a request at one runner, from acquiring a connection to the end of the response. */
@@ -18,6 +19,7 @@
     private final Relay relay;
     private final Candidate chosen;
     private final Runner runner;
+    private final int attempt;
     private final boolean streaming;
     private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
     private final EventStreamReader events;
@@ -31,13 +33,14 @@
     private boolean streamBegun;
     private boolean ended;
 
-    RunnerExchange(RelayedRequest request, Relay relay, Candidate chosen, boolean streaming, boolean collectData) {
+    RunnerExchange(RelayedRequest request, Relay relay, Candidate chosen, int attempt, Route route) {
         this.request = request;
         this.relay = relay;
         this.chosen = chosen;
         this.runner = chosen.runner();
-        this.streaming = streaming;
-        this.events = new EventStreamReader(collectData, request.lastEventId());
+        this.attempt = attempt;
+        this.streaming = route.isStreaming();
+        this.events = new EventStreamReader(route.stateful(), request.lastEventId());
     }
 
     void start() {
@@ -58,6 +61,13 @@
         releaseSlot();
     }
 
+    /** Reports the runner, as this node stops before the end of the response. */
+    void reportAbandoned() {
+        if (connection != null && !ended) {
+            request.work().recordAbandoned(runner);
+        }
+    }
+
     String incarnation() {
         return runner.incarnation();
     }
@@ -68,7 +78,7 @@
     }
 
     private RequestWork.Progress progress() {
-        return new RequestWork.Progress(runner, request.attemptCount(), headers != null, forwardedEvents());
+        return new RequestWork.Progress(runner, attempt, headers != null, forwardedEvents());
     }
 
     boolean streamBegun() {
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerLosses.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerLosses.java
@@ -22,7 +22,7 @@
  * is retried by its caller at any node, so each loss is reported to all peers. A runner that is silent under a request counts
  * as lost until a health check shows whether it has ended. Confined to the event loop.
  */
-public final class RunnerLosses {
+public final class RunnerLosses implements LossReceiver {
     private static final Logger LOG = System.getLogger(RunnerLosses.class.getName());
 
     /** Silence from which on a runner counts under work that has lost no other one; callers that leave sooner prove nothing. */
@@ -103,20 +103,12 @@
         return current.getAsBoolean();
     }
 
-    /**
-     * Records losses that a peer has reported.
-     *
-     * @param losses the losses
-     */
+    @Override
     public void recordReported(List<RunnerLoss> losses) {
         losses.forEach(each -> record(each, LossEvidence.CONNECTION_LOST, "peer"));
     }
 
-    /**
-     * Takes back losses that a peer has reported, unless this node has seen them as well.
-     *
-     * @param losses the losses
-     */
+    @Override
     public void recordRetracted(List<RunnerLoss> losses) {
         losses.stream().filter(each -> !reported.contains(each)).forEach(tracker::remove);
     }
@@ -170,6 +162,11 @@
         checks.check(runner, result -> handleCheck(runner, result));
     }
 
+    /** Reports that this node stops while a request is at a runner, as it will not see whether the runner ends under it. */
+    void recordAbandoned(WorkKey work, Runner runner) {
+        recordOwn(new RunnerLoss(work, RunnerKey.of(runner.incarnation())), LossEvidence.SILENCE);
+    }
+
     private void reportIfCounted(RunnerLoss loss) {
         if (tracker.contains(loss) && !reported.contains(loss)) {
             report(loss);
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -19,7 +19,6 @@
 import org.parsleydrift.kernel.StepException;
 import org.parsleydrift.placement.ContentionSettings;
 import org.parsleydrift.placement.QuotaTracker;
-import org.parsleydrift.placement.RunnerLoss;
 import org.parsleydrift.placement.fleet.FleetReports;
 import org.parsleydrift.placement.lease.LeaseLimit;
 import org.parsleydrift.placement.speed.RunnerSpeeds;
@@ -70,6 +69,7 @@
      */
     private static final double MIN_LEASE_UTILIZATION = 0.35;
 
+    private static final Duration MAX_REPORT_WAIT = Duration.ofMillis(100);
     private static final Duration DRAIN_CHECK_PERIOD = Duration.ofMillis(50);
     private static final Duration ENTRY_RETRY_DELAY = Duration.ofMillis(700);
 
@@ -202,11 +202,23 @@
             LOG.log(
                     Logger.Level.INFO,
                     LogLine.of("drain_ended").with("complete", complete).toString());
+            reportOpenRequests();
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
         }
     }
 
+    /** Reports the runners of the requests that are cut by the end of this process, whose end it will not see. */
+    private void reportOpenRequests() throws InterruptedException {
+        CountDownLatch reported = new CountDownLatch(1);
+        context.loop.execute(() -> {
+            relay.abandonOpenRequests();
+            // Reports are sent in a later task of the loop.
+            context.loop.execute(reported::countDown);
+        });
+        reported.await(MAX_REPORT_WAIT.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
     @Override
     public void reload(RoleSettings settings) {
         // Addresses cannot change in a running process; everything else comes from the platform.
@@ -314,26 +326,12 @@
                 frames,
                 self.link(),
                 mesh::plan,
-                lossReceiver(),
+                relay.losses(),
                 relay.losses()::latest,
                 relay::resumeWaiting,
                 context.meters);
     }
 
-    private RunnerLossExchange.Receiver lossReceiver() {
-        return new RunnerLossExchange.Receiver() {
-            @Override
-            public void recordReported(List<RunnerLoss> losses) {
-                relay.losses().recordReported(losses);
-            }
-
-            @Override
-            public void recordRetracted(List<RunnerLoss> losses) {
-                relay.losses().recordRetracted(losses);
-            }
-        };
-    }
-
     private SlotLeaseExchange createLeases(TcpFrameSender frames) {
         return new SlotLeaseExchange(
                 context.loop, frames, self, context.random.nextLong(), leaseFleet(), LeaseLimit.USUAL, context.meters);
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RunnerLossExchange.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RunnerLossExchange.java
@@ -15,6 +15,7 @@
 import org.parsleydrift.kernel.EventLoop;
 import org.parsleydrift.kernel.LogLine;
 import org.parsleydrift.placement.RunnerLoss;
+import org.parsleydrift.relay.LossReceiver;
 import org.parsleydrift.relay.RunnerLosses;
 
 /**
@@ -35,7 +36,7 @@
     private final FrameSender frames;
     private final String ownLink;
     private final Supplier<MeshPlan> plan;
-    private final Receiver receiver;
+    private final LossReceiver receiver;
     private final IntFunction<List<RunnerLoss>> latest;
     private final List<RunnerLoss> unsent = new ArrayList<>();
     private final Counter sent;
@@ -53,15 +54,6 @@
         RunnerLossFrame create(RunnerLossFrame.Scope scope, List<RunnerLoss> losses);
     }
 
-    /** Receives what peers report. */
-    interface Receiver {
-        /** Records losses. */
-        void recordReported(List<RunnerLoss> losses);
-
-        /** Takes back losses that the same peers have reported. */
-        void recordRetracted(List<RunnerLoss> losses);
-    }
-
     /**
      * Creates the exchange.
      *
@@ -79,7 +71,7 @@
             FrameSender frames,
             String ownLink,
             Supplier<MeshPlan> plan,
-            Receiver receiver,
+            LossReceiver receiver,
             IntFunction<List<RunnerLoss>> latest,
             Runnable currentListener,
             MeterRegistry meters) {
--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/RunnerLossExchangeTest.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/RunnerLossExchangeTest.java
@@ -14,6 +14,7 @@
 import org.parsleydrift.placement.RunnerLoss;
 import org.parsleydrift.placement.RunnerLossTracker;
 import org.parsleydrift.placement.WorkKey;
+import org.parsleydrift.relay.LossReceiver;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -55,8 +56,8 @@
         exchanges.put(name, exchange);
     }
 
-    private static RunnerLossExchange.Receiver receiver(RunnerLossTracker tracker) {
-        return new RunnerLossExchange.Receiver() {
+    private static LossReceiver receiver(RunnerLossTracker tracker) {
+        return new LossReceiver() {
             @Override
             public void recordReported(List<RunnerLoss> losses) {
                 losses.forEach(each -> tracker.record(each, 0));
