--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakMain.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakMain.java
@@ -41,12 +41,7 @@
         OptionSpec<Integer> callers = integer(parser, "callers", "concurrent callers", 24);
         OptionSpec<Integer> endingCallers =
                 integer(parser, "ending-callers", "callers whose requests end their runners", 0);
-        OptionSpec<RunnerEnd> runnerEnds = parser.accepts(
-                        "runner-ends", "how runners end under these requests: " + List.of(RunnerEnd.values()))
-                .withRequiredArg()
-                .ofType(RunnerEnd.class)
-                .withValuesSeparatedBy(',')
-                .defaultsTo(RunnerEnd.RESET);
+        OptionSpec<RunnerEnd> runnerEnds = runnerEnds(parser);
         OptionSpec<Integer> chainCallers = integer(parser, "chain-callers", "callers of stored conversations", 0);
         parser.accepts("undisturbed", "disturb neither processes nor runners nor the platform");
         parser.accepts("rejoining", "kill all entry processes during upgrades of the runners");
@@ -93,6 +88,14 @@
         System.exit(violations == 0 ? 0 : 1);
     }
 
+    private static OptionSpec<RunnerEnd> runnerEnds(OptionParser parser) {
+        return parser.accepts("runner-ends", "how runners end under these requests: " + List.of(RunnerEnd.values()))
+                .withRequiredArg()
+                .ofType(RunnerEnd.class)
+                .withValuesSeparatedBy(',')
+                .defaultsTo(RunnerEnd.RESET);
+    }
+
     private static OptionSpec<Integer> integer(OptionParser parser, String name, String description, int value) {
         return parser.accepts(name, description)
                 .withRequiredArg()
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerChecks.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerChecks.java
@@ -12,7 +12,6 @@
 import org.parsleydrift.kernel.EventLoop;
 import org.parsleydrift.kernel.LogLine;
 import org.parsleydrift.registry.Registry;
-import org.parsleydrift.registry.RoutingManifest;
 import org.parsleydrift.registry.Runner;
 import org.parsleydrift.registry.RunnerKey;
 import org.parsleydrift.registry.UpstreamService;
@@ -72,7 +71,7 @@
         }
         recordChecked(RunnerKey.of(runner.incarnation()));
         String healthPath = registry.manifest()
-                .flatMap((RoutingManifest each) -> each.service(runner.service()))
+                .flatMap(each -> each.service(runner.service()))
                 .map(UpstreamService::healthPath)
                 .orElse("");
         long startNanos = loop.clock().nanos();
