RunnerLossTracker: recordUnreachable says that it changes the losses

Change: the name and the comment; no logic.

Result: RunnerLossTrackerTest and RunnerEndingRequestTest, formatter and style rules of both modules pass.

--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/RunnerLossTracker.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/RunnerLossTracker.java
@@ -127,8 +127,8 @@
     }
 
     /**
-     * Records a request that its runner had not begun to answer when it was cancelled. It counts as a loss if the runner
-     * then turns out to be unreachable.
+     * Records a request that was cancelled before the end of its response. It does not count, but becomes a loss if the
+     * runner turns out to be unreachable.
      *
      * @param request the work and the runner
      * @param nowNanos monotonic time, ns
@@ -151,7 +151,7 @@
      * @param nowNanos monotonic time, ns
      * @return the losses that this shows beyond those, which are not recorded yet
      */
-    public List<RunnerLoss> lossesOfUnreachable(long runner, long nowNanos) {
+    public List<RunnerLoss> recordUnreachable(long runner, long nowNanos) {
         worksByRunner
                 .getOrDefault(runner, Set.of())
                 .forEach(each -> works.get(each).runners.put(runner, new Loss(LossEvidence.UNREACHABLE, nowNanos)));
--- a/parsleydrift-placement/src/test/java/org/parsleydrift/placement/RunnerLossTrackerTest.java
+++ b/parsleydrift-placement/src/test/java/org/parsleydrift/placement/RunnerLossTrackerTest.java
@@ -53,10 +53,10 @@
         tracker.recordSilence(new RunnerLoss(WORK, 1), 0);
         tracker.recordSilence(new RunnerLoss(WORK, 2), 0);
         tracker.recordAnswer(2, 1);
-        assertEquals(tracker.lossesOfUnreachable(1, SECOND), List.of(new RunnerLoss(WORK, 1)));
-        assertEquals(tracker.lossesOfUnreachable(2, SECOND), List.of());
+        assertEquals(tracker.recordUnreachable(1, SECOND), List.of(new RunnerLoss(WORK, 1)));
+        assertEquals(tracker.recordUnreachable(2, SECOND), List.of());
         tracker.recordSilence(new RunnerLoss(WORK, 3), 0);
-        assertEquals(tracker.lossesOfUnreachable(3, 6 * SECOND), List.of());
+        assertEquals(tracker.recordUnreachable(3, 6 * SECOND), List.of());
     }
 
     /** Guards against rejections of requests at which runners are only slow, so that they are cancelled while silent. */
@@ -67,7 +67,7 @@
         assertEquals(tracker.recordAnswer(1, 0), List.of(new RunnerLoss(WORK, 1)));
         assertEquals(tracker.withdrawSilence(2, 20), List.of(new RunnerLoss(WORK, 2)));
         assertEquals(tracker.lostRunners(WORK), 1);
-        assertEquals(tracker.lossesOfUnreachable(2, 30), List.of(new RunnerLoss(WORK, 2)));
+        assertEquals(tracker.recordUnreachable(2, 30), List.of(new RunnerLoss(WORK, 2)));
     }
 
     /** Guards against losses that are taken back by connections that outlive the runner's listener. */
@@ -75,7 +75,7 @@
     public void confirmedLossIsTakenBackByALaterConnectionOnly() {
         tracker.record(new RunnerLoss(WORK, 1), LossEvidence.SILENCE, 10);
         assertEquals(tracker.unconfirmedRunners(WORK), List.of(1L));
-        assertEquals(tracker.lossesOfUnreachable(1, 20), List.of());
+        assertEquals(tracker.recordUnreachable(1, 20), List.of());
         assertEquals(tracker.unconfirmedRunners(WORK), List.of());
         assertEquals(tracker.recordAnswer(1, 15), List.of());
         assertEquals(tracker.recordAnswer(1, 21), List.of(new RunnerLoss(WORK, 1)));
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerLosses.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerLosses.java
@@ -206,7 +206,7 @@
     void recordUnreachable(Runner runner) {
         restarts.recordLost(RunnerKey.of(runner.incarnation()));
         if (!tracker.isEmpty()) {
-            tracker.lossesOfUnreachable(RunnerKey.of(runner.incarnation()), nanos.getAsLong())
+            tracker.recordUnreachable(RunnerKey.of(runner.incarnation()), nanos.getAsLong())
                     .forEach(each -> recordOwn(each, LossEvidence.UNREACHABLE));
         }
     }
