Soak: a runner that ends under two requests has one successor; silent listeners are closed with their runners

Cause: two requests that ended a runner in one moment each scheduled a successor, the second of which could find the port of a replaced runner taken without a line; the listener and connections of a silent runner were never closed.

Change: the first end of a runner counts; VersionedRunner closes its silent listener; a line of the manifest is wrapped.

--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/SilentListener.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/SilentListener.java
@@ -1,6 +1,7 @@
 package org.parsleydrift.bench.streams;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -37,10 +38,14 @@
     }
 
     @Override
-    public void close() throws IOException {
-        listener.close();
-        for (Socket each : fillers) {
-            each.close();
+    public void close() {
+        try {
+            listener.close();
+            for (Socket each : fillers) {
+                each.close();
+            }
+        } catch (IOException fault) {
+            throw new UncheckedIOException(fault);
         }
     }
 }
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/SoakFleet.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/SoakFleet.java
@@ -55,7 +55,8 @@
     static final Duration RETENTION = Duration.ofSeconds(6);
 
     private static final String MANIFEST = """
-            {"version": 1, "limits": {}, "services": [{"name": "desk", "health_path": "/healthz", "engine": {"chunk_tokens": 5}}], "routes": [
+            {"version": 1, "limits": {},
+             "services": [{"name": "desk", "health_path": "/healthz", "engine": {"chunk_tokens": 5}}], "routes": [
               {"name": "dispatch", "host": "127.0.0.1", "path_prefix": "/dispatch/", "type": "streaming",
                "service": "desk", "timeout_ms": 3000, "resumable": true, "retention_s": 60},
               {"name": "chains", "host": "127.0.0.1", "path_prefix": "/chains/", "type": "streaming",
@@ -259,13 +260,15 @@
         end(runner, RunnerEnd.RESET);
     }
 
+    /** Ends a runner, unless it has ended under another request. */
     private void end(VersionedRunner runner, RunnerEnd end) {
+        if (!forget(runner)) {
+            return;
+        }
         if (end.isSilent()) {
             silence(runner);
-        } else if (end == RunnerEnd.LISTENER_FIRST) {
-            forget(runner);
-        } else {
-            stop(runner);
+        } else if (end != RunnerEnd.LISTENER_FIRST) {
+            runner.close();
         }
         if (end.isReplaced()) {
             later(end.restartTime(), () -> replace(runner));
@@ -276,23 +279,17 @@
     }
 
     private void silence(VersionedRunner runner) {
-        if (forget(runner)) {
-            try {
-                runner.fallSilent();
-            } catch (IOException fault) {
-                throw new UncheckedIOException(fault);
-            }
-            later(SILENT_TIME, runner::close);
+        try {
+            runner.fallSilent();
+        } catch (IOException fault) {
+            throw new UncheckedIOException(fault);
         }
+        later(SILENT_TIME, runner::close);
     }
 
     /** Starts a successor at the address of a runner that has ended. */
     private void replace(VersionedRunner runner) {
-        try {
-            runner.stopListening();
-        } catch (IOException fault) {
-            throw new UncheckedIOException(fault);
-        }
+        runner.stopListening();
         addRunner(runner.version(), runner.port());
     }
 
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/VersionedRunner.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/VersionedRunner.java
@@ -180,7 +180,7 @@
     }
 
     /** Answers nothing more; connections stay open, and new ones are not established. */
-    void fallSilent() throws IOException {
+    synchronized void fallSilent() throws IOException {
         ready = false;
         ended = true;
         server.close();
@@ -188,7 +188,7 @@
     }
 
     /** Frees the address of a silent runner for a successor. */
-    void stopListening() throws IOException {
+    synchronized void stopListening() {
         if (silentListener != null) {
             silentListener.close();
             silentListener = null;
@@ -200,6 +200,7 @@
     public void close() {
         ready = false;
         ended = true;
+        stopListening();
         server.abort();
         threads.close();
     }
