One owner of the responses that are owed to callers; drain of an entry process in a class of its own

OwedResponses counts each response from the last byte of its request until the network has taken its last byte. drain_ended gives their number by stage, response_missing names each one that is left, and parsleydrift_responses_missing counts them.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
@@ -68,11 +68,11 @@
     public void channelInactive(ChannelHandlerContext context) {
         server.connectionClosed(this);
         closing = true;
-        pending.forEach(ReferenceCountUtil::release);
-        pending.clear();
+        releasePending();
         if (current != null && !current.ended) {
             current.ended = true;
-            current.onDisconnect.run();
+            server.responses().remove(current);
+            current.request.handleDisconnect();
         }
     }
 
@@ -113,17 +113,27 @@
 
     /** Closes the connection unless a request is being received or processed. */
     void closeIfIdle() {
-        boolean busy = (current != null && !current.ended) || head != null || !pending.isEmpty();
+        boolean busy = (current != null && !current.ended) || isReceiving();
         if (!busy) {
             close();
         }
     }
 
+    /** Returns whether a request is incomplete or waits for the end of the one before. */
+    boolean isReceiving() {
+        return !closing && (head != null || !pending.isEmpty());
+    }
+
     private void close() {
         closing = true;
         channel.close();
     }
 
+    private void releasePending() {
+        pending.forEach(ReferenceCountUtil::release);
+        pending.clear();
+    }
+
     private void processParts() {
         while (!closing && (current == null || current.ended) && !pending.isEmpty()) {
             HttpObject part = pending.poll();
@@ -199,7 +209,8 @@
         body.reset();
         Response response = new Response(keepAlive, "HEAD".equals(complete.method()));
         current = response;
-        response.onDisconnect = handler.handle(complete, response);
+        server.responses().add(response);
+        response.request = handler.handle(complete, response);
     }
 
     /** Rejects a malformed request and closes the connection, since the start of the next request is unknown. */
@@ -219,10 +230,12 @@
     }
 
     /** Writes the response to one request. */
-    private final class Response implements CallerResponse {
+    private final class Response implements CallerResponse, OwedResponse {
         private final boolean keepAlive;
         private final boolean headOnly;
-        private Runnable onDisconnect = () -> {};
+        /** Null until the handler has returned, which may be after the response. */
+        private OpenRequest request;
+
         private boolean ended;
 
         private Response(boolean keepAlive, boolean headOnly) {
@@ -263,6 +276,7 @@
                         () -> LogLine.of("caller_reads_too_slowly")
                                 .with("peer", channel.remoteAddress())
                                 .toString());
+                server.responses().recordMissing(this, "caller reads too slowly");
                 channel.close();
                 return;
             }
@@ -279,9 +293,23 @@
         @Override
         public void abort() {
             ended = true;
+            server.responses().remove(this);
             close();
         }
 
+        @Override
+        public String requestId() {
+            return request == null ? "-" : request.id();
+        }
+
+        @Override
+        public ResponseStage stage() {
+            if (ended) {
+                return ResponseStage.SENDING;
+            }
+            return request == null ? ResponseStage.BEFORE_RUNNER : ResponseStage.of(request.stage());
+        }
+
         private boolean announceClose(HttpHeaders headers) {
             boolean closes = !keepAlive || server.isDraining();
             if (closes) {
@@ -293,6 +321,7 @@
         private void finish(ChannelFuture sent, boolean closes) {
             ended = true;
             idleSinceNanos = clock.nanos();
+            sent.addListener(done -> server.responses().remove(this));
             if (closes) {
                 closing = true;
                 sent.addListener(ChannelFutureListener.CLOSE);
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerServer.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerServer.java
@@ -22,6 +22,7 @@
     private final Set<CallerConnection> connections = new HashSet<>();
     private final Channel listener;
     private final Owner owner = new Owner();
+    private final OwedResponses responses;
     private boolean draining;
 
     /**
@@ -40,6 +41,7 @@
             Relay relay,
             Supplier<CallerLimits> limits) {
         this.limits = limits;
+        this.responses = relay.owedResponses();
         this.listener = threads.serverBootstrap()
                 .childHandler(new ChannelInitializer<>() {
                     @Override
@@ -77,6 +79,15 @@
         List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
     }
 
+    /**
+     * Returns whether a response is owed to a caller, or a request is being received.
+     *
+     * @return false if only idle connections are left and those that wait for the caller's close
+     */
+    public boolean hasOpenRequests() {
+        return responses.count() > 0 || connections.stream().anyMatch(CallerConnection::isReceiving);
+    }
+
     /**
      * Returns the number of open connections.
      *
@@ -102,6 +113,11 @@
             return draining;
         }
 
+        @Override
+        public OwedResponses responses() {
+            return responses;
+        }
+
         @Override
         public void connectionOpened(CallerConnection connection) {
             connections.add(connection);
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/ConnectionOwner.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/ConnectionOwner.java
@@ -10,6 +10,9 @@
     /** Returns whether each response must carry {@code Connection: close}. */
     boolean isDraining();
 
+    /** Returns the responses that are owed to callers. */
+    OwedResponses responses();
+
     void connectionOpened(CallerConnection connection);
 
     void connectionClosed(CallerConnection connection);
--- /dev/null
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/OpenRequest.java
@@ -0,0 +1,13 @@
+package org.parsleydrift.relay;
+
+/** A request that a {@link RequestHandler} is processing. */
+interface OpenRequest {
+    /** Returns the caller's id of the request, for logs. */
+    String id();
+
+    /** Returns how far the request has come. */
+    RequestStage stage();
+
+    /** Called if the caller disconnects before the response has ended. */
+    void handleDisconnect();
+}
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Relay.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Relay.java
@@ -28,6 +28,7 @@
     private final HeaderNames headerNames;
     private final RandomGenerator random;
     private final RelayMetrics metrics;
+    private final OwedResponses owedResponses;
     private final RunnerLosses losses;
     private final ResponseBuffers responseBuffers = ResponseBuffers.ofHeap();
     private final List<RelayedRequest> awaitingPreparation = new ArrayList<>();
@@ -66,6 +67,7 @@
         this.headerNames = headerNames;
         this.random = random;
         this.metrics = new RelayMetrics(meters);
+        this.owedResponses = new OwedResponses(meters);
         RunnerChecks checks = new RunnerChecks(
                 loop, new RunnerProbe(threads, loop, headerNames), registry, this::suspendUnreachable, meters);
         RunnerLossLedger ledger = new RunnerLossLedger(conversations, loop.clock(), random.nextLong());
@@ -75,12 +77,12 @@
     }
 
     @Override
-    public Runnable handle(CallerRequest request, CallerResponse response) {
+    public OpenRequest handle(CallerRequest request, CallerResponse response) {
         Optional<RequestParameters> parameters = RequestParameters.parse(request.headers(), headerNames);
         RelayedRequest relayed = new RelayedRequest(this, request, parameters, response);
         openRequests.add(relayed);
         relayed.start();
-        return relayed::handleDisconnect;
+        return relayed;
     }
 
     /**
@@ -113,6 +115,15 @@
         return openRequests.size();
     }
 
+    /**
+     * Returns the responses that are owed to callers.
+     *
+     * @return the responses
+     */
+    public OwedResponses owedResponses() {
+        return owedResponses;
+    }
+
     /** Reports the runners at which requests are open, as this node stops before their responses end. */
     public void abandonOpenRequests() {
         openRequests.forEach(RelayedRequest::abandon);
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -2,7 +2,6 @@
 
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpHeaders;
-import java.lang.System.Logger;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -10,7 +9,6 @@
 import java.util.concurrent.CompletableFuture;
 import org.parsleydrift.conversation.BeginResult;
 import org.parsleydrift.kernel.Cancellable;
-import org.parsleydrift.kernel.LogLine;
 import org.parsleydrift.placement.CachedPart;
 import org.parsleydrift.placement.Candidate;
 import org.parsleydrift.placement.PromptPart;
@@ -22,17 +20,15 @@
  * I/O of one request: matches it, asks the store VMs and the quotas, queues it, sends it to runners and responds to the
  * caller. What to do after an event is decided by its {@link RequestLifecycle}.
  */
-final class RelayedRequest implements QueuedRequest {
-    private static final Logger LOG = System.getLogger(RelayedRequest.class.getName());
-
+final class RelayedRequest implements QueuedRequest, OpenRequest {
     private final Relay relay;
     private final CallerRequest request;
     private final CallerResponse response;
     private final RequestParameters params;
     private final long startNanos;
     private final QueueWait queueWait;
+    private final RequestLog log;
     private final RequestLifecycle lifecycle = new RequestLifecycle();
-    private long manifestVersion;
     private Route route;
     private RequestTeam team;
     private RequestWork work;
@@ -53,6 +49,7 @@
         this.request = request;
         this.response = response;
         this.params = params.orElse(null);
+        this.log = new RequestLog(params);
         this.startNanos = relay.loop().clock().nanos();
         this.body = request.body();
         this.team = new RequestTeam(relay, request, Optional.empty(), "");
@@ -66,7 +63,7 @@
             return;
         }
         apply(new RequestEvent.MatchingBegun());
-        manifestVersion = manifest.get().version();
+        log.setManifestVersion(manifest.get().version());
         boolean current = relay.registry().isManifestCurrent();
         switch (RequestMatch.of(manifest.get(), current, request, params != null, relay.headerNames())) {
             case RequestMatch.Denied denied -> apply(new RequestEvent.MatchDenied(denied.status(), denied.reason()));
@@ -77,6 +74,7 @@
 
     private void handleMatch(RequestMatch.Found found) {
         route = found.route();
+        log.setRoute(route);
         if (relay.losses().mustAwaitStores(route, params.isTurn(route))) {
             apply(new RequestEvent.NotPrepared());
             return;
@@ -184,8 +182,19 @@
         relay.awaitPreparation(this);
     }
 
+    @Override
+    public String id() {
+        return log.id();
+    }
+
+    @Override
+    public RequestStage stage() {
+        return lifecycle.stage();
+    }
+
     /** Cancels the request after its caller has disconnected; a turn that is being committed is completed. */
-    void handleDisconnect() {
+    @Override
+    public void handleDisconnect() {
         apply(new RequestEvent.CallerLeft());
     }
 
@@ -247,18 +256,7 @@
         queueWait.cancel();
         apply(new RequestEvent.Assigned());
         int attempt = lifecycle.attempts().count();
-        LOG.log(
-                Logger.Level.INFO,
-                () -> logLine("request_placed")
-                        .with("runner", runner.incarnation())
-                        .with("version", runner.softwareVersion())
-                        .with("load", chosen.load())
-                        .with("slots", runner.slots())
-                        .with("prompt", params.promptTokens())
-                        .with("missing", chosen.uncachedTokens())
-                        .with("offer", attempt)
-                        .with("manifest", manifestVersion)
-                        .toString());
+        log.placed(chosen, params.promptTokens(), attempt);
         relay.metrics().recordPhase("wait", elapsed());
         if (attempt == 1) {
             relay.dispatcher().retryBudget(service).recordFirstAttempt();
@@ -308,12 +306,7 @@
     /** Handles an attempt that certainly did not start the request at the runner. */
     void handleNotRun(Runner runner, String reason) {
         exchange = null;
-        LOG.log(
-                Logger.Level.INFO,
-                () -> logLine("not_run_at_runner")
-                        .with("runner", runner.incarnation())
-                        .with("reason", reason)
-                        .toString());
+        log.notRun(runner, reason);
         List<Runner> others =
                 binding.eligibleRunners(service).stream().filter(work::accepts).toList();
         apply(new RequestEvent.AttemptNotRun(runner.incarnation(), reason, others));
@@ -351,12 +344,7 @@
 
     private void retry(Runner runner, String reason) {
         exchange = null;
-        LOG.log(
-                Logger.Level.INFO,
-                () -> logLine("sent_again")
-                        .with("runner", runner.incarnation())
-                        .with("reason", reason)
-                        .toString());
+        log.sentAgain(runner, reason);
         apply(new RequestEvent.AttemptUnknown(runner.incarnation(), reason, true));
     }
 
@@ -390,9 +378,7 @@
                     .recordPhase("commit", Duration.ofNanos(relay.loop().clock().nanos() - commitStartNanos));
             apply(new RequestEvent.TurnCommitted());
         } else {
-            LOG.log(
-                    Logger.Level.WARNING,
-                    () -> logLine("commit_failed").failure(failure).toString());
+            log.commitFailed(failure);
             apply(new RequestEvent.CommitFailed());
         }
     }
@@ -472,22 +458,7 @@
         boolean causeUnbounded = outcome.equals(RequestLifecycle.REFUSED) || outcome.equals(RequestLifecycle.UNKNOWN);
         relay.metrics().recordOutcome(outcome, causeUnbounded ? "-" : cause);
         relay.metrics().recordPhase("whole", elapsed());
-        LOG.log(
-                Logger.Level.INFO,
-                () -> logLine("request_ended")
-                        .with("outcome", outcome)
-                        .with("cause", cause)
-                        .with("ms", elapsed().toMillis())
-                        .with("offers", lifecycle.attempts().count())
-                        .with("manifest", manifestVersion)
-                        .toString());
-    }
-
-    private LogLine logLine(String event) {
-        return LogLine.of(event)
-                .with("request", params == null ? "-" : params.id())
-                .with("program", params == null ? "-" : params.program())
-                .with("route", route == null ? "-" : route.name());
+        log.ended(outcome, cause, elapsed(), lifecycle.attempts().count());
     }
 
     private Duration elapsed() {
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestHandler.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestHandler.java
@@ -2,10 +2,6 @@
 
 /** Handler of callers' requests. */
 interface RequestHandler {
-    /**
-     * Starts processing a request.
-     *
-     * @return callback to run if the caller disconnects before the response has ended
-     */
-    Runnable handle(CallerRequest request, CallerResponse response);
+    /** Starts processing a request; returns the request, which may have ended already. */
+    OpenRequest handle(CallerRequest request, CallerResponse response);
 }
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/CallerConnectionTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/CallerConnectionTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -21,6 +22,7 @@
 public class CallerConnectionTest {
     private final List<CallerRequest> requests = new ArrayList<>();
     private final List<CallerResponse> responses = new ArrayList<>();
+    private final OwedResponses owed = new OwedResponses(new SimpleMeterRegistry());
     private int disconnects;
 
     private EmbeddedChannel connect() {
@@ -30,7 +32,22 @@
         RequestHandler handler = (request, response) -> {
             requests.add(request);
             responses.add(response);
-            return () -> disconnects++;
+            return new OpenRequest() {
+                @Override
+                public String id() {
+                    return "r";
+                }
+
+                @Override
+                public RequestStage stage() {
+                    return RequestStage.ASSIGNED;
+                }
+
+                @Override
+                public void handleDisconnect() {
+                    disconnects++;
+                }
+            };
         };
         ConnectionOwner owner = new ConnectionOwner() {
             @Override
@@ -43,6 +60,11 @@
                 return false;
             }
 
+            @Override
+            public OwedResponses responses() {
+                return owed;
+            }
+
             @Override
             public void connectionOpened(CallerConnection connection) {}
 
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/StreamFleet.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/StreamFleet.java
@@ -20,7 +20,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.parsleydrift.conversation.ConversationClient;
@@ -76,6 +78,7 @@
         private final Registry registry = new Registry(loop, new Decoder());
         private final Dispatcher dispatcher;
         private final CallerServer server;
+        private final Relay relay;
         private final RunnerLosses losses;
         private volatile Duration entryStaleness = Duration.ZERO;
 
@@ -85,7 +88,7 @@
             ConversationClient client = new ConversationClient(loop, own);
             run(() -> client.adopt(storeSet));
             dispatcher = new Dispatcher(registry, new Random(name.hashCode()), "z", loop.clock()::nanos);
-            Relay relay = new Relay(
+            relay = new Relay(
                     threads,
                     loop,
                     registry,
@@ -207,6 +210,53 @@
         nodes.put(name, new Node(name));
     }
 
+    /** Begins the drain of a node. */
+    void drain(String name) {
+        run(nodes.get(name).server::drain);
+    }
+
+    /** Closes the listener and the idle connections of a node, as in the second part of its drain. */
+    void closeIdleConnections(String name) {
+        run(nodes.get(name).server::closeIdleConnections);
+    }
+
+    /** Returns the responses that a node owes, by stage. */
+    Map<ResponseStage, Long> owedResponses(String name) {
+        AtomicReference<Map<ResponseStage, Long>> owed = new AtomicReference<>();
+        run(() -> owed.set(nodes.get(name).relay.owedResponses().countByStage()));
+        return owed.get();
+    }
+
+    /** Waits until a node owes a response of the given stage. */
+    void awaitOwed(String name, ResponseStage stage) {
+        long endNanos = loop.clock().nanos() + Duration.ofMillis(TIMEOUT_MILLIS).toNanos();
+        while (!owedResponses(name).containsKey(stage) && loop.clock().nanos() - endNanos < 0) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /** Waits until the network has taken all responses of a node. */
+    void awaitNothingOwed(String name) {
+        long endNanos = loop.clock().nanos() + Duration.ofMillis(TIMEOUT_MILLIS).toNanos();
+        while (!owedResponses(name).isEmpty() && loop.clock().nanos() - endNanos < 0) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /** Waits until a node is receiving or processing a request. */
+    void awaitOpenRequest(String name) {
+        AtomicBoolean open = new AtomicBoolean();
+        long endNanos = loop.clock().nanos() + Duration.ofMillis(TIMEOUT_MILLIS).toNanos();
+        do {
+            run(() -> open.set(nodes.get(name).server.hasOpenRequests()));
+        } while (!open.get() && loop.clock().nanos() - endNanos < 0);
+    }
+
+    /** Returns the port at which a node listens for callers. */
+    int port(String name) {
+        return nodes.get(name).server.port();
+    }
+
     /** Stops a node without warning: neither callers nor store VMs hear from it again. */
     void kill(String name) {
         partitioned.add(name);
@@ -248,6 +298,14 @@
                 .count();
     }
 
+    /** Waits until a request has reached a runner with a target that contains the text. */
+    void awaitArrival(String text) {
+        long endNanos = loop.clock().nanos() + Duration.ofMillis(TIMEOUT_MILLIS).toNanos();
+        while (arrivals(text) == 0 && loop.clock().nanos() - endNanos < 0) {
+            Thread.onSpinWait();
+        }
+    }
+
     /** Returns the number of runners that requests have reached with a target that contains the text. */
     long runnersReached(String text) {
         return runners.values().stream()
@@ -416,7 +474,8 @@
                         route("/events/", true, false, Duration.ofSeconds(5)),
                         route("/brief/", true, false, Duration.ofMillis(300)),
                         route("/stored/", false, true, Duration.ofSeconds(5)),
-                        calls()),
+                        calls("/calls/", CallKind.IDEMPOTENT),
+                        calls("/orders/", CallKind.NON_IDEMPOTENT)),
                 services.stream()
                         .map(each -> new UpstreamService(each, 100, true, 10, "/health"))
                         .toList(),
@@ -440,15 +499,15 @@
                 destinations);
     }
 
-    /** Returns a route of idempotent calls, each of which may reach three runners. */
-    private Route calls() {
+    /** Returns a route of calls, each of which may reach three runners if it is idempotent. */
+    private Route calls(String prefix, CallKind kind) {
         return new Route(
-                "calls",
+                prefix,
                 "h",
-                "/calls/",
-                CallKind.IDEMPOTENT,
+                prefix,
+                kind,
                 Duration.ofSeconds(5),
-                Duration.ZERO,
+                kind == CallKind.IDEMPOTENT ? Duration.ZERO : Duration.ofMillis(100),
                 3,
                 0,
                 false,
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -7,8 +7,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.parsleydrift.conversation.ConversationClient;
 import org.parsleydrift.conversation.Conversations;
@@ -54,14 +52,6 @@
     private static final int DIRECTORY_CACHE_SECONDS = 1;
     /** Maximum number of connections to the readiness endpoint and to the directory endpoint. */
     private static final int MAX_AUXILIARY_CONNECTIONS = 512;
-    /**
-     * Fraction of the grace time during which connections are still accepted after SIGTERM, for callers with an old
-     * address list.
-     */
-    private static final double ACCEPT_FRACTION = 0.6;
-    /** Fraction of the grace time after which the process exits even if requests are open. */
-    private static final double EXIT_FRACTION = 0.93;
-
     /**
      * Share of a service's slots in use from which on slots are leased. Below it, the runners' own queues absorb what nodes
      * with outdated loads send to the same runner at once, and the frames would only cost processor time, which a slow
@@ -69,8 +59,6 @@
      */
     private static final double MIN_LEASE_UTILIZATION = 0.35;
 
-    private static final Duration MAX_REPORT_WAIT = Duration.ofMillis(100);
-    private static final Duration DRAIN_CHECK_PERIOD = Duration.ofMillis(50);
     private static final Duration ENTRY_RETRY_DELAY = Duration.ofMillis(700);
 
     private final ProcessContext context;
@@ -188,38 +176,14 @@
 
     @Override
     public void drain() {
-        LOG.log(Logger.Level.INFO, LogLine.of("drain_begun").toString());
         draining = true;
-        CountDownLatch drained = new CountDownLatch(1);
-        long startNanos = context.loop.clock().nanos();
-        context.loop.execute(() -> {
-            mesh.sendNow();
-            callerServer.drain();
-            context.loop.scheduleWithFixedDelay(DRAIN_CHECK_PERIOD, () -> checkDrained(startNanos, drained));
-        });
         try {
-            long maxMillis = (long) (context.settings.grace().toMillis() * EXIT_FRACTION);
-            boolean complete = drained.await(maxMillis, TimeUnit.MILLISECONDS);
-            LOG.log(
-                    Logger.Level.INFO,
-                    LogLine.of("drain_ended").with("complete", complete).toString());
-            reportOpenRequests();
+            new EntryDrain(context.loop, context.settings.grace(), relay, callerServer).run(mesh::sendNow);
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
         }
     }
 
-    /** Reports the runners of the requests that are cut by the end of this process, whose end it will not see. */
-    private void reportOpenRequests() throws InterruptedException {
-        CountDownLatch reported = new CountDownLatch(1);
-        context.loop.execute(() -> {
-            relay.abandonOpenRequests();
-            // Reports are sent in a later task of the loop.
-            context.loop.execute(reported::countDown);
-        });
-        reported.await(MAX_REPORT_WAIT.toMillis(), TimeUnit.MILLISECONDS);
-    }
-
     @Override
     public void reload(RoleSettings settings) {
         // Addresses cannot change in a running process; everything else comes from the platform.
@@ -229,16 +193,6 @@
                 LogLine.of("settings_reloaded").with("changed", changed).toString());
     }
 
-    private void checkDrained(long startNanos, CountDownLatch drained) {
-        long elapsedMillis = (context.loop.clock().nanos() - startNanos) / 1_000_000;
-        if (elapsedMillis > context.settings.grace().toMillis() * ACCEPT_FRACTION) {
-            callerServer.closeIdleConnections();
-            if (relay.openRequests() == 0 && callerServer.openConnections() == 0) {
-                drained.countDown();
-            }
-        }
-    }
-
     private boolean isReady() {
         boolean isolated = !stores.hasReachableQuorum() && !mesh.hasDirectPeers() && mesh.hasKnownPeers();
         return !draining && registry.manifest().isPresent() && !isolated;
