A response that is being sent is not cut as a draining node closes its idle connections

Callers that read a large response slowly while their node drains got a part of it and a closed connection. Cause: from 60% of the grace time on, all connections without a request are closed; one whose response was written but not yet taken by the network counted as such, and closing it drops what is unsent.

A connection counts as idle only once the network has taken the last byte of its response. DrainTest .responseThatIsBeingSentIsNotCut failed with the condition before (trial: the response ended early) and passes now; DrainTest and CallerConnectionTest, 12 tests, passed.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
@@ -111,10 +111,10 @@
         }
     }
 
-    /** Closes the connection unless a request is being received or processed. */
+    /** Closes the connection unless a request is being received or processed, or a response is being sent. */
     void closeIfIdle() {
-        boolean busy = (current != null && !current.ended) || isReceiving();
-        if (!busy) {
+        boolean busy = (current != null && !current.delivered) || isReceiving();
+        if (!busy && !closing) {
             close();
         }
     }
@@ -237,6 +237,8 @@
         private OpenRequest request;
 
         private boolean ended;
+        /** Whether the network has taken the last byte. */
+        private boolean delivered;
 
         private Response(boolean keepAlive, boolean headOnly) {
             this.keepAlive = keepAlive;
@@ -321,7 +323,10 @@
         private void finish(ChannelFuture sent, boolean closes) {
             ended = true;
             idleSinceNanos = clock.nanos();
-            sent.addListener(done -> server.responses().remove(this));
+            sent.addListener(done -> {
+                delivered = true;
+                server.responses().remove(this);
+            });
             if (closes) {
                 closing = true;
                 sent.addListener(ChannelFutureListener.CLOSE);
