Bytes that the caller has sent ahead do not destroy the response before the close

A caller that sends further requests ahead, or the rest of a body that was rejected, could lose a response on its way: closing a connection with unread bytes resets it, and the reset discards what the caller's side has not received. The caller saw a part of a response, or none. With a draining node each kept connection ends with such a close.

The connection is now shut down for output only, and read and discarded until the caller closes it, for a second at most. Where the caller has announced the close and sent nothing ahead it is closed as before. Loopback shows it only where the response is larger than the caller's receive buffer.

No fault of the users' record is known to come from it: theirs are plain calls with small responses, for which it needs a link that loses or delays packets.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -25,6 +26,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.ByteArrayOutputStream;
 import java.lang.System.Logger;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
@@ -39,6 +41,8 @@
     private static final int MAX_PENDING_PARTS = 64;
     /** Unsent response bytes above which a slow caller is disconnected. */
     private static final long MAX_UNSENT_BYTES = 1 << 20;
+    /** Time for which a connection is read after its last response, unless the caller closes it before. */
+    private static final Duration LINGER = Duration.ofSeconds(1);
 
     private final RequestHandler handler;
     private final ConnectionOwner server;
@@ -49,6 +53,9 @@
     private HttpRequest head;
     private Response current;
     private boolean closing;
+    /** Whether the last response is sent and the connection is only read until the caller closes it. */
+    private boolean lingering;
+
     private long idleSinceNanos;
 
     CallerConnection(RequestHandler handler, ConnectionOwner server, RuntimeClock clock) {
@@ -101,12 +108,12 @@
     /** Closes the connection if it has been idle, or a request incomplete, for longer than the limits allow. */
     void checkIdle(CallerLimits limits) {
         boolean busy = current != null && !current.ended;
-        if (busy || closing) {
+        if (busy || (closing && !lingering)) {
             return;
         }
-        long limit =
-                (head == null ? limits.idleTimeout() : limits.headerTimeout().plus(limits.idleTimeout())).toNanos();
-        if (clock.nanos() - idleSinceNanos > limit) {
+        Duration open =
+                head == null ? limits.idleTimeout() : limits.headerTimeout().plus(limits.idleTimeout());
+        if (clock.nanos() - idleSinceNanos > (lingering ? LINGER : open).toNanos()) {
             close();
         }
     }
@@ -134,6 +141,26 @@
         pending.clear();
     }
 
+    /**
+     * Closes the connection once its last response is sent. What the caller has sent beyond the request is read and
+     * discarded first: closing a connection with unread bytes resets it, and a reset can destroy the response on its way.
+     */
+    private void closeAfter(ChannelFuture sent) {
+        closing = true;
+        head = null;
+        releasePending();
+        sent.addListener((ChannelFuture done) -> {
+            if (done.isSuccess() && channel instanceof DuplexChannel duplex) {
+                lingering = true;
+                idleSinceNanos = clock.nanos();
+                duplex.shutdownOutput();
+                channel.config().setAutoRead(true);
+            } else {
+                channel.close();
+            }
+        });
+    }
+
     private void processParts() {
         while (!closing && (current == null || current.ended) && !pending.isEmpty()) {
             HttpObject part = pending.poll();
@@ -222,11 +249,10 @@
                         .with("peer", channel.remoteAddress())
                         .with("reason", reason)
                         .toString());
-        closing = true;
         var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
         response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, 0);
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        closeAfter(channel.writeAndFlush(response));
     }
 
     /** Writes the response to one request. */
@@ -327,9 +353,11 @@
                 delivered = true;
                 server.responses().remove(this);
             });
-            if (closes) {
+            if (closes && !keepAlive && pending.isEmpty()) {
                 closing = true;
                 sent.addListener(ChannelFutureListener.CLOSE);
+            } else if (closes) {
+                closeAfter(sent);
             } else {
                 // Scheduled instead of called: many buffered requests would otherwise recurse too deeply.
                 channel.eventLoop().execute(CallerConnection.this::processParts);
