Relay: counter and log line for each kind of irregular response of a runner

Responses of a runner that do not belong to the request of their connection, or are unusable, were told apart by log lines only, and not all of them named the request. irregular_response names request, runner, kind and reason; parsleydrift_responses_irregular counts them by kind. The handlers of a connection come from one place, which the test uses too. The flag for a reset is gone: a failed connection has no listener left when its end is decoded.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/ConnectionPool.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/ConnectionPool.java
@@ -7,4 +7,7 @@
 
     /** Removes a closed connection from the pool, if it is there. */
     void remove(RunnerConnection connection);
+
+    /** Counts bytes that are not the whole response to the request of a connection. */
+    void recordIrregular(IrregularResponse kind);
 }
--- /dev/null
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/IrregularResponse.java
@@ -0,0 +1,22 @@
+package org.parsleydrift.relay;
+
+import java.util.Locale;
+
+/** Kinds of bytes from a runner that are not the whole response to the request that its connection serves. */
+enum IrregularResponse {
+    /** Response to another request; skipped. */
+    OTHER_REQUEST,
+    /** Bytes on a connection that serves no request. */
+    UNSOLICITED,
+    /** Bytes that are not HTTP. */
+    MALFORMED,
+    /** Success without request id or stamp. */
+    UNAUTHENTICATED,
+    /** Too many bytes of interim responses or of responses to other requests. */
+    NO_RESPONSE;
+
+    /** Returns the name for logs and metrics. */
+    String label() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Relay.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Relay.java
@@ -62,10 +62,10 @@
         this.dispatcher = dispatcher;
         this.conversations = conversations;
         this.quotas = quotas;
-        this.connections = new RunnerConnectionPool(threads, loop, headerNames);
         this.headerNames = headerNames;
         this.random = random;
         this.metrics = new RelayMetrics(meters);
+        this.connections = new RunnerConnectionPool(threads, loop, headerNames, metrics);
         RunnerChecks checks = new RunnerChecks(
                 loop, new RunnerProbe(threads, loop, headerNames), registry, this::suspendUnreachable, meters);
         RunnerLossLedger ledger = new RunnerLossLedger(conversations, loop.clock(), random.nextLong());
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayMetrics.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayMetrics.java
@@ -6,6 +6,7 @@
 import io.micrometer.core.instrument.Tags;
 import io.micrometer.core.instrument.Timer;
 import java.time.Duration;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,14 +15,15 @@
 
 /**
  * Metrics of the relay: request counters by outcome and cause, counters of resumed streams by result and of attempts that
- * runners did not finish by service, timers of the phases of a request, and the runners that accept requests by service
- * and software version.
+ * runners did not finish by service, counters of irregular responses by kind, timers of the phases of a request, and the
+ * runners that accept requests by service and software version.
  */
 final class RelayMetrics {
     private final MeterRegistry registry;
     private final Map<String, Counter> outcomes = new HashMap<>();
     private final Map<String, Counter> resumptions = new HashMap<>();
     private final Map<String, Counter> unfinishedAttempts = new HashMap<>();
+    private final Map<IrregularResponse, Counter> irregularResponses = new EnumMap<>(IrregularResponse.class);
     private final Map<String, Timer> phases = new HashMap<>();
     private final MultiGauge runnersByVersion;
     private Map<Tags, Long> recordedRunners = Map.of();
@@ -82,6 +84,17 @@
         countRunner("broken", service);
     }
 
+    /** Counts bytes of a runner that are not the whole response to its connection's request. */
+    void recordIrregularResponse(IrregularResponse kind) {
+        irregularResponses
+                .computeIfAbsent(
+                        kind,
+                        any -> Counter.builder("parsleydrift.responses.irregular")
+                                .tag("kind", kind.label())
+                                .register(registry))
+                .increment();
+    }
+
     private void countRunner(String event, String service) {
         unfinishedAttempts
                 .computeIfAbsent(
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnection.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -12,7 +13,9 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -48,7 +51,6 @@
     private boolean headSeen;
     private boolean reusable = true;
     private boolean keepAlive;
-    private boolean resetSeen;
     private int responsesReceived;
     private long idleSinceNanos;
     private Optional<Duration> idleLimit = Optional.empty();
@@ -60,6 +62,11 @@
         this.clock = clock;
     }
 
+    /** Returns the handlers of the connection's channel, in order. */
+    ChannelHandler[] handlers() {
+        return new ChannelHandler[] {new HttpRequestEncoder(), new HttpResponseDecoder(), this};
+    }
+
     String incarnation() {
         return incarnation;
     }
@@ -125,12 +132,11 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         pool.remove(this);
-        loseConnection(resetSeen ? "connection reset" : "connection closed");
+        loseConnection("connection closed");
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        resetSeen = true;
         reusable = false;
         loseConnection("connection failed: " + cause.getMessage());
         context.close();
@@ -151,9 +157,9 @@
             return;
         }
         if (part.decoderResult().isFailure()) {
-            reusable = false;
-            fail("not HTTP: " + part.decoderResult().cause().getMessage());
-            close();
+            reject(
+                    IrregularResponse.MALFORMED,
+                    "not HTTP: " + part.decoderResult().cause().getMessage());
             return;
         }
         if (part instanceof HttpResponse response) {
@@ -171,6 +177,7 @@
             skip(SKIPPED_HEAD_BYTES);
             if (status >= 200) {
                 reusable = false;
+                pool.recordIrregular(IrregularResponse.OTHER_REQUEST);
                 LOG.log(
                         Logger.Level.INFO,
                         () -> LogLine.of("answer_of_other_request_skipped")
@@ -183,9 +190,7 @@
             return;
         }
         if (status < 300 && !isAuthenticated(response.headers())) {
-            reusable = false;
-            fail("success response without request id or stamp");
-            close();
+            reject(IrregularResponse.UNAUTHENTICATED, "success response without request id or stamp");
             return;
         }
         headSeen = true;
@@ -231,17 +236,12 @@
     private void skip(int bytes) {
         skippedBytes += bytes;
         if (skippedBytes > RelayLimits.MAX_SKIPPED_BYTES) {
-            fail("no response in " + RelayLimits.MAX_SKIPPED_BYTES + " bytes");
-            close();
+            reject(IrregularResponse.NO_RESPONSE, "no response in " + RelayLimits.MAX_SKIPPED_BYTES + " bytes");
         }
     }
 
     private void finish() {
         RunnerResponseListener receiver = listener;
-        if (resetSeen) {
-            fail("reset before the end");
-            return;
-        }
         listener = null;
         responsesReceived++;
         idleSinceNanos = clock.nanos();
@@ -256,6 +256,10 @@
     }
 
     private void closeUnsolicited() {
+        if (!channel.isActive()) {
+            return;
+        }
+        pool.recordIrregular(IrregularResponse.UNSOLICITED);
         LOG.log(
                 Logger.Level.INFO,
                 () -> LogLine.of("unasked_answer")
@@ -273,11 +277,21 @@
         }
     }
 
-    private void fail(String reason) {
+    /** Fails the request, which the runner may have run, and closes the connection. */
+    private void reject(IrregularResponse kind, String reason) {
         RunnerResponseListener receiver = listener;
         listener = null;
-        if (receiver != null) {
-            receiver.onFailure(true, reason);
-        }
+        pool.recordIrregular(kind);
+        LOG.log(
+                Logger.Level.INFO,
+                () -> LogLine.of("irregular_response")
+                        .with("request", request.id())
+                        .with("runner", incarnation)
+                        .with("kind", kind.label())
+                        .with("reason", reason)
+                        .with("served", responsesReceived)
+                        .toString());
+        close();
+        receiver.onFailure(true, reason);
     }
 }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnectionPool.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnectionPool.java
@@ -4,8 +4,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
-import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -35,11 +33,13 @@
     private final Bootstrap bootstrap;
     private final HeaderNames headerNames;
     private final EventLoop loop;
+    private final RelayMetrics metrics;
     private final Map<String, Deque<RunnerConnection>> idle = new HashMap<>();
     private boolean sweeping;
 
-    RunnerConnectionPool(NetworkThreads threads, EventLoop loop, HeaderNames headerNames) {
+    RunnerConnectionPool(NetworkThreads threads, EventLoop loop, HeaderNames headerNames, RelayMetrics metrics) {
         this.loop = loop;
+        this.metrics = metrics;
         this.headerNames = headerNames;
         this.bootstrap = threads.clientBootstrap(CONNECT_TIMEOUT);
     }
@@ -73,6 +73,11 @@
         }
     }
 
+    @Override
+    public void recordIrregular(IrregularResponse kind) {
+        metrics.recordIrregularResponse(kind);
+    }
+
     private RunnerConnection pollIdle(String incarnation) {
         Deque<RunnerConnection> pooled = idle.get(incarnation);
         while (pooled != null && !pooled.isEmpty()) {
@@ -100,10 +105,7 @@
                 .handler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline()
-                                .addLast(new HttpRequestEncoder())
-                                .addLast(new HttpResponseDecoder())
-                                .addLast(connection);
+                        channel.pipeline().addLast(connection.handlers());
                     }
                 })
                 .connect(runner.socketAddress())
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RunnerConnectionTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RunnerConnectionTest.java
@@ -9,7 +9,7 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import org.parsleydrift.kernel.ManualScheduler;
@@ -23,6 +23,7 @@
 
     private final List<RunnerConnection> pooled = new ArrayList<>();
     private final List<String> events = new ArrayList<>();
+    private final List<IrregularResponse> irregular = new ArrayList<>();
     private RunnerConnection connection;
     private EmbeddedChannel channel;
 
@@ -57,6 +58,7 @@
     public void connect() {
         pooled.clear();
         events.clear();
+        irregular.clear();
         ConnectionPool pool = new ConnectionPool() {
             @Override
             public void release(RunnerConnection idle) {
@@ -67,14 +69,42 @@
             public void remove(RunnerConnection closed) {
                 pooled.remove(closed);
             }
+
+            @Override
+            public void recordIrregular(IrregularResponse kind) {
+                irregular.add(kind);
+            }
         };
         connection = new RunnerConnection(pool, "r1", HeaderNames.defaults(), new ManualScheduler());
-        channel = new EmbeddedChannel(new HttpResponseDecoder(), connection);
+        channel = new EmbeddedChannel(connection.handlers());
     }
 
     private void send(String id) {
+        send(id, "GET");
+    }
+
+    private void send(String id, String method) {
         HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
-        connection.send(new RunnerRequest(id, "GET", "/a/", headers, new byte[0], true), listener);
+        connection.send(new RunnerRequest(id, method, "/a/", headers, new byte[0], true), listener);
+    }
+
+    private static String head(String id, String headers) {
+        return "HTTP/1.1 200 OK\r\nParsleydrift-Request: " + id + "\r\n" + STAMP + headers + "\r\n";
+    }
+
+    /** Serves a request on the connection and forgets its events. */
+    private void serve(String id) {
+        send(id);
+        receive(responseTo(id, "one"));
+        pooled.clear();
+        events.clear();
+    }
+
+    private void assertBroken(String reason) {
+        assertEquals(events.getLast(), "broken true", reason + ": " + events);
+        assertFalse(events.contains("end"), reason + ": " + events);
+        assertFalse(channel.isOpen(), reason);
+        assertEquals(pooled, List.of(), reason);
     }
 
     private static String responseTo(String id, String body) {
@@ -118,6 +148,25 @@
         assertEquals(pooled, List.of());
     }
 
+    /** Guards against bytes of a faulty runner that no metric counts. */
+    @Test
+    public void irregularResponsesAreCounted() {
+        send("q1");
+        receive(responseTo("q0", "none") + responseTo("q1", "one"));
+        assertEquals(irregular, List.of(IrregularResponse.OTHER_REQUEST));
+        connect();
+        receive(responseTo("q1", "one"));
+        assertEquals(irregular, List.of(IrregularResponse.UNSOLICITED));
+        connect();
+        send("q1");
+        receive("garbage without any sense\r\n\r\n");
+        assertEquals(irregular, List.of(IrregularResponse.MALFORMED));
+        connect();
+        send("q1");
+        receive("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        assertEquals(irregular, List.of(IrregularResponse.UNAUTHENTICATED));
+    }
+
     @Test
     public void truncatedResponseMayHaveRun() {
         send("q1");
@@ -144,7 +193,7 @@
         connect();
         send("q1");
         receive("HTTP/1.1 200 OK\r\nParsleydrift-Request: q1\r\n" + STAMP + "\r\nbody");
-        channel.pipeline().fireExceptionCaught(new java.io.IOException("connection reset"));
+        channel.pipeline().fireExceptionCaught(new IOException("connection reset"));
         assertTrue(events.contains("broken true"));
         assertFalse(events.contains("end"));
     }
