Relay: a connection with bytes left over is not reused

Bytes after a whole response that were no line yet stayed in the decoder unnoticed. The connection went back to the pool, and the bytes were joined with the head of the next response: in the trial of the test, 'HTTP/1.1 200 OK<CR><LF>Date: Mon' of a second response that was cut short, followed by the 404 of the next request, was forwarded as 200. A connection is now closed as soon as it holds bytes while it serves no request.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnection.java
@@ -15,7 +15,6 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -29,7 +28,7 @@
 /**
  * One HTTP/1.1 connection to a runner, with one request at a time. Responses are matched by request id, since a
  * duplicate response to an earlier request would otherwise reach the wrong caller. A connection that has received a
- * mismatched or unsolicited response is not reused.
+ * mismatched or unsolicited byte is not reused.
  */
 final class RunnerConnection extends ChannelInboundHandlerAdapter {
     private static final Logger LOG = System.getLogger(RunnerConnection.class.getName());
@@ -37,6 +36,7 @@
     /** Size that a skipped head is counted with, bytes; that of a short status line. */
     private static final int SKIPPED_HEAD_BYTES = 20;
 
+    private final RunnerResponseDecoder decoder = new RunnerResponseDecoder();
     private final HeaderNames headerNames;
     private final RuntimeClock clock;
     private final ConnectionPool pool;
@@ -64,7 +64,7 @@
 
     /** Returns the handlers of the connection's channel, in order. */
     ChannelHandler[] handlers() {
-        return new ChannelHandler[] {new HttpRequestEncoder(), new HttpResponseDecoder(), this};
+        return new ChannelHandler[] {new HttpRequestEncoder(), decoder, this};
     }
 
     String incarnation() {
@@ -151,6 +151,14 @@
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (listener == null && decoder.hasUndecodedBytes()) {
+            closeUnsolicited();
+        }
+        context.fireChannelReadComplete();
+    }
+
     private void processPart(HttpObject part) {
         if (listener == null) {
             closeUnsolicited();
@@ -247,7 +255,9 @@
         idleSinceNanos = clock.nanos();
         // If the runner responds before the body is fully sent, it would parse the rest of the body as a request.
         boolean allWritten = written != null && written.isSuccess();
-        if (reusable && keepAlive && allWritten) {
+        if (decoder.hasUndecodedBytes()) {
+            closeUnsolicited();
+        } else if (reusable && keepAlive && allWritten) {
             pool.release(this);
         } else {
             close();
--- /dev/null
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerResponseDecoder.java
@@ -0,0 +1,11 @@
+package org.parsleydrift.relay;
+
+import io.netty.handler.codec.http.HttpResponseDecoder;
+
+/** HTTP response decoder that tells whether it holds bytes that it has not decoded. */
+final class RunnerResponseDecoder extends HttpResponseDecoder {
+    /** Returns whether bytes were received that are not part of any message decoded so far. */
+    boolean hasUndecodedBytes() {
+        return actualReadableBytes() > 0;
+    }
+}
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RunnerConnectionTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RunnerConnectionTest.java
@@ -213,4 +213,27 @@
     public Object[][] unauthenticatedHeads() {
         return new Object[][] {{""}, {STAMP}, {"Parsleydrift-Request: q1\r\n"}};
     }
+
+    /** Guards against bytes after a response that are joined with the response to the next request. */
+    @Test(dataProvider = "bytesAfterResponse")
+    public void connectionWithLeftoverBytesIsNotReused(String bytes) {
+        send("q1");
+        receive(responseTo("q1", "one") + bytes);
+        assertEquals(events, List.of("head 200", "part one", "end"));
+        assertEquals(pooled, List.of());
+        assertFalse(channel.isOpen());
+        assertEquals(irregular, List.of(IrregularResponse.UNSOLICITED));
+        connect();
+        send("q1");
+        receive(responseTo("q1", "one"));
+        receive(bytes);
+        assertEquals(pooled, List.of());
+        assertFalse(connection.isAvailable());
+    }
+
+    /** Bytes that are no whole line, and the beginning of a second response. */
+    @DataProvider
+    public Object[][] bytesAfterResponse() {
+        return new Object[][] {{"x"}, {"HTTP/1.1 200 OK"}, {"HTTP/1.1 200 OK\r\nDate: Mon"}};
+    }
 }
