Relay: a head with more than one reading is no response

A second response that is cut short within its head is continued by the head of the next response. Its status, and its 'not executed' header, then came with the id, stamp and body of the next one: the test saw 200 forwarded where the runner had answered 404, and 'not executed' of the earlier request taken for the present one, which had run. Heads are refused (outcome unknown, retried if the route permits) that have two ids or stamps, a status line within a value or the reason, another protocol, a status outside of 100 to 599, 101, Content-Length beside chunks, or codings other than chunked.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/IrregularResponse.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/IrregularResponse.java
@@ -10,6 +10,8 @@
     UNSOLICITED,
     /** Bytes that are not HTTP. */
     MALFORMED,
+    /** Head that permits more than one reading. */
+    AMBIGUOUS,
     /** Success without request id or stamp. */
     UNAUTHENTICATED,
     /** Too many bytes of interim responses or of responses to other requests. */
--- /dev/null
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/ResponseHead.java
@@ -0,0 +1,65 @@
+package org.parsleydrift.relay;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
+import java.util.Optional;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+
+/**
+ * Checks the head of a runner's response for more than one reading. The head of a response that was cut short continues
+ * with that of the next one, whose id and stamp then come with the status of the first.
+ */
+final class ResponseHead {
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
+    private static final int SWITCHING_PROTOCOLS = 101;
+    private static final int MIN_STATUS = 100;
+    private static final int MAX_STATUS = 599;
+
+    private ResponseHead() {}
+
+    /**
+     * Returns why a head must not be used.
+     *
+     * @param response the head
+     * @param headerNames names of the headers
+     * @return the reason; empty if the head is unambiguous
+     */
+    static Optional<String> fault(HttpResponse response, HeaderNames headerNames) {
+        HttpVersion version = response.protocolVersion();
+        HttpHeaders headers = response.headers();
+        int status = response.status().code();
+        if (!version.equals(HttpVersion.HTTP_1_1) && !version.equals(HttpVersion.HTTP_1_0)) {
+            return Optional.of("protocol " + version);
+        }
+        if (status < MIN_STATUS || status > MAX_STATUS || status == SWITCHING_PROTOCOLS) {
+            return Optional.of("status " + status);
+        }
+        if (isRepeated(headers, headerNames.requestId()) || isRepeated(headers, headerNames.stamp())) {
+            return Optional.of("more than one request id or stamp");
+        }
+        if (!hasPlainEncoding(headers.getAll(HttpHeaderNames.TRANSFER_ENCODING))) {
+            return Optional.of("Transfer-Encoding other than chunked");
+        }
+        return containsStatusLine(response) ? Optional.of("status line within the head") : Optional.empty();
+    }
+
+    private static boolean isRepeated(HttpHeaders headers, String name) {
+        return headers.getAll(name).size() > 1;
+    }
+
+    private static boolean hasPlainEncoding(List<String> encodings) {
+        return encodings.isEmpty()
+                || (encodings.size() == 1
+                        && "chunked".equalsIgnoreCase(encodings.getFirst().trim()));
+    }
+
+    private static boolean containsStatusLine(HttpResponse response) {
+        Stream<String> values = response.headers().entries().stream().map(each -> each.getValue());
+        return Stream.concat(Stream.of(response.status().reasonPhrase()), values)
+                .anyMatch(each -> STATUS_LINE.matcher(each).find());
+    }
+}
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnection.java
@@ -179,6 +179,11 @@
     }
 
     private void processHead(HttpResponse response) {
+        Optional<String> fault = ResponseHead.fault(response, headerNames);
+        if (fault.isPresent()) {
+            reject(IrregularResponse.AMBIGUOUS, fault.get());
+            return;
+        }
         int status = response.status().code();
         skipping = status < 200 || !matchesRequest(response.headers());
         if (skipping) {
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerResponseDecoder.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerResponseDecoder.java
@@ -1,11 +1,17 @@
 package org.parsleydrift.relay;
 
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 
-/** HTTP response decoder that tells whether it holds bytes that it has not decoded. */
+/** HTTP response decoder that rejects ambiguous framing and tells whether it holds bytes that it has not decoded. */
 final class RunnerResponseDecoder extends HttpResponseDecoder {
     /** Returns whether bytes were received that are not part of any message decoded so far. */
     boolean hasUndecodedBytes() {
         return actualReadableBytes() > 0;
     }
+
+    @Override
+    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+        throw new IllegalArgumentException("response has both Content-Length and chunked Transfer-Encoding");
+    }
 }
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RunnerConnectionTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RunnerConnectionTest.java
@@ -236,4 +236,73 @@
     public Object[][] bytesAfterResponse() {
         return new Object[][] {{"x"}, {"HTTP/1.1 200 OK"}, {"HTTP/1.1 200 OK\r\nDate: Mon"}};
     }
+
+    /** Guards against a response that takes its status from the head of an earlier one that was cut short. */
+    @Test(dataProvider = "cutHeads")
+    public void headJoinedWithAnEarlierOneFails(String cut) {
+        serve("q1");
+        send("q2");
+        receive(cut);
+        receive("HTTP/1.1 404 Not Found\r\nDate: x\r\n" + STAMP
+                + "Parsleydrift-Request: q2\r\nContent-Length: 4\r\n\r\nnone");
+        assertBroken(cut);
+    }
+
+    /** Beginnings of the head of a second response to the request before. */
+    @DataProvider
+    public Object[][] cutHeads() {
+        return new Object[][] {
+            {"x"},
+            {"H"},
+            {"HTTP/1.1"},
+            {"HTTP/1.1 200 "},
+            {"HTTP/1.1 200 O"},
+            {"HTTP/1.1 200 OK\r"},
+            {"HTTP/1.1 200 OK\r\n"},
+            {"HTTP/1.1 200 OK\r\nDa"},
+            {"HTTP/1.1 200 OK\r\nDate: Mon"},
+            {"HTTP/1.1 200 OK\r\nDate: Mon\r\n"},
+            {"HTTP/1.1 200 OK\r\nParsleydrift-Stamp: s"},
+            {"HTTP/1.1 200 OK\r\nParsleydrift-Request: q1"},
+            {"HTTP/1.1 503 Full\r\nParsleydrift-Not-Executed: 1"},
+        };
+    }
+
+    /** Guards against a success whose head permits more than one reading. */
+    @Test(dataProvider = "ambiguousHeads")
+    public void ambiguousHeadFails(String head) {
+        send("q1");
+        receive(head + "\r\n4\r\nbody\r\n0\r\n\r\n");
+        assertBroken(head);
+    }
+
+    /** Heads with two ids, two stamps, ambiguous framing, another protocol or a status out of range. */
+    @DataProvider
+    public Object[][] ambiguousHeads() {
+        String id = "Parsleydrift-Request: q1\r\n";
+        String ok = "HTTP/1.1 200 OK\r\n" + id + STAMP;
+        return new Object[][] {
+            {ok + "Parsleydrift-Request: q2\r\nTransfer-Encoding: chunked\r\n"},
+            {ok + "Parsleydrift-Stamp: t\r\nTransfer-Encoding: chunked\r\n"},
+            {ok + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n"},
+            {ok + "Content-Length: 4\r\nContent-Length: 5\r\n"},
+            {ok + "Content-Length: 4x\r\n"},
+            {ok + "Transfer-Encoding: gzip, chunked\r\n"},
+            {ok + "Transfer-Encoding: identity\r\n"},
+            {ok + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n"},
+            {"HTTP/2.0 200 OK\r\n" + id + STAMP + "Transfer-Encoding: chunked\r\n"},
+            {"XHTTP/1.1 200 OK\r\n" + id + STAMP + "Transfer-Encoding: chunked\r\n"},
+            {"HTTP/1.1 20 OK\r\n" + id + STAMP + "Transfer-Encoding: chunked\r\n"},
+            {"HTTP/1.1 2000 OK\r\n" + id + STAMP + "Transfer-Encoding: chunked\r\n"},
+            {"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n" + id + STAMP},
+        };
+    }
+
+    /** Interim responses precede the response and are not part of it. */
+    @Test
+    public void interimResponsesAreSkipped() {
+        send("q1");
+        receive("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + responseTo("q1", "one"));
+        assertEquals(events, List.of("head 200", "part one", "end"));
+    }
 }
