Relay: the head of a second response within a body makes it unusable

A runner that responds twice may write the second response behind a body without length, behind one that was cut short, or between two parts of the next response on the connection. It was forwarded as part of the body of a success: with a length the bytes even count up to it. EmbeddedHeadDetector looks for a status line that is followed by the id of a request of this connection, before the bytes are forwarded; the outcome is then unknown, so idempotent calls go to another runner and streams end without their terminating chunk. A body whose last bytes begin such a head, of which the rest follows, is refused too. Bodies that merely tell of HTTP pass. Not found: a first response that lacks fewer bytes than the second one's head up to the id, if no further byte is in the same read.

Before: 8 of 11 new cases of RunnerConnectionTest failed, and with real connections 2 of 6 of DuplicateResponseTest (calls without length and cut short were answered 200 with both responses; of streams the repeated event id told). Now 51 of 51 and 6 of 6.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/IrregularResponse.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/IrregularResponse.java
@@ -12,6 +12,8 @@
     MALFORMED,
     /** Head that permits more than one reading. */
     AMBIGUOUS,
+    /** Body with the head of another response in it. */
+    CONTAINS_HEAD,
     /** Success without request id or stamp. */
     UNAUTHENTICATED,
     /** Too many bytes of interim responses or of responses to other requests. */
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnection.java
@@ -21,7 +21,9 @@
 import io.netty.util.ReferenceCountUtil;
 import java.lang.System.Logger;
 import java.time.Duration;
+import java.util.LinkedHashSet;
 import java.util.Optional;
+import java.util.SequencedSet;
 import org.parsleydrift.kernel.LogLine;
 import org.parsleydrift.kernel.RuntimeClock;
 
@@ -36,16 +38,23 @@
     /** Size that a skipped head is counted with, bytes; that of a short status line. */
     private static final int SKIPPED_HEAD_BYTES = 20;
 
+    /** Maximum number of request ids that are kept; a response that comes later than that is not expected. */
+    private static final int MAX_SERVED_IDS = 256;
+
     private final RunnerResponseDecoder decoder = new RunnerResponseDecoder();
     private final HeaderNames headerNames;
     private final RuntimeClock clock;
     private final ConnectionPool pool;
     private final String incarnation;
+    /** Ids of the latest requests on this connection, oldest first. */
+    private final SequencedSet<String> servedIds = new LinkedHashSet<>();
+
     private Channel channel;
     private long connectedNanos;
     private ChannelFuture written;
     private RunnerRequest request;
     private RunnerResponseListener listener;
+    private EmbeddedHeadDetector heads;
     private boolean skipping;
     private int skippedBytes;
     private boolean headSeen;
@@ -102,6 +111,8 @@
         skipping = false;
         skippedBytes = 0;
         headSeen = false;
+        heads = new EmbeddedHeadDetector(headerNames.requestId(), servedIds::contains);
+        recordServed(next.id());
         var message = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
                 HttpMethod.valueOf(next.method()),
@@ -112,6 +123,13 @@
         written = channel.writeAndFlush(message);
     }
 
+    private void recordServed(String id) {
+        servedIds.add(id);
+        if (servedIds.size() > MAX_SERVED_IDS) {
+            servedIds.removeFirst();
+        }
+    }
+
     /** Abandons the request and closes the connection, on which the runner cancels the request. */
     void cancel() {
         listener = null;
@@ -239,6 +257,10 @@
         if (bytes.isReadable()) {
             byte[] copy = new byte[bytes.readableBytes()];
             bytes.readBytes(copy);
+            if (heads.detect(copy)) {
+                reject(IrregularResponse.CONTAINS_HEAD, "head of another response within the body");
+                return;
+            }
             listener.onPart(copy);
         }
         if (last && listener != null && headSeen) {
@@ -254,6 +276,10 @@
     }
 
     private void finish() {
+        if (heads.isCutBy(decoder.undecodedBytes())) {
+            reject(IrregularResponse.CONTAINS_HEAD, "body ends within the head of another response");
+            return;
+        }
         RunnerResponseListener receiver = listener;
         listener = null;
         responsesReceived++;
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerResponseDecoder.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerResponseDecoder.java
@@ -1,5 +1,6 @@
 package org.parsleydrift.relay;
 
+import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 
@@ -10,6 +11,11 @@
         return actualReadableBytes() > 0;
     }
 
+    /** Returns a copy of the bytes that were received and are not part of any message decoded so far. */
+    byte[] undecodedBytes() {
+        return ByteBufUtil.getBytes(internalBuffer());
+    }
+
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
         throw new IllegalArgumentException("response has both Content-Length and chunked Transfer-Encoding");
--- /dev/null
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DuplicateResponseTest.java
@@ -0,0 +1,96 @@
+package org.parsleydrift.relay;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.function.UnaryOperator;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Runners that respond twice to a request on one connection. */
+public class DuplicateResponseTest {
+    private static final String EVENT = "id: 1\ndata: a\n\n";
+
+    private StreamFleet fleet;
+
+    @BeforeMethod
+    public void start() {
+        fleet = new StreamFleet();
+        fleet.addNode("a");
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() throws IOException {
+        fleet.close();
+    }
+
+    private static String respond(String request, String headers, String body) {
+        return "HTTP/1.1 200 OK\r\nParsleydrift-Request: " + ScriptedRunner.header(request, "Parsleydrift-Request")
+                + "\r\nParsleydrift-Stamp: s\r\n" + headers + "\r\n" + body;
+    }
+
+    private static String whole(String request) {
+        return respond(request, "Content-Length: 5\r\n", "whole");
+    }
+
+    private String send(String path) throws IOException {
+        try (Socket socket = fleet.send("a", path + "x", "q1", "")) {
+            return new String(socket.getInputStream().readAllBytes(), ISO_8859_1);
+        }
+    }
+
+    /** Name, path of the request, and the reply to it, which holds two responses. */
+    @DataProvider
+    public static Object[][] replies() {
+        return new Object[][] {
+            {"without length", "/calls/", reply(each -> respond(each, "", "whole") + whole(each))},
+            {
+                "cut short",
+                "/calls/",
+                reply(each -> respond(each, "Content-Length: 90\r\n", "half") + respond(each, "", "half".repeat(50)))
+            },
+            {"stream", "/events/", reply(each -> respond(each, "", EVENT) + respond(each, "", EVENT))},
+            {"stored stream", "/stored/", reply(each -> respond(each, "", EVENT) + respond(each, "", EVENT))},
+            {
+                "stream cut within an event",
+                "/events/",
+                reply(each -> respond(each, "", EVENT + "id: 2\n") + respond(each, "", EVENT))
+            },
+        };
+    }
+
+    private static UnaryOperator<String> reply(UnaryOperator<String> both) {
+        return request -> ScriptedRunner.lastReply(both.apply(request));
+    }
+
+    /** Guards against a second response that is forwarded as part of the first one. */
+    @Test(dataProvider = "replies")
+    public void secondResponseIsNoPartOfTheFirst(String name, String path, UnaryOperator<String> reply)
+            throws IOException {
+        fleet.addRunner("r", "s", "v1", reply);
+        String response = send(path);
+        assertEquals(response.lastIndexOf("HTTP/1.1"), 0, name + ": " + response);
+        assertFalse(
+                response.startsWith("HTTP/1.1 200 ") && response.endsWith("0\r\n\r\n"),
+                name + ": the response looks complete");
+        assertTrue(
+                response.startsWith("HTTP/1.1 502 ") || !path.equals("/calls/"),
+                name + ": " + response.lines().findFirst());
+        assertEquals(fleet.load("a"), 0, name + ": the slot is not given back");
+    }
+
+    /** Guards against an idempotent call that is given up, though another runner responds once. */
+    @Test
+    public void idempotentCallGoesToAnotherRunner() throws IOException {
+        fleet.addRunner("r1", "s", "v1", reply(each -> respond(each, "", "whole") + whole(each)));
+        fleet.addRunner("r2", "s", "v1", DuplicateResponseTest::whole);
+        String response = send("/calls/");
+        assertTrue(response.startsWith("HTTP/1.1 200 ") && response.endsWith("\r\n\r\nwhole"), response);
+    }
+}
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RunnerConnectionTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RunnerConnectionTest.java
@@ -305,4 +305,47 @@
         receive("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + responseTo("q1", "one"));
         assertEquals(events, List.of("head 200", "part one", "end"));
     }
+
+    /** Guards against a second response within a body or stream, which makes it another than the runner's. */
+    @Test(dataProvider = "bodiesWithResponses")
+    public void responseWithinBodyFails(String first, String second) {
+        serve("q1");
+        send("q2");
+        receive(first);
+        receive(second);
+        channel.close();
+        assertBroken(first + second);
+    }
+
+    /** First and second part of what is received; the first one ends where the first response was cut short. */
+    @DataProvider
+    public Object[][] bodiesWithResponses() {
+        String whole = responseTo("q2", "two and more");
+        String late = responseTo("q1", "one");
+        String cut = head("q2", "Content-Length: 30\r\n") + "half";
+        String event = "id: 1\ndata: a\n\n";
+        return new Object[][] {
+            {head("q2", "") + "two", whole},
+            {head("q2", "") + "two HTTP/1.1 200 HT", whole},
+            {head("q2", "") + "two", late + "more"},
+            {head("q2", "Content-Length: 400\r\n") + "half", whole + "x".repeat(400)},
+            {cut, whole},
+            {cut, late + "x".repeat(300)},
+            {head("q2", "Content-Length: 5\r\n") + "half", whole},
+            {head("q2", "Transfer-Encoding: chunked\r\n") + "4\r\nhalf\r\n", late + "0\r\n\r\n"},
+            {head("q2", "Transfer-Encoding: chunked\r\n") + "99\r\nhalf", late + "x".repeat(300)},
+            {head("q2", "") + event, late + "id: 2\ndata: b\n\n"},
+        };
+    }
+
+    /** A body may tell of HTTP responses, as long as it does not contain one of this connection. */
+    @Test
+    public void textOnResponsesIsForwarded() {
+        serve("q1");
+        String text = "HTTP/1.1 200 OK\r\nParsleydrift-Request: q7\r\n\r\nHTTP/1.1 200 OK";
+        send("q2");
+        receive(responseTo("q2", text));
+        assertEquals(events, List.of("head 200", "part " + text, "end"));
+        assertEquals(pooled, List.of(connection));
+    }
 }
