--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakMain.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakMain.java
@@ -43,6 +43,7 @@
                 integer(parser, "ending-callers", "callers whose requests end their runners", 0);
         OptionSpec<RunnerEnd> runnerEnds = runnerEnds(parser);
         OptionSpec<Integer> chainCallers = integer(parser, "chain-callers", "callers of stored conversations", 0);
+        ResponseFlags responses = new ResponseFlags(parser);
         acceptDisturbances(parser);
         OptionSpec<String> former = parser.accepts(
                         "former-class-path", "class path of an earlier version, as which the processes start")
@@ -82,7 +83,8 @@
                     options.has("entry-kills"),
                     options.has("rejoining"),
                     Duration.ofSeconds(options.valueOf(seconds)),
-                    Optional.ofNullable(options.valueOf(former)));
+                    Optional.ofNullable(options.valueOf(former)),
+                    responses.options(options));
             violations += run(one, Path.of(options.valueOf(folder)).toAbsolutePath());
         }
         System.exit(violations == 0 ? 0 : 1);
