A draining node answers each request that it has read before its process ends

Cause: the process exits at 93% of its grace time whatever is open, nobody answers the callers, and until then it accepts requests and gives runners a time budget that it does not have itself. Each cut came 7.4 s after SIGTERM, at a node with drain_ended complete=false, sent up to 4.5 s after the signal.

The end of a drain is now part of a request's life. Relay.endBy sets the time by which everything must be answered: DrainAdmission rejects at once, as not run, what cannot be expected to end by then; runners get at most the time that is left; at that time each open request ends in its state machine: not written to a runner, 503 with Retry-After 0; written, 502; a stream is broken off without an end, so that it can be taken up; a turn that is being committed goes on. A request whose body is incomplete is rejected as not run. The last responses have 4% of the grace time to be sent. The runners of the open requests are reported by the cancellation of their attempts instead of by Relay.abandonOpenRequests.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
@@ -44,6 +44,8 @@
     /** Time for which a connection is read after its last response, unless the caller closes it before. */
     private static final Duration LINGER = Duration.ofSeconds(1);
 
+    private static final int UNAVAILABLE = 503;
+
     private final RequestHandler handler;
     private final ConnectionOwner server;
     private final RuntimeClock clock;
@@ -131,6 +133,15 @@
         return !closing && (head != null || !pending.isEmpty());
     }
 
+    /** Ends the connection as the process ends: rejects a request that is incomplete, as it was sent to no runner. */
+    void endNow() {
+        if (head != null && !closing) {
+            reject(UNAVAILABLE, "process ends before the request is complete");
+        } else {
+            closeIfIdle();
+        }
+    }
+
     private void close() {
         closing = true;
         channel.close();
@@ -338,6 +349,13 @@
             return request == null ? ResponseStage.BEFORE_RUNNER : ResponseStage.of(request.stage());
         }
 
+        @Override
+        public void endNow() {
+            if (!ended && request != null) {
+                request.handleProcessEnd();
+            }
+        }
+
         private boolean announceClose(HttpHeaders headers) {
             boolean closes = !keepAlive || server.isDraining();
             if (closes) {
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerServer.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerServer.java
@@ -79,6 +79,12 @@
         List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
     }
 
+    /** Responds to all open requests, rejects those that are incomplete, and closes the other connections. */
+    public void endRequests() {
+        responses.endAll();
+        List.copyOf(connections).forEach(CallerConnection::endNow);
+    }
+
     /**
      * Returns whether a response is owed to a caller, or a request is being received.
      *
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/OpenRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/OpenRequest.java
@@ -10,4 +10,7 @@
 
     /** Called if the caller disconnects before the response has ended. */
     void handleDisconnect();
+
+    /** Called if the process ends before the response has ended; the response is given now, as far as it can be. */
+    void handleProcessEnd();
 }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/OwedResponse.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/OwedResponse.java
@@ -7,4 +7,7 @@
 
     /** Returns how far the request has come. */
     ResponseStage stage();
+
+    /** Responds now, as the process ends. */
+    void endNow();
 }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/OwedResponses.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/OwedResponses.java
@@ -3,6 +3,7 @@
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.MeterRegistry;
 import java.lang.System.Logger;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
@@ -56,6 +57,14 @@
         return owed.stream().collect(Collectors.groupingBy(OwedResponse::stage, TreeMap::new, Collectors.counting()));
     }
 
+    /**
+     * Responds to all requests, as the process ends; first to those that wait, so that none is sent to a runner whose slot
+     * the end of another request has freed.
+     */
+    void endAll() {
+        owed.stream().sorted(Comparator.comparing(OwedResponse::stage)).toList().forEach(OwedResponse::endNow);
+    }
+
     /** Logs and counts the responses that are owed, none of which will be complete, as the process ends now. */
     public void reportMissing() {
         owed.forEach(each -> recordMissing(each, "process ended"));
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Relay.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Relay.java
@@ -1,10 +1,12 @@
 package org.parsleydrift.relay;
 
 import io.micrometer.core.instrument.MeterRegistry;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.parsleydrift.conversation.Conversations;
@@ -33,6 +35,7 @@
     private final ResponseBuffers responseBuffers = ResponseBuffers.ofHeap();
     private final List<RelayedRequest> awaitingPreparation = new ArrayList<>();
     private AdmissionPolicy admission = AdmissionPolicy.DEFAULT;
+    private OptionalLong endNanos = OptionalLong.empty();
     private final Set<RelayedRequest> openRequests = new HashSet<>();
 
     /**
@@ -124,9 +127,22 @@
         return owedResponses;
     }
 
-    /** Reports the runners at which requests are open, as this node stops before their responses end. */
-    public void abandonOpenRequests() {
-        openRequests.forEach(RelayedRequest::abandon);
+    /**
+     * Sets the time by which each request must have been answered, as the process ends soon after it. From now on new
+     * requests are accepted only if they can be served by then.
+     *
+     * @param nanos time on the clock of the loop, ns
+     */
+    public void endBy(long nanos) {
+        endNanos = OptionalLong.of(nanos);
+    }
+
+    /** Returns the time until each request must have been answered; empty unless the process ends. */
+    Optional<Duration> timeUntilEnd() {
+        return endNanos.stream()
+                .mapToObj(
+                        each -> Duration.ofNanos(Math.max(0, each - loop.clock().nanos())))
+                .findAny();
     }
 
     /**
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -57,6 +57,10 @@
     }
 
     void start() {
+        if (relay.timeUntilEnd().filter(Duration::isZero).isPresent()) {
+            apply(new RequestEvent.ProcessEnding());
+            return;
+        }
         Optional<RoutingManifest> manifest = relay.registry().manifest();
         if (relay.missing().isPresent()) {
             apply(new RequestEvent.NotPrepared());
@@ -84,6 +88,11 @@
         long timeoutMillis = Math.min(
                 route.timeout().toMillis(),
                 params.deadlineMillis().orElse(route.timeout().toMillis()));
+        Optional<Duration> untilEnd = relay.timeUntilEnd();
+        if (untilEnd.isPresent() && !DrainAdmission.accepts(route, Duration.ofMillis(timeoutMillis), untilEnd.get())) {
+            apply(new RequestEvent.ProcessEnding());
+            return;
+        }
         deadlineNanos = startNanos + Duration.ofMillis(timeoutMillis).toNanos();
         deadlineTimer = relay.loop().schedule(Duration.ofMillis(leftMillis()), this::handleDeadline);
         binding = new StreamBinding(relay, params, route, team.owner());
@@ -198,11 +207,10 @@
         apply(new RequestEvent.CallerLeft());
     }
 
-    /** Reports the runner that the request is at, if any, as this node stops. */
-    void abandon() {
-        if (exchange != null) {
-            exchange.reportAbandoned();
-        }
+    @Override
+    public void handleProcessEnd() {
+        boolean sent = exchange != null && exchange.isSent();
+        apply(sent ? new RequestEvent.AttemptInterrupted(exchange.streamBegun()) : new RequestEvent.ProcessEnding());
     }
 
     @Override
@@ -276,9 +284,10 @@
         }
     }
 
-    /** Returns the time until the deadline of the request, ms; 0 once it has passed. */
+    /** Returns the time until the deadline of the request or the end of this process, ms; 0 once it has passed. */
     long leftMillis() {
-        return Math.max(0, (deadlineNanos - relay.loop().clock().nanos()) / 1_000_000);
+        long left = Math.max(0, (deadlineNanos - relay.loop().clock().nanos()) / 1_000_000);
+        return relay.timeUntilEnd().map(each -> Math.min(left, each.toMillis())).orElse(left);
     }
 
     /** Returns the id of the event after which the stream goes on; the empty string for a new stream. */
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestEvent.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestEvent.java
@@ -153,6 +153,16 @@
      */
     record DeadlinePassed(boolean streamBegun) implements RequestEvent {}
 
+    /** The process ends before the request was written to a runner; or it ends too soon for accepting the request. */
+    record ProcessEnding() implements RequestEvent {}
+
+    /**
+     * The process ends while the request is at a runner.
+     *
+     * @param streamBegun whether the head of an event stream was sent to the caller
+     */
+    record AttemptInterrupted(boolean streamBegun) implements RequestEvent {}
+
     /** The caller has disconnected. */
     record CallerLeft() implements RequestEvent {}
 }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestLifecycle.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestLifecycle.java
@@ -27,6 +27,7 @@
     private static final String TIMEOUT = "timeout";
     private static final String RUNNERS_LOST = "too many runners were lost under the same work";
     private static final String QUOTA_EXHAUSTED = "team quota exhausted";
+    private static final String PROCESS_ENDS = "process ends";
 
     private final Attempts attempts = new Attempts();
     private RequestStage stage = RequestStage.MATCHING;
@@ -110,6 +111,8 @@
             case RequestEvent.CommitFailed ignored ->
                 in(RequestStage.COMMITTING) ? abortStream("commit_failed") : List.of();
             case RequestEvent.DeadlinePassed passed -> handleDeadline(passed.streamBegun());
+            case RequestEvent.ProcessEnding ignored -> handleProcessEnding();
+            case RequestEvent.AttemptInterrupted interrupted -> handleInterruption(interrupted.streamBegun());
             case RequestEvent.CallerLeft ignored -> handleDisconnect();
         };
     }
@@ -269,16 +272,45 @@
                                 ? respond(504, TIMEOUT, "after an unknown try")
                                 : refuse(
                                         "deadline passed while waiting for a runner", RelayLimits.RETRY_DELAY_NO_SLOT));
+            case ASSIGNED ->
+                afterCancellation(streamBegun ? abortStream(TIMEOUT) : respond(504, TIMEOUT, "at the runner"));
+            case COMMITTING -> abortStream(TIMEOUT);
+        };
+    }
+
+    /**
+     * Ends a request that is not at a runner as the process ends. Its caller can be served by another node at once. A turn
+     * that is being committed goes on.
+     */
+    private List<RequestAction> handleProcessEnding() {
+        return switch (stage) {
+            case ENDED, COMMITTING -> List.of();
+            case AWAITING_PREPARATION, MATCHING, BEGINNING -> refuse(503, PROCESS_ENDS, Duration.ZERO, false);
+            case QUEUED -> after(new RequestAction.Withdraw(), endUnsent());
             case ASSIGNED ->
                 after(
                         new RequestAction.CancelAttempt(),
-                        after(
-                                new RequestAction.ReportAttemptEnd(AttemptEnd.INCOMPLETE),
-                                streamBegun ? abortStream(TIMEOUT) : respond(504, TIMEOUT, "at the runner")));
-            case COMMITTING -> abortStream(TIMEOUT);
+                        after(new RequestAction.ReportAttemptEnd(AttemptEnd.NOT_RUN), endUnsent()));
         };
     }
 
+    /** Ends a request that is at a runner as the process ends. */
+    private List<RequestAction> handleInterruption(boolean streamBegun) {
+        if (stage != RequestStage.ASSIGNED) {
+            return List.of();
+        }
+        return afterCancellation(
+                streamBegun
+                        ? abortStream(PROCESS_ENDS)
+                        : respond(502, UNKNOWN, PROCESS_ENDS + " before the runner's response"));
+    }
+
+    private List<RequestAction> endUnsent() {
+        return attempts.mayHaveRun()
+                ? respond(502, UNKNOWN, "an earlier attempt may have run; " + PROCESS_ENDS)
+                : refuse(503, PROCESS_ENDS, Duration.ZERO, false);
+    }
+
     /** Cancels the request after its caller has disconnected; a turn that is being committed is completed. */
     private List<RequestAction> handleDisconnect() {
         return switch (stage) {
@@ -327,6 +359,12 @@
                 .toList();
     }
 
+    private static List<RequestAction> afterCancellation(List<RequestAction> others) {
+        return after(
+                new RequestAction.CancelAttempt(),
+                after(new RequestAction.ReportAttemptEnd(AttemptEnd.INCOMPLETE), others));
+    }
+
     private static List<RequestAction> after(RequestAction first, List<RequestAction> others) {
         return Stream.concat(Stream.of(first), others.stream()).toList();
     }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestWork.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestWork.java
@@ -145,11 +145,6 @@
         relay.losses().recordSilence(work(), progress.runner(), silence);
     }
 
-    /** Records that this node stops while the request is at a runner. */
-    void recordAbandoned(Runner runner) {
-        relay.losses().recordBroken(work(), runner);
-    }
-
     private LogLine logLine(String event, Progress progress) {
         return LogLine.of(event)
                 .with("request", parameters.id())
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerExchange.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerExchange.java
@@ -92,11 +92,9 @@
         releaseSlot();
     }
 
-    /** Reports the runner, as this node stops before the end of the response. */
-    void reportAbandoned() {
-        if (connection != null && !ended) {
-            request.work().recordAbandoned(runner);
-        }
+    /** Returns whether the request was written to the runner, which may have started it. */
+    boolean isSent() {
+        return connection != null;
     }
 
     Runner runner() {
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/CallerConnectionTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/CallerConnectionTest.java
@@ -47,6 +47,9 @@
                 public void handleDisconnect() {
                     disconnects++;
                 }
+
+                @Override
+                public void handleProcessEnd() {}
             };
         };
         ConnectionOwner owner = new ConnectionOwner() {
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DrainTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DrainTest.java
@@ -3,11 +3,14 @@
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.time.Duration;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -16,6 +19,7 @@
 /** Requests at a node that ends, over real connections. */
 public class DrainTest {
     private static final String NODE = "e1";
+    private static final Duration LONG = Duration.ofSeconds(60);
     /** Size of a response that the sockets' buffers do not hold, bytes. */
     private static final int LARGE_RESPONSE = 6 << 20;
     /** Size of a response that they hold, but not that of the caller alone, bytes. */
@@ -44,6 +48,111 @@
         return socket;
     }
 
+    /** Guards against requests at runners whose callers get no response as the process ends. */
+    @Test
+    public void requestAtRunnerIsAnsweredAsUnknown() throws IOException {
+        fleet.addRunner("r1", "s", "v1", request -> ScriptedRunner.SILENCE);
+        try (Socket order = fleet.send(NODE, "/orders/", "q1", "")) {
+            fleet.awaitArrival("/orders/");
+            assertEquals(fleet.owedResponses(NODE), Map.of(ResponseStage.AT_RUNNER, 1L));
+            fleet.drain(NODE, Duration.ZERO);
+            fleet.endRequests(NODE);
+            String response = read(order);
+            assertTrue(response.startsWith("HTTP/1.1 502 ") && response.endsWith("\r\n\r\n"), response);
+            assertEquals(fleet.owedResponses(NODE), Map.of());
+        }
+    }
+
+    /** Guards against requests in the queue whose callers do not learn, as the process ends, that they have not run. */
+    @Test
+    public void queuedRequestIsRejectedAsNotRun() throws IOException {
+        fleet.addRunner("r1", "s", "v1", request -> ScriptedRunner.SILENCE);
+        Socket[] atRunner = new Socket[StreamFleet.SLOTS];
+        for (int i = 0; i < atRunner.length; i++) {
+            atRunner[i] = fleet.send(NODE, "/orders/" + i, "a" + i, "");
+        }
+        try (Socket queued = fleet.send(NODE, "/orders/queued", "q1", "")) {
+            fleet.awaitQueued(NODE, 1);
+            fleet.drain(NODE, Duration.ZERO);
+            fleet.endRequests(NODE);
+            String response = read(queued);
+            assertTrue(response.startsWith("HTTP/1.1 503 ") && response.contains("Retry-After: 0.00"), response);
+            assertEquals(fleet.arrivals("queued"), 0);
+        }
+        for (Socket each : atRunner) {
+            each.close();
+        }
+    }
+
+    /** Guards against streams that look complete though the process has ended between two of their events. */
+    @Test
+    public void streamIsBrokenOffWithoutAnEnd() throws IOException {
+        fleet.addRunner(
+                "r1",
+                "s",
+                "v1",
+                request -> ScriptedRunner.endlessAndSlow(
+                        "HTTP/1.1 200 OK\r\nParsleydrift-Request: q1\r\nParsleydrift-Stamp: s\r\n\r\nid: 1\ndata: a\n\n",
+                        ":\n"));
+        try (Socket stream = fleet.send(NODE, "/events/", "q1", "")) {
+            StreamFleet.readUntil(stream, "id: 1");
+            fleet.drain(NODE, Duration.ZERO);
+            fleet.endRequests(NODE);
+            assertFalse(read(stream).endsWith("0\r\n\r\n"));
+        }
+    }
+
+    /** Guards against requests that a node accepts though it ends before they can be answered. */
+    @Test
+    public void requestThatNeedsMoreTimeThanIsLeftIsRejectedAtOnce() throws IOException {
+        fleet.addRunner("r1", "s", "v1", request -> ScriptedRunner.response("200 OK", request, "", "done"));
+        fleet.drain(NODE, Duration.ofMillis(300));
+        try (Socket order = fleet.send(NODE, "/orders/late", "q1", "")) {
+            String response = read(order);
+            assertTrue(response.startsWith("HTTP/1.1 503 ") && response.contains("Retry-After: 0.00"), response);
+            assertEquals(fleet.arrivals("late"), 0);
+        }
+    }
+
+    /** Guards against runners that are given more time than the node has left to answer. */
+    @Test
+    public void runnerIsGivenTheTimeThatIsLeft() throws IOException {
+        StringBuilder deadline = new StringBuilder();
+        fleet.addRunner("r1", "s", "v1", request -> {
+            deadline.append(ScriptedRunner.header(request, "Parsleydrift-Deadline-Ms"));
+            return ScriptedRunner.response("200 OK", request, "", "done");
+        });
+        fleet.drain(NODE, Duration.ofMillis(2500));
+        try (Socket order = fleet.send(NODE, "/orders/", "q1", "")) {
+            String response = read(order);
+            assertTrue(response.startsWith("HTTP/1.1 200 "), response);
+            assertTrue(Integer.parseInt(deadline.toString()) <= 2500, deadline.toString());
+        }
+    }
+
+    /** Guards against requests that arrive after the last responses of a drain and get none. */
+    @Test
+    public void requestAfterTheLastResponsesIsRejected() throws IOException {
+        fleet.addRunner("r1", "s", "v1", request -> ScriptedRunner.response("200 OK", request, "", "done"));
+        fleet.drain(NODE, Duration.ZERO);
+        try (Socket order = fleet.send(NODE, "/orders/", "q1", "")) {
+            assertTrue(read(order).startsWith("HTTP/1.1 503 "));
+        }
+    }
+
+    /** Guards against requests whose bodies are cut off by the end of the process without a response. */
+    @Test
+    public void incompleteRequestIsRejectedAsNotRun() throws Exception {
+        try (Socket caller =
+                connect("POST /orders/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n")) {
+            fleet.awaitOpenRequest(NODE);
+            fleet.drain(NODE, LONG);
+            fleet.closeIdleConnections(NODE);
+            fleet.endRequests(NODE);
+            assertTrue(read(caller).startsWith("HTTP/1.1 503 "));
+        }
+    }
+
     /** Guards against responses to slow callers that are cut as the node closes its idle connections. */
     @Test
     public void responseThatIsBeingSentIsNotCut() throws Exception {
@@ -52,7 +161,7 @@
         try (Socket order = connect("POST /orders/ HTTP/1.1\r\nHost: h\r\nParsleydrift-Request: q1\r\n"
                 + "Parsleydrift-Deadline-Ms: 5000\r\nContent-Length: 2\r\n\r\nhi")) {
             fleet.awaitOwed(NODE, ResponseStage.SENDING);
-            fleet.drain(NODE);
+            fleet.drain(NODE, LONG);
             fleet.closeIdleConnections(NODE);
             String response = StreamFleet.readUntil(order, "\r\n\r\n");
             assertTrue(response.startsWith("HTTP/1.1 200 "), response);
@@ -73,7 +182,7 @@
                 + "Parsleydrift-Deadline-Ms: 5000\r\nContent-Length: 20000\r\n\r\n" + "y".repeat(20_000);
         try (Socket caller = connect(request.formatted("first", "q1"))) {
             fleet.awaitOwed(NODE, ResponseStage.AT_RUNNER);
-            fleet.drain(NODE);
+            fleet.drain(NODE, LONG);
             for (int i = 0; i < 100; i++) {
                 caller.getOutputStream()
                         .write(request.formatted("next" + i, "p" + i).getBytes(UTF_8));
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/StreamFleet.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/StreamFleet.java
@@ -210,9 +210,13 @@
         nodes.put(name, new Node(name));
     }
 
-    /** Begins the drain of a node. */
-    void drain(String name) {
-        run(nodes.get(name).server::drain);
+    /** Begins the drain of a node that must have answered all requests after the given time. */
+    void drain(String name, Duration timeLeft) {
+        Node node = nodes.get(name);
+        run(() -> {
+            node.relay.endBy(loop.clock().nanos() + timeLeft.toNanos());
+            node.server.drain();
+        });
     }
 
     /** Closes the listener and the idle connections of a node, as in the second part of its drain. */
@@ -220,6 +224,11 @@
         run(nodes.get(name).server::closeIdleConnections);
     }
 
+    /** Makes a node respond to its open requests, as at the end of its drain. */
+    void endRequests(String name) {
+        run(nodes.get(name).server::endRequests);
+    }
+
     /** Returns the responses that a node owes, by stage. */
     Map<ResponseStage, Long> owedResponses(String name) {
         AtomicReference<Map<ResponseStage, Long>> owed = new AtomicReference<>();
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryDrain.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryDrain.java
@@ -11,16 +11,18 @@
 import org.parsleydrift.relay.Relay;
 
 /**
- * Ends the service of an entry process within its grace time. Callers with old address lists are served for a while.
- * Confined to one event loop, except for {@link #run}.
+ * Ends the service of an entry process within its grace time. Callers with old address lists are served for a while; each
+ * request that the process has read is answered before it ends. Confined to one event loop, except for {@link #run}.
  */
 final class EntryDrain {
     private static final Logger LOG = System.getLogger(EntryDrain.class.getName());
 
     /** Fraction of the grace time during which connections are accepted, for callers with an old address list. */
     private static final double ACCEPT_FRACTION = 0.6;
-    /** Fraction of the grace time after which the process exits even if requests are open. */
-    private static final double EXIT_FRACTION = 0.93;
+    /** Fraction of the grace time after which requests are answered that are still open. */
+    private static final double ANSWER_FRACTION = 0.93;
+    /** Fraction of the grace time after which the process exits; until then the last responses are sent. */
+    private static final double EXIT_FRACTION = 0.97;
 
     private static final Duration CHECK_PERIOD = Duration.ofMillis(50);
     private static final Duration MAX_REPORT_WAIT = Duration.ofMillis(100);
@@ -31,6 +33,7 @@
     private final CallerServer server;
     private final CountDownLatch drained = new CountDownLatch(1);
     private long startNanos;
+    private boolean answered;
 
     /**
      * Creates a drain that has not begun.
@@ -56,6 +59,7 @@
         LOG.log(Logger.Level.INFO, LogLine.of("drain_begun").toString());
         startNanos = loop.clock().nanos();
         loop.execute(() -> {
+            relay.endBy(startNanos + after(ANSWER_FRACTION).toNanos());
             announcement.run();
             server.drain();
             loop.scheduleWithFixedDelay(CHECK_PERIOD, this::check);
@@ -64,15 +68,18 @@
         CountDownLatch reported = new CountDownLatch(1);
         loop.execute(() -> {
             report(complete);
-            // The abandoned requests' runners are reported in a later task of the loop.
-            loop.execute(reported::countDown);
+            reported.countDown();
         });
         reported.await(MAX_REPORT_WAIT.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     private void check() {
         Duration elapsed = Duration.ofNanos(loop.clock().nanos() - startNanos);
-        if (elapsed.compareTo(after(ACCEPT_FRACTION)) >= 0) {
+        if (!answered && elapsed.compareTo(after(ANSWER_FRACTION)) >= 0) {
+            answered = true;
+            LOG.log(Logger.Level.INFO, line("drain_answers_open_requests").toString());
+            server.endRequests();
+        } else if (elapsed.compareTo(after(ACCEPT_FRACTION)) >= 0) {
             server.closeIdleConnections();
             if (relay.openRequests() == 0 && !server.hasOpenRequests()) {
                 drained.countDown();
@@ -85,7 +92,6 @@
                 Logger.Level.INFO,
                 line("drain_ended").with("complete", complete).toString());
         relay.owedResponses().reportMissing();
-        relay.abandonOpenRequests();
     }
 
     /** Returns a log line with the numbers of owed responses by stage. */
