Roles listen once all of their parts exist, and accept requests last

Cause: the constructors of the roles and of their context opened the listeners. Frames that arrived while a store role was built met parts that did not exist yet and closed their link with a NullPointerException; the entry role ignored them instead. Callers were connected to a process whose start could still fail, and whose signal handler was not installed yet.

Change: constructing a role opens nothing. Role.start opens link and metrics and starts the parts (entry); Role.acceptRequests, the last step, opens directory, readiness and callers in this order, so an address that is taken ends the process before it has a caller. A store role accepts frames last. Links come before the parts, whose first requests are answered on a connection of the peer. An entry node counts as ready only once it listens for callers; the check for frames before the start is gone.

--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -77,6 +77,7 @@
     private final boolean contentionControl;
     private final NodeIdentity self;
     private final Registry registry;
+    private final TcpFrameSender frames;
     private final ConversationClient stores;
     private final ReplicaCalls calls;
     private final QuotaTracker quotas;
@@ -90,8 +91,8 @@
     private final WatchedObjects manifests;
     private final WatchedObjects storeSets;
     private final ObjectWatcher nodes;
-    private final CallerServer callerServer;
-    private volatile boolean started;
+    private CallerServer callerServer;
+    private volatile boolean accepting;
     private volatile boolean draining;
     private boolean nodesListed;
 
@@ -105,7 +106,7 @@
                 settings.callers().orElseThrow().toString(),
                 settings.link().toString());
         registry = new Registry(context.loop, context.plugin.decoder());
-        TcpFrameSender frames = new TcpFrameSender(context, this::receive);
+        frames = new TcpFrameSender(context, this::receive);
         calls = createCalls(frames);
         stores = new ConversationClient(context.loop, calls);
         quotas = new QuotaTracker(
@@ -146,31 +147,21 @@
         mesh.setPeerReadyListener(this::handlePeerReady);
         calls.setForwarders(
                 new StoreForwarderSelector(mesh::storeForwarders, context.random, context.loop.clock()::nanos));
-        callerServer = new CallerServer(
-                context.threads,
-                context.loop,
-                settings.callers().orElseThrow().socket(),
-                relay,
-                () -> registry.manifest().map(RoutingManifest::limits).orElseGet(CallerLimits::defaults));
-        serveAuxiliary(settings);
+        context.meters.gauge("parsleydrift.requests.open", relay, Relay::openRequests);
+        context.meters.gauge("parsleydrift.requests.waiting", dispatcher, Dispatcher::queueLength);
     }
 
     private void connectLosses() {
         relay.losses().publishTo(lossExchange);
-        relay.losses().setCurrent(() -> started && lossExchange.isCurrent());
+        relay.losses().setCurrent(lossExchange::isCurrent);
         relay.losses().setEntryStaleness(runners::staleness);
     }
 
-    /** Serves readiness and directory, and registers the gauges. */
-    private void serveAuxiliary(RoleSettings settings) {
-        context.serve(settings.readiness().orElseThrow(), MAX_AUXILIARY_CONNECTIONS, this::respondReadiness);
-        context.serve(settings.directory().orElseThrow(), MAX_AUXILIARY_CONNECTIONS, this::respondDirectory);
-        context.meters.gauge("parsleydrift.requests.open", relay, Relay::openRequests);
-        context.meters.gauge("parsleydrift.requests.waiting", dispatcher, Dispatcher::queueLength);
-    }
-
     @Override
     public void start() {
+        // Before the other parts, whose first requests peers answer on a connection of their own.
+        frames.listen();
+        context.serveMetrics();
         context.loop.execute(() -> {
             runners.start();
             manifests.start();
@@ -179,13 +170,27 @@
             mesh.start();
             lossExchange.start();
             relay.losses().start(relay::resumeWaiting);
-            started = true;
             if (contentionControl) {
                 leases.start();
             }
         });
     }
 
+    @Override
+    public void acceptRequests() {
+        RoleSettings settings = context.settings;
+        context.serve(settings.directory().orElseThrow(), MAX_AUXILIARY_CONNECTIONS, this::respondDirectory);
+        context.serve(settings.readiness().orElseThrow(), MAX_AUXILIARY_CONNECTIONS, this::respondReadiness);
+        // Last, so that no caller is connected if another address cannot be opened.
+        callerServer = new CallerServer(
+                context.threads,
+                context.loop,
+                settings.callers().orElseThrow().socket(),
+                relay,
+                () -> registry.manifest().map(RoutingManifest::limits).orElseGet(CallerLimits::defaults));
+        accepting = true;
+    }
+
     @Override
     public void drain() {
         LOG.log(Logger.Level.INFO, LogLine.of("drain_begun").toString());
@@ -241,7 +246,7 @@
 
     private boolean isReady() {
         boolean isolated = !stores.hasReachableQuorum() && !mesh.hasDirectPeers() && mesh.hasKnownPeers();
-        return !draining && registry.manifest().isPresent() && !isolated;
+        return accepting && !draining && registry.manifest().isPresent() && !isolated;
     }
 
     /** Whether the usage of quotas at other nodes is known: this node hears peers, or the platform lists none. */
@@ -278,10 +283,6 @@
     }
 
     private void receive(byte[] frame) {
-        // Links are open before all parts of this role exist.
-        if (!started) {
-            return;
-        }
         boolean handled = leases.receive(frame)
                 || lossExchange.receive(frame)
                 || introductions.receive(frame)
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/ProcessContext.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/ProcessContext.java
@@ -35,17 +35,29 @@
     final SharedObjects objects;
 
     ProcessContext(RoleSettings settings) {
+        this(settings, loadPlugin(settings));
+    }
+
+    ProcessContext(RoleSettings settings, DeploymentPlugin plugin) {
         this.settings = settings;
+        this.plugin = plugin;
         // Used for tie-breaking and jitter only; a secure generator would delay the start.
         this.random = new SplittableRandom(settings.vm().hashCode() * SEED_MULTIPLIER
                 + loop.clock().instant().toEpochMilli());
-        this.plugin = ServiceLoader.load(DeploymentPlugin.class).stream()
+        this.objects = new MeteredObjects(plugin.sharedObjects(new HttpClient(threads), settings.platform()), meters);
+    }
+
+    private static DeploymentPlugin loadPlugin(RoleSettings settings) {
+        return ServiceLoader.load(DeploymentPlugin.class).stream()
                 .map(ServiceLoader.Provider::get)
                 .filter(each -> each.name().equals(settings.plugin()))
                 .findFirst()
                 .orElseThrow(() ->
                         new StepException(Step.CONFIGURE, "settings", "no plug-in named '" + settings.plugin() + "'"));
-        this.objects = new MeteredObjects(plugin.sharedObjects(new HttpClient(threads), settings.platform()), meters);
+    }
+
+    /** Starts to serve the metrics. */
+    void serveMetrics() {
         serve(settings.metrics(), MAX_METRICS_CONNECTIONS, exchange -> {
             if (exchange.path().equals("/metrics")) {
                 exchange.respond(200, "text/plain", meters.scrape(), Map.of());
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RoleMain.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RoleMain.java
@@ -44,6 +44,7 @@
         Runtime.getRuntime().addShutdownHook(new Thread(() -> drainAndFlush(role), "drain"));
         onHangup(() -> parts.loop.execute(() -> reload(role, file)));
         role.start();
+        role.acceptRequests();
         LOG.log(
                 Logger.Level.INFO,
                 () -> LogLine.of("role_started")
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/StoreRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/StoreRole.java
@@ -33,6 +33,7 @@
     private final ProcessContext context;
     private final FileDurableLog log;
     private final ConversationReplica replica;
+    private final TcpFrameSender frames;
     private final ReplicaCalls calls;
     private final StoreSetController controller;
 
@@ -44,7 +45,7 @@
         this.replica =
                 new ConversationReplica(context.loop, log, settings.vm(), StoreRole::generateDiskId, maxRecordBytes);
         context.meters.gauge("parsleydrift.store.record.bytes", replica, ConversationReplica::recordBytes);
-        TcpFrameSender frames = new TcpFrameSender(context, this::receive);
+        this.frames = new TcpFrameSender(context, this::receive);
         this.calls =
                 new ReplicaCalls(context.loop, frames, settings.link().toString(), context.random.nextLong(), replica);
         this.controller = new StoreSetController(
@@ -68,6 +69,13 @@
 
     @Override
     public void start() {
+        context.serveMetrics();
+    }
+
+    @Override
+    public void acceptRequests() {
+        // Before the other parts, whose first requests other members answer on a connection of their own.
+        frames.listen();
         context.loop.execute(() -> {
             replica.start(calls);
             ObjectWatcher sets = createWatcher(ObjectKind.STORE_SET, controller::onSetChanged);
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/TcpFrameSender.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/TcpFrameSender.java
@@ -7,10 +7,16 @@
 /** Sends and receives frames between the processes of the system over TCP, at the link address of the settings. */
 final class TcpFrameSender implements FrameSender {
     private final FrameLinks links;
+    private final Address link;
 
     TcpFrameSender(ProcessContext context, Consumer<byte[]> receiver) {
-        Address link = context.settings.link();
-        links = new FrameLinks(context.threads, link.host(), link.port(), receiver);
+        link = context.settings.link();
+        links = new FrameLinks(context.threads, receiver);
+    }
+
+    /** Starts to receive frames. */
+    void listen() {
+        links.listen(link.host(), link.port());
     }
 
     @Override
--- a/parsleydrift-wire/src/main/java/org/parsleydrift/wire/FrameLinks.java
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/FrameLinks.java
@@ -16,6 +16,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -44,12 +45,33 @@
     /** Time without an acknowledgement after which a connection is replaced: three times the usual delay. */
     private static final long ACKNOWLEDGEMENT_TIMEOUT_MILLIS = 1000;
 
-    private final Channel listener;
+    private final NetworkThreads threads;
+    private final Consumer<byte[]> receiver;
     private final Bootstrap outbound;
     private final Map<String, ChannelFuture> connections = new ConcurrentHashMap<>();
+    private volatile Optional<Channel> listener = Optional.empty();
 
     /**
-     * Starts listening for connections of peers.
+     * Creates links that send frames, and receive none until {@link #listen} is called.
+     *
+     * @param threads the network threads
+     * @param receiver receives each frame on a network thread; an exception closes the connection
+     */
+    public FrameLinks(NetworkThreads threads, Consumer<byte[]> receiver) {
+        this.threads = threads;
+        this.receiver = receiver;
+        outbound = threads.clientBootstrap(CONNECT_TIMEOUT).handler(new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline()
+                        .addLast(new LengthFieldPrepender(LENGTH_BYTES))
+                        .addLast(new AcknowledgementTracker());
+            }
+        });
+    }
+
+    /**
+     * Creates links and starts listening for connections of peers.
      *
      * @param threads the network threads
      * @param host the address to listen on
@@ -57,7 +79,18 @@
      * @param receiver receives each frame on a network thread; an exception closes the connection
      */
     public FrameLinks(NetworkThreads threads, String host, int port, Consumer<byte[]> receiver) {
-        listener = threads.serverBootstrap()
+        this(threads, receiver);
+        listen(host, port);
+    }
+
+    /**
+     * Starts listening for connections of peers.
+     *
+     * @param host the address to listen on
+     * @param port the port to listen on, 0 for any free port
+     */
+    public void listen(String host, int port) {
+        listener = Optional.of(threads.serverBootstrap()
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -69,15 +102,7 @@
                 })
                 .bind(host, port)
                 .syncUninterruptibly()
-                .channel();
-        outbound = threads.clientBootstrap(CONNECT_TIMEOUT).handler(new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                channel.pipeline()
-                        .addLast(new LengthFieldPrepender(LENGTH_BYTES))
-                        .addLast(new AcknowledgementTracker());
-            }
-        });
+                .channel());
     }
 
     /**
@@ -86,7 +111,7 @@
      * @return the port, 1 to 65535
      */
     public int port() {
-        return ((InetSocketAddress) listener.localAddress()).getPort();
+        return ((InetSocketAddress) listener.orElseThrow().localAddress()).getPort();
     }
 
     /**
@@ -128,7 +153,7 @@
 
     @Override
     public void close() {
-        listener.close().syncUninterruptibly();
+        listener.ifPresent(each -> each.close().syncUninterruptibly());
         connections.values().forEach(connection -> connection.channel().close());
     }
 
