Signal handlers before the start; a role is drained if, and only if, it accepts requests

Cause: the shutdown hook and the handler of SIGHUP were installed after the constructors, which opened the listeners. SIGTERM in between ended a process at once with requests that it had read; SIGHUP before the handler ended it with 129.

Change: both are installed first. RoleLifecycle orders start and end: a process that is ending does not begin to accept requests, a signal that arrives while it begins to waits for that and drains, and a role that could not be started is not drained. A SIGHUP during the start is applied after it. The file is read on the thread of the signal instead of the network thread.

--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RoleMain.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RoleMain.java
@@ -38,13 +38,19 @@
     }
 
     private static void run(Path file) throws InterruptedException {
+        RoleLifecycle lifecycle = new RoleLifecycle(role -> reload(role, file));
+        onHangup(lifecycle::reload);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> endAndFlush(lifecycle), "drain"));
         RoleSettings settings = RoleSettingsReader.read(file);
         ProcessContext parts = new ProcessContext(settings);
         Role role = settings.role() == RoleKind.ENTRY ? new EntryRole(parts) : new StoreRole(parts);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> drainAndFlush(role), "drain"));
-        onHangup(() -> parts.loop.execute(() -> reload(role, file)));
-        role.start();
-        role.acceptRequests();
+        if (lifecycle.start(role)) {
+            logStarted(settings);
+        }
+        new CountDownLatch(1).await();
+    }
+
+    private static void logStarted(RoleSettings settings) {
         LOG.log(
                 Logger.Level.INFO,
                 () -> LogLine.of("role_started")
@@ -54,11 +60,10 @@
                         .with("link", settings.link())
                         .with("first_start", settings.firstStart())
                         .toString());
-        new CountDownLatch(1).await();
     }
 
-    private static void drainAndFlush(Role role) {
-        role.drain();
+    private static void endAndFlush(RoleLifecycle lifecycle) {
+        lifecycle.end();
         LOG.log(Logger.Level.INFO, LogLine.of("role_stopped").toString());
         RingLoggerFinder.flush();
     }
