Event loops: an error of one task is logged and does not end the loop

Cause: both loops caught RuntimeException and AssertionError. Another error, such as a StackOverflowError, ended the thread of a DisruptorEventLoop, and with it all programs of its node. On a network thread it went unlogged when it came from a timer; Netty keeps the error in a future that nobody reads.

Change: both catch all errors, as they do exceptions. After an OutOfMemoryError the process goes on, as it did on network threads before.

EventLoopContractTest.taskThatFailsWithAnErrorDoesNotAffectLaterOnes failed before on the Disruptor loop, which then also failed the tests after it; it passed on the network loop.

--- a/parsleydrift-kernel/src/main/java/org/parsleydrift/kernel/DisruptorEventLoop.java
+++ b/parsleydrift-kernel/src/main/java/org/parsleydrift/kernel/DisruptorEventLoop.java
@@ -90,7 +90,7 @@
     private void runSafely(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException | AssertionError e) {
+        } catch (RuntimeException | Error e) {
             // A failing task must not terminate the event loop and the other programs of the node.
             LOG.log(Logger.Level.ERROR, LogLine.of("loop_task_failed").toString(), e);
         }
--- a/parsleydrift-wire/src/main/java/org/parsleydrift/wire/NetworkLoop.java
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/NetworkLoop.java
@@ -48,8 +48,8 @@
     private static void runSafely(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException | AssertionError e) {
-            // A failing task must not affect the other requests of the node.
+        } catch (RuntimeException | Error e) {
+            // A failing task must not affect the other requests of the node. A timer's error would not be logged.
             LOG.log(Logger.Level.ERROR, LogLine.of("loop_task_failed").toString(), e);
         }
     }
