FileDurableLog: an error while writing fails the writes under way, not all later ones

Cause: the disk thread caught IOException only. The process went on, answered reads and heartbeats, and acknowledged no record any more.

Change: such an error is handled like a failed write: logged, the writes under way fail, and the next write begins behind the last synced record.

FileDurableLogTest.recordsAfterErrorAreRead timed out before; both tests of failed writes pass.

--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/FileDurableLog.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/FileDurableLog.java
@@ -322,7 +322,8 @@
                     unsynced.forEach(each -> each.complete(null));
                     unsynced.clear();
                 }
-            } catch (IOException fault) {
+            } catch (IOException | RuntimeException | Error fault) {
+                // Any other outcome would end the disk thread, and leave all later writes without an answer.
                 LOG.log(
                         Logger.Level.ERROR,
                         LogLine.of("disk_write_failed").failure(fault).toString());
--- a/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/FileDurableLogTest.java
+++ b/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/FileDurableLogTest.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.Stream;
 import org.parsleydrift.kernel.ManualScheduler;
@@ -79,15 +80,20 @@
         }
     }
 
-    /** A file whose disk is full while a test says so: it takes half of each frame. */
-    private SegmentChannel limited(Path file, AtomicBoolean full) throws IOException {
+    private interface Fault {
+        void raise() throws IOException;
+    }
+
+    /** A file whose writes fail while a test says so: it takes half of each frame. */
+    private SegmentChannel limited(Path file, AtomicBoolean full, Fault fault) throws IOException {
         SegmentChannel channel = SegmentChannel.open(file);
         return new SegmentChannel() {
             @Override
             public void write(ByteBuffer frame) throws IOException {
                 if (full.get()) {
                     channel.write(frame.slice(frame.position(), frame.remaining() / 2));
-                    throw new IOException("No space left on device");
+                    fault.raise();
+                    return;
                 }
                 channel.write(frame);
             }
@@ -112,15 +118,31 @@
     /** Guards against records that are acknowledged behind the half frame of a failed write, where no reader finds them. */
     @Test
     public void recordsAfterFailedWriteAreRead() {
+        assertRecordsAfterFailedWriteAreRead(() -> {
+            throw new IOException("No space left on device");
+        });
+    }
+
+    /** Guards against a store that acknowledges no record any more, as an error has ended its disk thread. */
+    @Test
+    public void recordsAfterErrorAreRead() {
+        assertRecordsAfterFailedWriteAreRead(() -> {
+            throw new OutOfMemoryError("Cannot reserve direct buffer memory");
+        });
+    }
+
+    private void assertRecordsAfterFailedWriteAreRead(Fault fault) {
         AtomicBoolean full = new AtomicBoolean();
-        try (FileDurableLog log = new FileDurableLog(directory, time, file -> limited(file, full))) {
+        try (FileDurableLog log = new FileDurableLog(directory, time, file -> limited(file, full, fault))) {
             log.append(List.of(entry("one"))).join();
             full.set(true);
             assertThrows(
                     CompletionException.class,
-                    () -> log.append(List.of(entry("two"))).join());
+                    () -> log.append(List.of(entry("two")))
+                            .orTimeout(10, TimeUnit.SECONDS)
+                            .join());
             full.set(false);
-            log.append(List.of(entry("three"))).join();
+            log.append(List.of(entry("three"))).orTimeout(10, TimeUnit.SECONDS).join();
         }
         try (FileDurableLog log = new FileDurableLog(directory, time)) {
             assertEquals(texts(log), List.of("one", "three"));
