Relay: a response to HEAD ends with its head

The decoder did not know of the request's method: it waited for the body that Content-Length or chunks announce, until the deadline, or took the next bytes for it. After HEAD a connection is not reused, as a late duplicate would swallow the beginning of the next response.

RunnerConnectionTest.responseToHeadHasNoBody failed before; 52 of 52 pass.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnection.java
@@ -113,9 +113,11 @@
         headSeen = false;
         heads = new EmbeddedHeadDetector(headerNames.requestId(), servedIds::contains);
         recordServed(next.id());
+        HttpMethod method = HttpMethod.valueOf(next.method());
+        decoder.expectResponseTo(method);
         var message = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
-                HttpMethod.valueOf(next.method()),
+                method,
                 next.target(),
                 Unpooled.wrappedBuffer(next.body()),
                 next.headers(),
@@ -225,7 +227,9 @@
             return;
         }
         headSeen = true;
-        keepAlive = HttpUtil.isKeepAlive(response)
+        // A late duplicate of a response to HEAD has a length but no body, which the next response would be taken for.
+        keepAlive = !HttpMethod.HEAD.name().equals(request.method())
+                && HttpUtil.isKeepAlive(response)
                 && (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response));
         idleLimit = KeepAliveHeader.timeout(response.headers().get("Keep-Alive"));
         listener.onHead(status, response.headers());
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RunnerConnectionTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RunnerConnectionTest.java
@@ -348,4 +348,17 @@
         assertEquals(events, List.of("head 200", "part " + text, "end"));
         assertEquals(pooled, List.of(connection));
     }
+
+    /** Guards against a response to HEAD whose body is awaited, or taken from the bytes after it. */
+    @Test
+    public void responseToHeadHasNoBody() {
+        send("q1", "HEAD");
+        receive(head("q1", "Content-Length: 400\r\n"));
+        assertEquals(events, List.of("head 200", "end"));
+        connect();
+        events.clear();
+        send("q1", "HEAD");
+        receive(head("q1", "Transfer-Encoding: chunked\r\n"));
+        assertEquals(events, List.of("head 200", "end"));
+    }
 }
