Relay: a caller's HEAD gets no body, chunks or false length

A stream that HEAD had asked for was sent with its events in chunks: a caller that keeps its connection takes these bytes for the next response. Other responses to HEAD said Content-Length: 0 whatever the runner's length is.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
@@ -276,27 +276,32 @@
             if (ended) {
                 return;
             }
-            var response = new DefaultFullHttpResponse(
-                    HttpVersion.HTTP_1_1,
-                    HttpResponseStatus.valueOf(status),
-                    headOnly ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(bytes),
-                    headers,
-                    DefaultHttpHeadersFactory.trailersFactory().newHeaders());
-            response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
+            var response =
+                    fullResponse(status, headers, headOnly ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(bytes));
+            if (!headOnly) {
+                response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
+            }
             boolean closes = announceClose(response.headers());
             finish(channel.writeAndFlush(response), closes);
         }
 
         @Override
         public void beginStream(int status, HttpHeaders headers) {
+            announceClose(headers);
+            if (headOnly) {
+                channel.writeAndFlush(fullResponse(status, headers, Unpooled.EMPTY_BUFFER));
+                return;
+            }
             var response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers);
             response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-            announceClose(response.headers());
             channel.writeAndFlush(response);
         }
 
         @Override
         public void sendEvents(byte[] bytes) {
+            if (headOnly) {
+                return;
+            }
             var unsent = channel.unsafe().outboundBuffer();
             if (unsent != null && unsent.totalPendingWriteBytes() > MAX_UNSENT_BYTES) {
                 LOG.log(
@@ -314,7 +319,8 @@
         @Override
         public void endStream() {
             if (!ended) {
-                finish(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), !keepAlive || server.isDraining());
+                Object end = headOnly ? Unpooled.EMPTY_BUFFER : LastHttpContent.EMPTY_LAST_CONTENT;
+                finish(channel.writeAndFlush(end), !keepAlive || server.isDraining());
             }
         }
 
@@ -338,6 +344,15 @@
             return request == null ? ResponseStage.BEFORE_RUNNER : ResponseStage.of(request.stage());
         }
 
+        private DefaultFullHttpResponse fullResponse(int status, HttpHeaders headers, ByteBuf content) {
+            return new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.valueOf(status),
+                    content,
+                    headers,
+                    DefaultHttpHeadersFactory.trailersFactory().newHeaders());
+        }
+
         private boolean announceClose(HttpHeaders headers) {
             boolean closes = !keepAlive || server.isDraining();
             if (closes) {
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/CallerConnectionTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/CallerConnectionTest.java
@@ -10,6 +10,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.util.ArrayList;
 import java.util.List;
@@ -153,4 +154,18 @@
         assertFalse(readResponse(channel).contains("\r\n0\r\n\r\n"));
         assertFalse(channel.isOpen());
     }
+
+    /** Guards against bytes after the head of a response to HEAD, which the caller takes for the next response. */
+    @Test
+    public void responseToHeadHasNoBody() {
+        EmbeddedChannel channel = connect();
+        send(channel, "HEAD /a/ HTTP/1.1\r\nHost: h\r\n\r\n".repeat(2));
+        HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
+        responses.get(0).beginStream(200, headers);
+        responses.get(0).sendEvents("data: a\n\n".getBytes(UTF_8));
+        responses.get(0).endStream();
+        assertEquals(readResponse(channel), "HTTP/1.1 200 OK\r\n\r\n");
+        responses.get(1).sendFull(200, headers.copy(), new byte[0]);
+        assertEquals(readResponse(channel), "HTTP/1.1 200 OK\r\n\r\n");
+    }
 }
