Relay: the end of a connection before the request is written ends no response

A response without length is complete at the end of its connection unless that is reset. A write of the request's body that fails consumes the error of the reset; the decoder then sees a plain end, and a partial body was forwarded as a success. Such a response now counts as incomplete while the request is not written. 204 and 304 have no body and keep their connection.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/IrregularResponse.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/IrregularResponse.java
@@ -14,6 +14,8 @@
     AMBIGUOUS,
     /** Body with the head of another response in it. */
     CONTAINS_HEAD,
+    /** Response without length whose connection ended before the request was written. */
+    INCOMPLETE,
     /** Success without request id or stamp. */
     UNAUTHENTICATED,
     /** Too many bytes of interim responses or of responses to other requests. */
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnection.java
@@ -38,6 +38,9 @@
     /** Size that a skipped head is counted with, bytes; that of a short status line. */
     private static final int SKIPPED_HEAD_BYTES = 20;
 
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_MODIFIED = 304;
+
     /** Maximum number of request ids that are kept; a response that comes later than that is not expected. */
     private static final int MAX_SERVED_IDS = 256;
 
@@ -60,6 +63,9 @@
     private boolean headSeen;
     private boolean reusable = true;
     private boolean keepAlive;
+    /** Whether the end of the response is that of the connection. */
+    private boolean endsWithConnection;
+
     private int responsesReceived;
     private long idleSinceNanos;
     private Optional<Duration> idleLimit = Optional.empty();
@@ -227,10 +233,12 @@
             return;
         }
         headSeen = true;
+        boolean isHead = HttpMethod.HEAD.name().equals(request.method());
+        boolean isBodiless = isHead || status == NO_CONTENT || status == NOT_MODIFIED;
+        endsWithConnection =
+                !isBodiless && !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
         // A late duplicate of a response to HEAD has a length but no body, which the next response would be taken for.
-        keepAlive = !HttpMethod.HEAD.name().equals(request.method())
-                && HttpUtil.isKeepAlive(response)
-                && (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response));
+        keepAlive = !isHead && !endsWithConnection && HttpUtil.isKeepAlive(response);
         idleLimit = KeepAliveHeader.timeout(response.headers().get("Keep-Alive"));
         listener.onHead(status, response.headers());
     }
@@ -284,12 +292,17 @@
             reject(IrregularResponse.CONTAINS_HEAD, "body ends within the head of another response");
             return;
         }
+        boolean allWritten = written != null && written.isSuccess();
+        if (endsWithConnection && !allWritten) {
+            // A failed write consumes the error of a reset, which then looks like a plain end.
+            reject(IrregularResponse.INCOMPLETE, "connection ended before the request was written");
+            return;
+        }
         RunnerResponseListener receiver = listener;
         listener = null;
         responsesReceived++;
         idleSinceNanos = clock.nanos();
         // If the runner responds before the body is fully sent, it would parse the rest of the body as a request.
-        boolean allWritten = written != null && written.isSuccess();
         if (decoder.hasUndecodedBytes()) {
             closeUnsolicited();
         } else if (reusable && keepAlive && allWritten) {
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RunnerConnectionTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RunnerConnectionTest.java
@@ -6,9 +6,13 @@
 import static org.testng.Assert.assertTrue;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -361,4 +365,22 @@
         receive(head("q1", "Transfer-Encoding: chunked\r\n"));
         assertEquals(events, List.of("head 200", "end"));
     }
+
+    /** Guards against a partial response that looks complete since a failed write consumed the reset. */
+    @Test
+    public void endBeforeRequestIsWrittenIsNoEndOfResponse() {
+        ChannelPromise unwritten = channel.newPromise();
+        channel.pipeline().addFirst(new ChannelOutboundHandlerAdapter() {
+            @Override
+            public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+                ReferenceCountUtil.release(message);
+                unwritten.addListener(done -> promise.tryFailure(done.cause()));
+            }
+        });
+        send("q1");
+        receive(head("q1", "") + "half");
+        unwritten.setFailure(new IOException("connection reset"));
+        channel.close();
+        assertBroken("request not written");
+    }
 }
