Relay: a success marked as not executed is no response

A stream's head with status 200 and the 'not executed' header was forwarded, and then the request was sent to the next runner, whose head followed on the same connection; for calls a success was taken for 'not run'. The two contradict each other: the outcome is unknown now.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/ResponseHead.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/ResponseHead.java
@@ -16,6 +16,7 @@
 final class ResponseHead {
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
     private static final int SWITCHING_PROTOCOLS = 101;
+    private static final int FIRST_NOT_SUCCESSFUL = 300;
     private static final int MIN_STATUS = 100;
     private static final int MAX_STATUS = 599;
 
@@ -41,6 +42,9 @@
         if (isRepeated(headers, headerNames.requestId()) || isRepeated(headers, headerNames.stamp())) {
             return Optional.of("more than one request id or stamp");
         }
+        if (status < FIRST_NOT_SUCCESSFUL && headers.contains(headerNames.notExecuted())) {
+            return Optional.of("success that is marked as not executed");
+        }
         if (!hasPlainEncoding(headers.getAll(HttpHeaderNames.TRANSFER_ENCODING))) {
             return Optional.of("Transfer-Encoding other than chunked");
         }
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DuplicateResponseTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DuplicateResponseTest.java
@@ -93,4 +93,14 @@
         String response = send("/calls/");
         assertTrue(response.startsWith("HTTP/1.1 200 ") && response.endsWith("\r\n\r\nwhole"), response);
     }
+
+    /** Guards against a success marked as not executed, which is sent to another runner after its head was forwarded. */
+    @Test
+    public void successMarkedAsNotExecutedMayHaveRun() throws IOException {
+        fleet.addRunner("r1", "s", "v1", each -> respond(each, "Parsleydrift-Not-Executed: 1\r\n", EVENT));
+        fleet.addRunner("r2", "s", "v1", each -> respond(each, "Parsleydrift-Not-Executed: 1\r\n", EVENT));
+        String response = send("/events/");
+        assertTrue(response.startsWith("HTTP/1.1 502 "), response);
+        assertEquals(fleet.arrivals("/events/"), 1);
+    }
 }
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RunnerConnectionTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RunnerConnectionTest.java
@@ -294,6 +294,7 @@
             {ok + "Transfer-Encoding: gzip, chunked\r\n"},
             {ok + "Transfer-Encoding: identity\r\n"},
             {ok + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n"},
+            {ok + "Parsleydrift-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n"},
             {"HTTP/2.0 200 OK\r\n" + id + STAMP + "Transfer-Encoding: chunked\r\n"},
             {"XHTTP/1.1 200 OK\r\n" + id + STAMP + "Transfer-Encoding: chunked\r\n"},
             {"HTTP/1.1 20 OK\r\n" + id + STAMP + "Transfer-Encoding: chunked\r\n"},
