--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RunnerConnectionTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RunnerConnectionTest.java
@@ -6,9 +6,13 @@
 import static org.testng.Assert.assertTrue;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -290,6 +294,7 @@
             {ok + "Transfer-Encoding: gzip, chunked\r\n"},
             {ok + "Transfer-Encoding: identity\r\n"},
             {ok + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n"},
+            {ok + "Parsleydrift-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n"},
             {"HTTP/2.0 200 OK\r\n" + id + STAMP + "Transfer-Encoding: chunked\r\n"},
             {"XHTTP/1.1 200 OK\r\n" + id + STAMP + "Transfer-Encoding: chunked\r\n"},
             {"HTTP/1.1 20 OK\r\n" + id + STAMP + "Transfer-Encoding: chunked\r\n"},
@@ -348,4 +353,35 @@
         assertEquals(events, List.of("head 200", "part " + text, "end"));
         assertEquals(pooled, List.of(connection));
     }
+
+    /** Guards against a response to HEAD whose body is awaited, or taken from the bytes after it. */
+    @Test
+    public void responseToHeadHasNoBody() {
+        send("q1", "HEAD");
+        receive(head("q1", "Content-Length: 400\r\n"));
+        assertEquals(events, List.of("head 200", "end"));
+        connect();
+        events.clear();
+        send("q1", "HEAD");
+        receive(head("q1", "Transfer-Encoding: chunked\r\n"));
+        assertEquals(events, List.of("head 200", "end"));
+    }
+
+    /** Guards against a partial response that looks complete since a failed write consumed the reset. */
+    @Test
+    public void endBeforeRequestIsWrittenIsNoEndOfResponse() {
+        ChannelPromise unwritten = channel.newPromise();
+        channel.pipeline().addFirst(new ChannelOutboundHandlerAdapter() {
+            @Override
+            public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+                ReferenceCountUtil.release(message);
+                unwritten.addListener(done -> promise.tryFailure(done.cause()));
+            }
+        });
+        send("q1");
+        receive(head("q1", "") + "half");
+        unwritten.setFailure(new IOException("connection reset"));
+        channel.close();
+        assertBroken("request not written");
+    }
 }
