--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakMain.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakMain.java
@@ -48,9 +48,7 @@
         OptionSpec<String> former = parser.accepts(
                         "former-class-path", "class path of an earlier version, as which the processes start")
                 .withRequiredArg();
-        OptionSpec<String> folder = parser.accepts("folder", "where settings, logs and data of the runs go")
-                .withRequiredArg()
-                .defaultsTo("target/stream-soak");
+        OptionSpec<String> folder = folder(parser);
         parser.accepts("help", "print this").forHelp();
         OptionSet options;
         try {
