--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/RoleProcess.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/RoleProcess.java
@@ -5,7 +5,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 /** An entry or store process of the system, started, stopped and sent signals by the run that created it. Thread-safe. */
@@ -16,6 +18,7 @@
             "-Xmx110m",
             "-Xss512k",
             "-XX:-UsePerfData",
+            "-Djava.util.logging.manager=" + LastingLogManager.class.getName(),
             "--sun-misc-unsafe-memory-access=allow",
             "--enable-native-access=ALL-UNNAMED");
     private static final String MAIN = "org.parsleydrift.roles.RoleMain";
@@ -26,6 +29,8 @@
     private String classPath;
     private Optional<Process> process = Optional.empty();
     private long disturbedNanos;
+    private OptionalLong terminatedNanos = OptionalLong.empty();
+    private OptionalLong killedNanos = OptionalLong.empty();
 
     /**
      * Creates a process that is not started yet.
@@ -78,12 +83,30 @@
     /** Ends the process without warning. */
     synchronized void kill(long nowNanos) {
         disturbedNanos = nowNanos;
+        if (isRunning()) {
+            killedNanos = OptionalLong.of(nowNanos);
+        }
         process.ifPresent(Process::destroyForcibly);
     }
 
+    /** Returns whether the process was ended without warning after a time. */
+    synchronized boolean wasKilledAfter(long nanos) {
+        return killedNanos.isPresent() && killedNanos.getAsLong() - nanos > 0;
+    }
+
+    /** Returns the time from the latest SIGTERM to a given time, for people. */
+    synchronized String sinceTermination(long nanos) {
+        return terminatedNanos.isEmpty()
+                ? "without SIGTERM"
+                : String.format(Locale.ROOT, "%+.3fs after SIGTERM", (nanos - terminatedNanos.getAsLong()) / 1e9);
+    }
+
     /** Sends a signal, such as TERM, STOP, CONT or HUP; has no effect on a process that has ended. */
     synchronized void signal(String signal, long nowNanos) throws IOException {
         disturbedNanos = nowNanos;
+        if (signal.equals("TERM")) {
+            terminatedNanos = OptionalLong.of(nowNanos);
+        }
         if (isRunning()) {
             new ProcessBuilder(
                             "kill",
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/SoakFleet.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/SoakFleet.java
@@ -34,9 +34,6 @@
 
 /** Entry and store processes on loopback, with a platform and runners inside this process. Thread-safe. */
 final class SoakFleet implements StreamCaller.Environment, VersionedRunner.Listener, AutoCloseable {
-    /** Grace time of the processes after SIGTERM, s. */
-    static final int GRACE_SECONDS = 3;
-
     private static final int STORES = 3;
     private static final int FIRST_PORT = 12_000;
     private static final int PORTS = 20_000;
@@ -54,22 +51,31 @@
     /** Retention period of stored conversations; short, so that a run lasts for many of them. */
     static final Duration RETENTION = Duration.ofSeconds(6);
 
-    private static final String MANIFEST = """
+    private static final String MANIFEST =
+            """
             {"version": 1, "limits": {},
-             "services": [{"name": "desk", "health_path": "/healthz", "engine": {"chunk_tokens": 5}}], "routes": [
+             "services": [{"name": "desk", "health_path": "/healthz", "engine": {"chunk_tokens": 5}},
+                          {"name": "clerk", "health_path": "/healthz"}], "routes": [
               {"name": "dispatch", "host": "127.0.0.1", "path_prefix": "/dispatch/", "type": "streaming",
                "service": "desk", "timeout_ms": 3000, "resumable": true, "retention_s": 60},
               {"name": "chains", "host": "127.0.0.1", "path_prefix": "/chains/", "type": "streaming",
                "service": "desk", "timeout_ms": 3000, "stateful": true, "retention_s": %d},
               {"name": "calls", "host": "127.0.0.1", "path_prefix": "/calls/", "type": "idempotent",
-               "service": "desk", "timeout_ms": 3000, "target_latency_ms": 1000, "max_attempts": 3}]}
-            """.formatted(RETENTION.toSeconds());
+               "service": "desk", "timeout_ms": 3000, "target_latency_ms": 1000, "max_attempts": 3},
+              {"name": "answers", "host": "127.0.0.1", "path_prefix": "%s", "type": "idempotent",
+               "service": "clerk", "timeout_ms": 6000, "target_latency_ms": 2000, "max_attempts": 3},
+              {"name": "single", "host": "127.0.0.1", "path_prefix": "%s", "type": "non_idempotent",
+               "service": "clerk", "timeout_ms": 6000, "target_latency_ms": 2000, "max_attempts": 3}]}
+            """.formatted(RETENTION.toSeconds(), WholeResponseCaller.REPEATABLE, WholeResponseCaller.ONCE);
     /** Time from the end of a crashed runner to the start of its successor. */
     private static final Duration SUCCESSOR_DELAY = Duration.ofMillis(300);
     /** Time for which the connections of a silent runner stay open. */
     private static final Duration SILENT_TIME = Duration.ofSeconds(10);
 
     private final Path folder;
+    private final Duration grace;
+    private final AttemptRecords attempts;
+    private final List<ResponseRunner> responseRunners = new ArrayList<>();
     private final RuntimeClock clock = new SystemClock();
     private final DisruptorEventLoop platformLoop = new DisruptorEventLoop("soak-platform", clock);
     private final DisruptorEventLoop runnerLoop = new DisruptorEventLoop("soak-runners", clock);
@@ -128,21 +134,22 @@
      * Creates the processes without starting them.
      *
      * @param folder folder for settings, logs and data
-     * @param entryCount number of entry processes
-     * @param formerClassPath class path of the software that the processes run until they are upgraded, if another
+     * @param options options of the run
      */
-    SoakFleet(Path folder, int entryCount, Optional<String> formerClassPath) throws IOException {
+    SoakFleet(Path folder, StreamSoakOptions options) throws IOException {
         this.folder = folder;
+        this.grace = options.responses().grace();
+        this.attempts = new AttemptRecords(options.seed());
         this.platform = new HttpServer(
                 threads, "127.0.0.1", 0, MAX_CONNECTIONS, new SharedObjectsServer(objects, platformLoop));
         for (int i = 1; i <= STORES; i++) {
-            RoleProcess store = new RoleProcess("store" + i, folder, formerClassPath);
+            RoleProcess store = new RoleProcess("store" + i, folder, options.formerClassPath());
             storeLinks.put(store.name(), address());
             store.configure(storeSettings(store.name(), storeLinks.get(store.name()), true));
             stores.add(store);
         }
-        for (int i = 1; i <= entryCount; i++) {
-            RoleProcess entry = new RoleProcess("entry" + i, folder, formerClassPath);
+        for (int i = 1; i <= options.entries(); i++) {
+            RoleProcess entry = new RoleProcess("entry" + i, folder, options.formerClassPath());
             String callers = address();
             entry.configure(entrySettings(entry.name(), callers));
             entries.add(new EntryNode(entry, callers));
@@ -186,6 +193,24 @@
         return clock;
     }
 
+    /** Returns the grace time of the processes after SIGTERM. */
+    Duration grace() {
+        return grace;
+    }
+
+    AttemptRecords attempts() {
+        return attempts;
+    }
+
+    /** Starts runners of plain calls. */
+    void addResponseRunners(int count, StreamSoakReport report) throws IOException {
+        for (int i = 1; i <= count; i++) {
+            ResponseRunner runner = new ResponseRunner("a" + i, attempts, report, clock);
+            responseRunners.add(runner);
+            write(ObjectKind.RUNNERS, runner.id(), runner.entry());
+        }
+    }
+
     List<RoleProcess> stores() {
         return stores;
     }
@@ -370,7 +395,8 @@
         return """
                 {"role": "store", "outside": "platform", "vm": "%s", "zone": "a", "link": "%s", "metrics": "127.0.0.1:0",
                  "platform": "%s", "data_folder": "%s", "first_start": %s, "grace_s": %d}
-                """.formatted(name, link, platformAddress(), folder.resolve(name + "-data"), firstStart, GRACE_SECONDS);
+                """.formatted(
+                        name, link, platformAddress(), folder.resolve(name + "-data"), firstStart, grace.toSeconds());
     }
 
     private String entrySettings(String name, String callers) throws IOException {
@@ -378,7 +404,7 @@
                 {"role": "entry", "outside": "platform", "vm": "%s", "zone": "a", "link": "%s", "callers": "%s",
                  "readiness": "127.0.0.1:0", "directory": "127.0.0.1:0", "metrics": "127.0.0.1:0", "platform": "%s",
                  "first_start": true, "grace_s": %d}
-                """.formatted(name, address(), callers, platformAddress(), GRACE_SECONDS);
+                """.formatted(name, address(), callers, platformAddress(), grace.toSeconds());
     }
 
     private static ServerSocket reservePortRange() throws IOException {
@@ -434,6 +460,7 @@
         closePortRange();
         endProcesses();
         runners.values().forEach(VersionedRunner::close);
+        responseRunners.forEach(ResponseRunner::close);
         platform.close();
         threads.close();
         platformLoop.close();
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoak.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoak.java
@@ -25,10 +25,13 @@
         Files.createDirectories(folder);
         StreamSoakReport report = new StreamSoakReport();
         SplittableRandom random = new SplittableRandom(options.seed());
-        try (SoakFleet fleet = new SoakFleet(folder, options.entries(), options.formerClassPath())) {
+        try (SoakFleet fleet = new SoakFleet(folder, options)) {
             for (int i = 0; i < options.runners(); i++) {
                 fleet.addRunner("v1");
             }
+            if (options.responses().callers() > 0) {
+                fleet.addResponseRunners(options.runners(), report);
+            }
             fleet.start();
             try (Disturbances disturbances = new Disturbances(fleet, random.split(), report)) {
                 if (options.formerClassPath().isPresent()) {
@@ -40,6 +43,9 @@
                 if (options.rejoining()) {
                     disturbances.scheduleRejoins(options.time());
                 }
+                if (options.responses().rolling()) {
+                    disturbances.scheduleRollingTerminations();
+                }
                 if (options.disturbed()) {
                     disturbances.schedule(options.time(), options.chainCallers() > 0);
                 }
@@ -70,6 +76,10 @@
                 ChainCaller caller = new ChainCaller("h" + i, fleet, client, random.split(), report);
                 submit(callers, () -> caller.run(endNanos), report);
             }
+            for (int i = 1; i <= options.responses().callers(); i++) {
+                WholeResponseCaller caller = new WholeResponseCaller("w" + i, fleet, random.split(), report);
+                submit(callers, () -> caller.run(endNanos), report);
+            }
         }
     }
 
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakMain.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakMain.java
@@ -43,6 +43,7 @@
                 integer(parser, "ending-callers", "callers whose requests end their runners", 0);
         OptionSpec<RunnerEnd> runnerEnds = runnerEnds(parser);
         OptionSpec<Integer> chainCallers = integer(parser, "chain-callers", "callers of stored conversations", 0);
+        ResponseFlags responses = new ResponseFlags(parser);
         acceptDisturbances(parser);
         OptionSpec<String> former = parser.accepts(
                         "former-class-path", "class path of an earlier version, as which the processes start")
@@ -55,8 +56,7 @@
         try {
             options = parser.parse(arguments);
         } catch (OptionException fault) {
-            System.err.println("stream-soak: " + fault.getMessage());
-            System.exit(EXIT_USAGE);
+            exitOnUsage(fault.getMessage());
             return;
         }
         if (options.has("help")) {
@@ -64,8 +64,7 @@
             return;
         }
         if (options.valueOf(seconds) > MAX_SECONDS || options.valueOf(entries) > MAX_ENTRIES) {
-            System.err.println("stream-soak: at most " + MAX_SECONDS + " s and " + MAX_ENTRIES + " entry processes");
-            System.exit(EXIT_USAGE);
+            exitOnUsage("at most " + MAX_SECONDS + " s and " + MAX_ENTRIES + " entry processes");
             return;
         }
         int violations = 0;
@@ -82,12 +81,18 @@
                     options.has("entry-kills"),
                     options.has("rejoining"),
                     Duration.ofSeconds(options.valueOf(seconds)),
-                    Optional.ofNullable(options.valueOf(former)));
+                    Optional.ofNullable(options.valueOf(former)),
+                    responses.options(options));
             violations += run(one, Path.of(options.valueOf(folder)).toAbsolutePath());
         }
         System.exit(violations == 0 ? 0 : 1);
     }
 
+    private static void exitOnUsage(String message) {
+        System.err.println("stream-soak: " + message);
+        System.exit(EXIT_USAGE);
+    }
+
     private static void acceptDisturbances(OptionParser parser) {
         parser.accepts("undisturbed", "disturb neither processes nor runners nor the platform");
         parser.accepts("entry-kills", "kill all entry processes at once, in series of three");
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakOptions.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakOptions.java
@@ -19,6 +19,7 @@
  * @param rejoining whether all entry processes are killed during upgrades of the runners
  * @param time duration of the load
  * @param formerClassPath class path of an earlier version, as which the processes start; they are upgraded in turn
+ * @param responses callers that compare each response with what its runner sent
  */
 public record StreamSoakOptions(
         long seed,
@@ -32,9 +33,47 @@
         boolean entryKills,
         boolean rejoining,
         Duration time,
-        Optional<String> formerClassPath) {
+        Optional<String> formerClassPath,
+        ResponseOptions responses) {
     /** Copies the list. */
     public StreamSoakOptions {
         runnerEnds = List.copyOf(runnerEnds);
     }
+
+    /** Creates the options of a run without callers that compare responses. */
+    StreamSoakOptions(
+            long seed,
+            int entries,
+            int runners,
+            int callers,
+            int endingCallers,
+            List<RunnerEnd> runnerEnds,
+            int chainCallers,
+            boolean disturbed,
+            boolean entryKills,
+            boolean rejoining,
+            Duration time,
+            Optional<String> formerClassPath) {
+        this(
+                seed,
+                entries,
+                runners,
+                callers,
+                endingCallers,
+                runnerEnds,
+                chainCallers,
+                disturbed,
+                entryKills,
+                rejoining,
+                time,
+                formerClassPath,
+                ResponseOptions.none());
+    }
+
+    /** Returns the options of a run whose only callers are those that compare responses. */
+    static StreamSoakOptions ofResponses(
+            long seed, int entries, int runners, Duration time, ResponseOptions responses) {
+        return new StreamSoakOptions(
+                seed, entries, runners, 0, 0, List.of(), 0, false, false, false, time, Optional.empty(), responses);
+    }
 }
--- a/parsleydrift-bench/src/test/java/org/parsleydrift/bench/streams/StreamSoakTest.java
+++ b/parsleydrift-bench/src/test/java/org/parsleydrift/bench/streams/StreamSoakTest.java
@@ -121,4 +121,17 @@
         assertEquals(report.violations(), List.of(), report.toString());
         assertTrue(report.toString().contains("ended_runners_reset_3"), report.toString());
     }
+
+    /** Guards against requests whose connections end without a response, as their process ends at its grace time. */
+    @Test
+    public void requestsAreAnsweredBeforeTheirProcessEnds() throws IOException {
+        Path folder = Files.createTempDirectory(Files.createDirectories(Path.of("target", "stream-soak")), "answers");
+        ResponseOptions responses = new ResponseOptions(32, Duration.ofSeconds(8), true);
+        StreamSoakReport report = new StreamSoak(
+                        StreamSoakOptions.ofResponses(SEED, 3, 6, Duration.ofSeconds(18), responses))
+                .run(folder.toAbsolutePath());
+        List<String> violations = report.violations();
+        assertEquals(violations, List.of(), report + "\n" + String.join("\n", violations));
+        assertTrue(report.toString().contains("terminations=3"), report.toString());
+    }
 }
