--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -25,6 +26,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.ByteArrayOutputStream;
 import java.lang.System.Logger;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
@@ -39,6 +41,8 @@
     private static final int MAX_PENDING_PARTS = 64;
     /** Unsent response bytes above which a slow caller is disconnected. */
     private static final long MAX_UNSENT_BYTES = 1 << 20;
+    /** Time for which a connection is read after its last response, unless the caller closes it before. */
+    private static final Duration LINGER = Duration.ofSeconds(1);
 
     private final RequestHandler handler;
     private final ConnectionOwner server;
@@ -49,6 +53,9 @@
     private HttpRequest head;
     private Response current;
     private boolean closing;
+    /** Whether the last response is sent and the connection is only read until the caller closes it. */
+    private boolean lingering;
+
     private long idleSinceNanos;
 
     CallerConnection(RequestHandler handler, ConnectionOwner server, RuntimeClock clock) {
@@ -68,11 +75,11 @@
     public void channelInactive(ChannelHandlerContext context) {
         server.connectionClosed(this);
         closing = true;
-        pending.forEach(ReferenceCountUtil::release);
-        pending.clear();
+        releasePending();
         if (current != null && !current.ended) {
             current.ended = true;
-            current.onDisconnect.run();
+            server.responses().remove(current);
+            current.request.handleDisconnect();
         }
     }
 
@@ -101,29 +108,59 @@
     /** Closes the connection if it has been idle, or a request incomplete, for longer than the limits allow. */
     void checkIdle(CallerLimits limits) {
         boolean busy = current != null && !current.ended;
-        if (busy || closing) {
+        if (busy || (closing && !lingering)) {
             return;
         }
-        long limit =
-                (head == null ? limits.idleTimeout() : limits.headerTimeout().plus(limits.idleTimeout())).toNanos();
-        if (clock.nanos() - idleSinceNanos > limit) {
+        Duration open =
+                head == null ? limits.idleTimeout() : limits.headerTimeout().plus(limits.idleTimeout());
+        if (clock.nanos() - idleSinceNanos > (lingering ? LINGER : open).toNanos()) {
             close();
         }
     }
 
-    /** Closes the connection unless a request is being received or processed. */
+    /** Closes the connection unless a request is being received or processed, or a response is being sent. */
     void closeIfIdle() {
-        boolean busy = (current != null && !current.ended) || head != null || !pending.isEmpty();
-        if (!busy) {
+        boolean busy = (current != null && !current.delivered) || isReceiving();
+        if (!busy && !closing) {
             close();
         }
     }
 
+    /** Returns whether a request is incomplete or waits for the end of the one before. */
+    boolean isReceiving() {
+        return !closing && (head != null || !pending.isEmpty());
+    }
+
     private void close() {
         closing = true;
         channel.close();
     }
 
+    private void releasePending() {
+        pending.forEach(ReferenceCountUtil::release);
+        pending.clear();
+    }
+
+    /**
+     * Closes the connection once its last response is sent. What the caller has sent beyond the request is read and
+     * discarded first: closing a connection with unread bytes resets it, and a reset can destroy the response on its way.
+     */
+    private void closeAfter(ChannelFuture sent) {
+        closing = true;
+        head = null;
+        releasePending();
+        sent.addListener((ChannelFuture done) -> {
+            if (done.isSuccess() && channel instanceof DuplexChannel duplex) {
+                lingering = true;
+                idleSinceNanos = clock.nanos();
+                duplex.shutdownOutput();
+                channel.config().setAutoRead(true);
+            } else {
+                channel.close();
+            }
+        });
+    }
+
     private void processParts() {
         while (!closing && (current == null || current.ended) && !pending.isEmpty()) {
             HttpObject part = pending.poll();
@@ -199,7 +236,8 @@
         body.reset();
         Response response = new Response(keepAlive, "HEAD".equals(complete.method()));
         current = response;
-        response.onDisconnect = handler.handle(complete, response);
+        server.responses().add(response);
+        response.request = handler.handle(complete, response);
     }
 
     /** Rejects a malformed request and closes the connection, since the start of the next request is unknown. */
@@ -211,19 +249,22 @@
                         .with("peer", channel.remoteAddress())
                         .with("reason", reason)
                         .toString());
-        closing = true;
         var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
         response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, 0);
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        closeAfter(channel.writeAndFlush(response));
     }
 
     /** Writes the response to one request. */
-    private final class Response implements CallerResponse {
+    private final class Response implements CallerResponse, OwedResponse {
         private final boolean keepAlive;
         private final boolean headOnly;
-        private Runnable onDisconnect = () -> {};
+        /** Null until the handler has returned, which may be after the response. */
+        private OpenRequest request;
+
         private boolean ended;
+        /** Whether the network has taken the last byte. */
+        private boolean delivered;
 
         private Response(boolean keepAlive, boolean headOnly) {
             this.keepAlive = keepAlive;
@@ -263,6 +304,7 @@
                         () -> LogLine.of("caller_reads_too_slowly")
                                 .with("peer", channel.remoteAddress())
                                 .toString());
+                server.responses().recordMissing(this, "caller reads too slowly");
                 channel.close();
                 return;
             }
@@ -279,9 +321,23 @@
         @Override
         public void abort() {
             ended = true;
+            server.responses().remove(this);
             close();
         }
 
+        @Override
+        public String requestId() {
+            return request == null ? "-" : request.id();
+        }
+
+        @Override
+        public ResponseStage stage() {
+            if (ended) {
+                return ResponseStage.SENDING;
+            }
+            return request == null ? ResponseStage.BEFORE_RUNNER : ResponseStage.of(request.stage());
+        }
+
         private boolean announceClose(HttpHeaders headers) {
             boolean closes = !keepAlive || server.isDraining();
             if (closes) {
@@ -293,9 +349,15 @@
         private void finish(ChannelFuture sent, boolean closes) {
             ended = true;
             idleSinceNanos = clock.nanos();
-            if (closes) {
+            sent.addListener(done -> {
+                delivered = true;
+                server.responses().remove(this);
+            });
+            if (closes && !keepAlive && pending.isEmpty()) {
                 closing = true;
                 sent.addListener(ChannelFutureListener.CLOSE);
+            } else if (closes) {
+                closeAfter(sent);
             } else {
                 // Scheduled instead of called: many buffered requests would otherwise recurse too deeply.
                 channel.eventLoop().execute(CallerConnection.this::processParts);
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnection.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -12,6 +13,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -19,14 +21,16 @@
 import io.netty.util.ReferenceCountUtil;
 import java.lang.System.Logger;
 import java.time.Duration;
+import java.util.LinkedHashSet;
 import java.util.Optional;
+import java.util.SequencedSet;
 import org.parsleydrift.kernel.LogLine;
 import org.parsleydrift.kernel.RuntimeClock;
 
 /**
  * One HTTP/1.1 connection to a runner, with one request at a time. Responses are matched by request id, since a
  * duplicate response to an earlier request would otherwise reach the wrong caller. A connection that has received a
- * mismatched or unsolicited response is not reused.
+ * mismatched or unsolicited byte is not reused.
  */
 final class RunnerConnection extends ChannelInboundHandlerAdapter {
     private static final Logger LOG = System.getLogger(RunnerConnection.class.getName());
@@ -34,21 +38,28 @@
     /** Size that a skipped head is counted with, bytes; that of a short status line. */
     private static final int SKIPPED_HEAD_BYTES = 20;
 
+    /** Maximum number of request ids that are kept; a response that comes later than that is not expected. */
+    private static final int MAX_SERVED_IDS = 256;
+
+    private final RunnerResponseDecoder decoder = new RunnerResponseDecoder();
     private final HeaderNames headerNames;
     private final RuntimeClock clock;
     private final ConnectionPool pool;
     private final String incarnation;
+    /** Ids of the latest requests on this connection, oldest first. */
+    private final SequencedSet<String> servedIds = new LinkedHashSet<>();
+
     private Channel channel;
     private long connectedNanos;
     private ChannelFuture written;
     private RunnerRequest request;
     private RunnerResponseListener listener;
+    private EmbeddedHeadDetector heads;
     private boolean skipping;
     private int skippedBytes;
     private boolean headSeen;
     private boolean reusable = true;
     private boolean keepAlive;
-    private boolean resetSeen;
     private int responsesReceived;
     private long idleSinceNanos;
     private Optional<Duration> idleLimit = Optional.empty();
@@ -60,6 +71,11 @@
         this.clock = clock;
     }
 
+    /** Returns the handlers of the connection's channel, in order. */
+    ChannelHandler[] handlers() {
+        return new ChannelHandler[] {new HttpRequestEncoder(), decoder, this};
+    }
+
     String incarnation() {
         return incarnation;
     }
@@ -95,6 +111,8 @@
         skipping = false;
         skippedBytes = 0;
         headSeen = false;
+        heads = new EmbeddedHeadDetector(headerNames.requestId(), servedIds::contains);
+        recordServed(next.id());
         var message = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
                 HttpMethod.valueOf(next.method()),
@@ -105,6 +123,13 @@
         written = channel.writeAndFlush(message);
     }
 
+    private void recordServed(String id) {
+        servedIds.add(id);
+        if (servedIds.size() > MAX_SERVED_IDS) {
+            servedIds.removeFirst();
+        }
+    }
+
     /** Abandons the request and closes the connection, on which the runner cancels the request. */
     void cancel() {
         listener = null;
@@ -125,12 +150,11 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         pool.remove(this);
-        loseConnection(resetSeen ? "connection reset" : "connection closed");
+        loseConnection("connection closed");
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        resetSeen = true;
         reusable = false;
         loseConnection("connection failed: " + cause.getMessage());
         context.close();
@@ -145,15 +169,23 @@
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (listener == null && decoder.hasUndecodedBytes()) {
+            closeUnsolicited();
+        }
+        context.fireChannelReadComplete();
+    }
+
     private void processPart(HttpObject part) {
         if (listener == null) {
             closeUnsolicited();
             return;
         }
         if (part.decoderResult().isFailure()) {
-            reusable = false;
-            fail("not HTTP: " + part.decoderResult().cause().getMessage());
-            close();
+            reject(
+                    IrregularResponse.MALFORMED,
+                    "not HTTP: " + part.decoderResult().cause().getMessage());
             return;
         }
         if (part instanceof HttpResponse response) {
@@ -165,12 +197,18 @@
     }
 
     private void processHead(HttpResponse response) {
+        Optional<String> fault = ResponseHead.fault(response, headerNames);
+        if (fault.isPresent()) {
+            reject(IrregularResponse.AMBIGUOUS, fault.get());
+            return;
+        }
         int status = response.status().code();
         skipping = status < 200 || !matchesRequest(response.headers());
         if (skipping) {
             skip(SKIPPED_HEAD_BYTES);
             if (status >= 200) {
                 reusable = false;
+                pool.recordIrregular(IrregularResponse.OTHER_REQUEST);
                 LOG.log(
                         Logger.Level.INFO,
                         () -> LogLine.of("answer_of_other_request_skipped")
@@ -183,9 +221,7 @@
             return;
         }
         if (status < 300 && !isAuthenticated(response.headers())) {
-            reusable = false;
-            fail("success response without request id or stamp");
-            close();
+            reject(IrregularResponse.UNAUTHENTICATED, "success response without request id or stamp");
             return;
         }
         headSeen = true;
@@ -221,6 +257,10 @@
         if (bytes.isReadable()) {
             byte[] copy = new byte[bytes.readableBytes()];
             bytes.readBytes(copy);
+            if (heads.detect(copy)) {
+                reject(IrregularResponse.CONTAINS_HEAD, "head of another response within the body");
+                return;
+            }
             listener.onPart(copy);
         }
         if (last && listener != null && headSeen) {
@@ -231,23 +271,24 @@
     private void skip(int bytes) {
         skippedBytes += bytes;
         if (skippedBytes > RelayLimits.MAX_SKIPPED_BYTES) {
-            fail("no response in " + RelayLimits.MAX_SKIPPED_BYTES + " bytes");
-            close();
+            reject(IrregularResponse.NO_RESPONSE, "no response in " + RelayLimits.MAX_SKIPPED_BYTES + " bytes");
         }
     }
 
     private void finish() {
-        RunnerResponseListener receiver = listener;
-        if (resetSeen) {
-            fail("reset before the end");
+        if (heads.isCutBy(decoder.undecodedBytes())) {
+            reject(IrregularResponse.CONTAINS_HEAD, "body ends within the head of another response");
             return;
         }
+        RunnerResponseListener receiver = listener;
         listener = null;
         responsesReceived++;
         idleSinceNanos = clock.nanos();
         // If the runner responds before the body is fully sent, it would parse the rest of the body as a request.
         boolean allWritten = written != null && written.isSuccess();
-        if (reusable && keepAlive && allWritten) {
+        if (decoder.hasUndecodedBytes()) {
+            closeUnsolicited();
+        } else if (reusable && keepAlive && allWritten) {
             pool.release(this);
         } else {
             close();
@@ -256,6 +297,10 @@
     }
 
     private void closeUnsolicited() {
+        if (!channel.isActive()) {
+            return;
+        }
+        pool.recordIrregular(IrregularResponse.UNSOLICITED);
         LOG.log(
                 Logger.Level.INFO,
                 () -> LogLine.of("unasked_answer")
@@ -273,11 +318,21 @@
         }
     }
 
-    private void fail(String reason) {
+    /** Fails the request, which the runner may have run, and closes the connection. */
+    private void reject(IrregularResponse kind, String reason) {
         RunnerResponseListener receiver = listener;
         listener = null;
-        if (receiver != null) {
-            receiver.onFailure(true, reason);
-        }
+        pool.recordIrregular(kind);
+        LOG.log(
+                Logger.Level.INFO,
+                () -> LogLine.of("irregular_response")
+                        .with("request", request.id())
+                        .with("runner", incarnation)
+                        .with("kind", kind.label())
+                        .with("reason", reason)
+                        .with("served", responsesReceived)
+                        .toString());
+        close();
+        receiver.onFailure(true, reason);
     }
 }
