A request of a draining node does not time out before its deadline

Found by review. The timer of the deadline was set to the time that the node has left, so a request accepted during the drain got 504 "timeout" at 93% of the grace time, just before its node would have answered it, with time left; a stream whose turn was being committed was cut there. The time that is left now bounds only what the runner is given and the wait in the queue.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -94,7 +94,7 @@
             return;
         }
         deadlineNanos = startNanos + Duration.ofMillis(timeoutMillis).toNanos();
-        deadlineTimer = relay.loop().schedule(Duration.ofMillis(leftMillis()), this::handleDeadline);
+        deadlineTimer = relay.loop().schedule(Duration.ofMillis(untilDeadlineMillis()), this::handleDeadline);
         binding = new StreamBinding(relay, params, route, team.owner());
         work = new RequestWork(relay, request, params, route, team.owner());
         if (isWorkRejected()) {
@@ -286,10 +286,14 @@
 
     /** Returns the time until the deadline of the request or the end of this process, ms; 0 once it has passed. */
     long leftMillis() {
-        long left = Math.max(0, (deadlineNanos - relay.loop().clock().nanos()) / 1_000_000);
+        long left = untilDeadlineMillis();
         return relay.timeUntilEnd().map(each -> Math.min(left, each.toMillis())).orElse(left);
     }
 
+    private long untilDeadlineMillis() {
+        return Math.max(0, (deadlineNanos - relay.loop().clock().nanos()) / 1_000_000);
+    }
+
     /** Returns the id of the event after which the stream goes on; the empty string for a new stream. */
     String lastEventId() {
         return params.resumption().map(StreamResumption::lastEventId).orElse("");
@@ -373,7 +377,7 @@
     void commitStream(Runner runner, EventStreamReader events) {
         apply(new RequestEvent.StreamCompleted());
         long commitStartNanos = relay.loop().clock().nanos();
-        turn.map(each -> each.complete(runner.incarnation(), service, request.body(), events, leftMillis()))
+        turn.map(each -> each.complete(runner.incarnation(), service, request.body(), events, untilDeadlineMillis()))
                 .orElseGet(() -> CompletableFuture.completedFuture(null))
                 .whenComplete((done, failure) -> relay.loop().execute(() -> handleCommit(commitStartNanos, failure)));
     }
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DrainTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DrainTest.java
@@ -12,6 +12,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.locks.LockSupport;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -114,6 +115,20 @@
         }
     }
 
+    /** Guards against requests that time out early, and are reported so, as their node ends before their deadlines. */
+    @Test
+    public void requestDoesNotTimeOutBeforeItsDeadline() throws IOException {
+        fleet.addRunner("r1", "s", "v1", request -> ScriptedRunner.SILENCE);
+        fleet.drain(NODE, Duration.ofMillis(800));
+        try (Socket order = fleet.send(NODE, "/orders/", "q1", "")) {
+            fleet.awaitArrival("/orders/");
+            LockSupport.parkNanos(Duration.ofMillis(900).toNanos());
+            assertEquals(fleet.owedResponses(NODE), Map.of(ResponseStage.AT_RUNNER, 1L));
+            fleet.endRequests(NODE);
+            assertTrue(read(order).startsWith("HTTP/1.1 502 "));
+        }
+    }
+
     /** Guards against runners that are given more time than the node has left to answer. */
     @Test
     public void runnerIsGivenTheTimeThatIsLeft() throws IOException {
