Requests that a caller has sent ahead are answered before a draining node closes the connection

Found by review. The first response after SIGTERM announced the close, and whole requests behind it were read and dropped. The close is now announced by the response behind which no request waits; a stream that began before the drain, whose head has announced none, leaves its connection open.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
@@ -274,6 +274,8 @@
         private OpenRequest request;
 
         private boolean ended;
+        /** Whether the connection closes after this response, as its head says. */
+        private boolean closes;
         /** Whether the network has taken the last byte. */
         private boolean delivered;
 
@@ -292,8 +294,8 @@
             if (!headOnly) {
                 response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
             }
-            boolean closes = announceClose(response.headers());
-            finish(channel.writeAndFlush(response), closes);
+            announceClose(response.headers());
+            finish(channel.writeAndFlush(response));
         }
 
         @Override
@@ -331,7 +333,7 @@
         public void endStream() {
             if (!ended) {
                 Object end = headOnly ? Unpooled.EMPTY_BUFFER : LastHttpContent.EMPTY_LAST_CONTENT;
-                finish(channel.writeAndFlush(end), !keepAlive || server.isDraining());
+                finish(channel.writeAndFlush(end));
             }
         }
 
@@ -371,15 +373,15 @@
                     DefaultHttpHeadersFactory.trailersFactory().newHeaders());
         }
 
-        private boolean announceClose(HttpHeaders headers) {
-            boolean closes = !keepAlive || server.isDraining();
+        private void announceClose(HttpHeaders headers) {
+            // Requests that the caller has sent ahead are answered before the close.
+            closes = !keepAlive || (server.isDraining() && pending.isEmpty());
             if (closes) {
                 headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
-            return closes;
         }
 
-        private void finish(ChannelFuture sent, boolean closes) {
+        private void finish(ChannelFuture sent) {
             ended = true;
             idleSinceNanos = clock.nanos();
             sent.addListener(done -> {
