An error in one request does not leave others, or a drain, without an end

Found by review. An exception while one open request is answered at the end of a drain left all later ones unanswered. One in the handler of a request closed its connection, logged at debug level, and left the request among the open ones for good, so that no later drain was complete. The request is answered with 500 and logged; the end of each request is isolated.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
@@ -25,6 +25,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.lang.System.Logger;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -45,6 +46,7 @@
     private static final Duration LINGER = Duration.ofSeconds(1);
 
     private static final int UNAVAILABLE = 503;
+    private static final int INTERNAL_ERROR = 500;
 
     private final RequestHandler handler;
     private final ConnectionOwner server;
@@ -81,7 +83,9 @@
         if (current != null && !current.ended) {
             current.ended = true;
             server.responses().remove(current);
-            current.request.handleDisconnect();
+            if (current.request != null) {
+                current.request.handleDisconnect();
+            }
         }
     }
 
@@ -102,7 +106,7 @@
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         // Usually a reset by the caller; channelInactive() cancels the request in progress.
         LOG.log(
-                Logger.Level.DEBUG,
+                cause instanceof IOException ? Logger.Level.DEBUG : Logger.Level.ERROR,
                 () -> LogLine.of("caller_connection_failed").failure(cause).toString());
         context.close();
     }
@@ -248,7 +252,19 @@
         Response response = new Response(keepAlive, "HEAD".equals(complete.method()));
         current = response;
         server.responses().add(response);
-        response.request = handler.handle(complete, response);
+        try {
+            response.request = handler.handle(complete, response);
+        } catch (RuntimeException fault) {
+            LOG.log(
+                    Logger.Level.ERROR,
+                    LogLine.of("request_failed")
+                            .with("target", complete.target())
+                            .failure(fault)
+                            .toString(),
+                    fault);
+            response.sendFull(
+                    INTERNAL_ERROR, DefaultHttpHeadersFactory.headersFactory().newHeaders(), new byte[0]);
+        }
     }
 
     /** Rejects a malformed request and closes the connection, since the start of the next request is unknown. */
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/OwedResponses.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/OwedResponses.java
@@ -62,7 +62,21 @@
      * the end of another request has freed.
      */
     void endAll() {
-        owed.stream().sorted(Comparator.comparing(OwedResponse::stage)).toList().forEach(OwedResponse::endNow);
+        owed.stream().sorted(Comparator.comparing(OwedResponse::stage)).toList().forEach(OwedResponses::end);
+    }
+
+    private static void end(OwedResponse response) {
+        try {
+            response.endNow();
+        } catch (RuntimeException fault) {
+            // The others must be answered nevertheless.
+            LOG.log(
+                    Logger.Level.ERROR,
+                    LogLine.of("response_failed")
+                            .with("request", response.requestId())
+                            .failure(fault)
+                            .toString());
+        }
     }
 
     /** Logs and counts the responses that are owed, none of which will be complete, as the process ends now. */
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Relay.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Relay.java
@@ -84,7 +84,12 @@
         Optional<RequestParameters> parameters = RequestParameters.parse(request.headers(), headerNames);
         RelayedRequest relayed = new RelayedRequest(this, request, parameters, response);
         openRequests.add(relayed);
-        relayed.start();
+        try {
+            relayed.start();
+        } catch (RuntimeException fault) {
+            openRequests.remove(relayed);
+            throw fault;
+        }
         return relayed;
     }
 
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/CallerConnectionTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/CallerConnectionTest.java
@@ -25,12 +25,17 @@
     private final List<CallerResponse> responses = new ArrayList<>();
     private final OwedResponses owed = new OwedResponses(new SimpleMeterRegistry());
     private int disconnects;
+    private boolean failing;
 
     private EmbeddedChannel connect() {
         requests.clear();
         responses.clear();
         disconnects = 0;
+        failing = false;
         RequestHandler handler = (request, response) -> {
+            if (failing) {
+                throw new IllegalStateException("failing");
+            }
             requests.add(request);
             responses.add(response);
             return new OpenRequest() {
@@ -94,6 +99,17 @@
         return text.toString();
     }
 
+    /** Guards against requests without a response, and drains that do not end, after an error of the handler. */
+    @Test
+    public void errorOfTheHandlerIsAnswered() {
+        EmbeddedChannel channel = connect();
+        failing = true;
+        send(channel, "POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi");
+        assertTrue(readResponse(channel).startsWith("HTTP/1.1 500 "));
+        channel.finishAndReleaseAll();
+        assertEquals(owed.count(), 0);
+    }
+
     @DataProvider
     Object[][] ambiguous() {
         return new Object[][] {
