Callers that a draining node rejects come back after 50 to 75 ms instead of at once

Found by review. Their address lists still name the node, and they have one or two retries, which they could use up within milliseconds where the other node that they choose drains as well.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayLimits.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayLimits.java
@@ -62,6 +62,9 @@
     /** Retry delay if other attempts at the same work are under way, which end or are written as unfinished meanwhile. */
     static final Duration RETRY_DELAY_UNRESERVED = Duration.ofMillis(300);
 
+    /** Retry delay if the process ends: another node serves at once, and callers that come back here need not be many. */
+    static final Duration RETRY_DELAY_PROCESS_ENDS = Duration.ofMillis(50);
+
     /** Retry delay if the node has no usage reports from peers. */
     static final Duration RETRY_DELAY_NO_PEERS = Duration.ofMillis(300);
 
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestLifecycle.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestLifecycle.java
@@ -285,7 +285,7 @@
     private List<RequestAction> handleProcessEnding() {
         return switch (stage) {
             case ENDED, COMMITTING -> List.of();
-            case AWAITING_PREPARATION, MATCHING, BEGINNING -> refuse(503, PROCESS_ENDS, Duration.ZERO, false);
+            case AWAITING_PREPARATION, MATCHING, BEGINNING -> refuse(PROCESS_ENDS, RelayLimits.RETRY_DELAY_PROCESS_ENDS);
             case QUEUED -> after(new RequestAction.Withdraw(), endUnsent());
             case ASSIGNED ->
                 after(
@@ -308,7 +308,7 @@
     private List<RequestAction> endUnsent() {
         return attempts.mayHaveRun()
                 ? respond(502, UNKNOWN, "an earlier attempt may have run; " + PROCESS_ENDS)
-                : refuse(503, PROCESS_ENDS, Duration.ZERO, false);
+                : refuse(PROCESS_ENDS, RelayLimits.RETRY_DELAY_PROCESS_ENDS);
     }
 
     /** Cancels the request after its caller has disconnected; a turn that is being committed is completed. */
