A draining node does not forward for nodes that are cut off from the store VMs

Found by review, as the same cause elsewhere: a draining node reported to its peers that it reaches the store VMs, so those that do not could choose it as forwarder and lose their begins and commits as it ended. It reports that it does not from SIGTERM on. By reading; no test of its own.

--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -125,7 +125,7 @@
                 self,
                 new FleetUsage(dispatcher, quotas, enableContentionControl()),
                 this::isReady,
-                stores::hasProvenQuorum,
+                () -> !draining && stores.hasProvenQuorum(),
                 context.random,
                 Map.of(ObjectKind.RUNNERS, runners, ObjectKind.MANIFEST, manifests, ObjectKind.STORE_SET, storeSets),
                 nodes::setWatching);
