A response is cut only if its caller does not read, and this is counted

A response on a kept connection was cut after the idle timeout counted from its end at the node, however steadily the caller read; one on a connection that closes had no limit at all if the caller did not read. Both now end after the idle timeout without progress, with response_missing. By reading; no test of its own.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
@@ -61,6 +61,8 @@
     private boolean lingering;
 
     private long idleSinceNanos;
+    /** Number of unsent bytes at the latest check, which shows whether the caller reads. */
+    private long lastUnsentBytes;
 
     CallerConnection(RequestHandler handler, ConnectionOwner server, RuntimeClock clock) {
         this.handler = handler;
@@ -113,17 +115,31 @@
 
     /** Closes the connection if it has been idle, or a request incomplete, for longer than the limits allow. */
     void checkIdle(CallerLimits limits) {
+        boolean sending = current != null && current.ended && !current.delivered;
         boolean busy = current != null && !current.ended;
-        if (busy || (closing && !lingering)) {
+        if (busy || (closing && !lingering && !sending)) {
             return;
         }
+        if (sending && unsentBytes() != lastUnsentBytes) {
+            lastUnsentBytes = unsentBytes();
+            idleSinceNanos = clock.nanos();
+        }
         Duration open =
                 head == null ? limits.idleTimeout() : limits.headerTimeout().plus(limits.idleTimeout());
         if (clock.nanos() - idleSinceNanos > (lingering ? LINGER : open).toNanos()) {
+            if (sending) {
+                server.responses().recordMissing(current, "caller does not read");
+            }
             close();
         }
     }
 
+    /** Returns the number of bytes of responses that the network has not taken. */
+    private long unsentBytes() {
+        var unsent = channel.unsafe().outboundBuffer();
+        return unsent == null ? 0 : unsent.totalPendingWriteBytes() - unsent.currentProgress();
+    }
+
     /** Closes the connection unless a request is being received or processed, or a response is being sent. */
     void closeIfIdle() {
         boolean busy = (current != null && !current.delivered) || isReceiving();
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestLifecycle.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestLifecycle.java
@@ -285,7 +285,8 @@
     private List<RequestAction> handleProcessEnding() {
         return switch (stage) {
             case ENDED, COMMITTING -> List.of();
-            case AWAITING_PREPARATION, MATCHING, BEGINNING -> refuse(PROCESS_ENDS, RelayLimits.RETRY_DELAY_PROCESS_ENDS);
+            case AWAITING_PREPARATION, MATCHING, BEGINNING ->
+                refuse(PROCESS_ENDS, RelayLimits.RETRY_DELAY_PROCESS_ENDS);
             case QUEUED -> after(new RequestAction.Withdraw(), endUnsent());
             case ASSIGNED ->
                 after(
