--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
@@ -46,7 +46,6 @@
     private static final Duration LINGER = Duration.ofSeconds(1);
 
     private static final int UNAVAILABLE = 503;
-    private static final int INTERNAL_ERROR = 500;
 
     private final RequestHandler handler;
     private final ConnectionOwner server;
@@ -270,16 +269,18 @@
         server.responses().add(response);
         try {
             response.request = handler.handle(complete, response);
-        } catch (RuntimeException fault) {
+        } catch (RuntimeException | Error fault) {
             LOG.log(
                     Logger.Level.ERROR,
-                    LogLine.of("request_failed")
-                            .with("target", complete.target())
-                            .failure(fault)
+                    LogLine.of("request_handling_failed")
+                            .with("peer", channel.remoteAddress())
                             .toString(),
                     fault);
+            // A runner may have been asked.
             response.sendFull(
-                    INTERNAL_ERROR, DefaultHttpHeadersFactory.headersFactory().newHeaders(), new byte[0]);
+                    HttpResponseStatus.BAD_GATEWAY.code(),
+                    DefaultHttpHeadersFactory.headersFactory().newHeaders(),
+                    new byte[0]);
         }
     }
 
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Relay.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Relay.java
@@ -86,7 +86,7 @@
         openRequests.add(relayed);
         try {
             relayed.start();
-        } catch (RuntimeException fault) {
+        } catch (RuntimeException | Error fault) {
             openRequests.remove(relayed);
             throw fault;
         }
