Relay: requests with the same id do not share a connection to a runner

Responses are matched by request id. A caller that repeats its id got the late second response to the earlier request on the pooled connection. The pool now passes over connections that have served the id. Within one request this can't happen: it excludes the runners that it was at.

DuplicateResponseTest.lateResponseIsNotTakenForTheNextOne (real connections; the same id twice) failed before: 'body 1' for the second request. ScriptedRunner can send bytes late, at the point where the next response is expected.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnection.java
@@ -103,6 +103,11 @@
         return channel != null && channel.isActive() && reusable && listener == null;
     }
 
+    /** Returns whether the connection has served a request with an id, so that responses to it may still come. */
+    boolean hasServed(String requestId) {
+        return servedIds.contains(requestId);
+    }
+
     void close() {
         reusable = false;
         if (channel != null) {
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnectionPool.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnectionPool.java
@@ -8,6 +8,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -46,9 +47,13 @@
 
     /**
      * Returns a pooled or new connection; the future fails with {@link StepException} if the runner cannot be reached.
+     *
+     * @param runner the runner
+     * @param requestId id of the request; a connection that has served a request with this id is not returned, as a late
+     *     duplicate of that response would be taken for the response
      */
-    CompletableFuture<RunnerConnection> acquire(Runner runner) {
-        RunnerConnection pooled = pollIdle(runner.incarnation());
+    CompletableFuture<RunnerConnection> acquire(Runner runner, String requestId) {
+        RunnerConnection pooled = pollIdle(runner.incarnation(), requestId);
         return pooled != null ? CompletableFuture.completedFuture(pooled) : connect(runner);
     }
 
@@ -78,18 +83,27 @@
         metrics.recordIrregularResponse(kind);
     }
 
-    private RunnerConnection pollIdle(String incarnation) {
-        Deque<RunnerConnection> pooled = idle.get(incarnation);
-        while (pooled != null && !pooled.isEmpty()) {
-            RunnerConnection newest = pooled.pollLast();
-            if (newest.isAvailable() && isFresh(newest)) {
-                return newest;
+    private RunnerConnection pollIdle(String incarnation, String requestId) {
+        Deque<RunnerConnection> pooled = idle.getOrDefault(incarnation, new ArrayDeque<>());
+        closeUnusable(pooled);
+        for (Iterator<RunnerConnection> newestFirst = pooled.descendingIterator(); newestFirst.hasNext(); ) {
+            RunnerConnection each = newestFirst.next();
+            if (!each.hasServed(requestId)) {
+                newestFirst.remove();
+                return each;
             }
-            newest.close();
         }
         return null;
     }
 
+    private static void closeUnusable(Deque<RunnerConnection> pooled) {
+        List<RunnerConnection> unusable = pooled.stream()
+                .filter(each -> !each.isAvailable() || !isFresh(each))
+                .toList();
+        pooled.removeAll(unusable);
+        unusable.forEach(RunnerConnection::close);
+    }
+
     private static boolean isFresh(RunnerConnection connection) {
         Duration limit =
                 connection.idleLimit().map(each -> each.minus(CLOSE_MARGIN)).orElse(DEFAULT_IDLE_TIME);
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerExchange.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerExchange.java
@@ -76,7 +76,7 @@
 
     private void connect() {
         relay.connections()
-                .acquire(runner)
+                .acquire(runner, request.id())
                 .whenComplete((acquired, failure) -> relay.loop().execute(() -> handleConnected(acquired, failure)));
     }
 
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DuplicateResponseTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DuplicateResponseTest.java
@@ -7,6 +7,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.UnaryOperator;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -40,7 +41,11 @@
     }
 
     private String send(String path) throws IOException {
-        try (Socket socket = fleet.send("a", path + "x", "q1", "")) {
+        return send(path, "q1");
+    }
+
+    private String send(String path, String id) throws IOException {
+        try (Socket socket = fleet.send("a", path + "x", id, "")) {
             return new String(socket.getInputStream().readAllBytes(), ISO_8859_1);
         }
     }
@@ -103,4 +108,23 @@
         assertTrue(response.startsWith("HTTP/1.1 502 "), response);
         assertEquals(fleet.arrivals("/events/"), 1);
     }
+
+    /** Guards against the response to an earlier request with the same id, which comes late a second time. */
+    @Test(dataProvider = "ids")
+    public void lateResponseIsNotTakenForTheNextOne(String firstId, String secondId) throws IOException {
+        AtomicInteger count = new AtomicInteger();
+        fleet.addRunner("r", "s", "v1", request -> {
+            String response = ScriptedRunner.response("200 OK", request, "", "body " + count.incrementAndGet());
+            return ScriptedRunner.followedBy(response, response);
+        });
+        assertTrue(send("/calls/", firstId).endsWith("\r\n\r\nbody 1"));
+        String response = send("/calls/", secondId);
+        assertTrue(response.endsWith("\r\n\r\nbody 2"), response);
+    }
+
+    /** Ids of two requests, one after the other. */
+    @DataProvider
+    public static Object[][] ids() {
+        return new Object[][] {{"q1", "q2"}, {"q1", "q1"}};
+    }
 }
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/ScriptedRunner.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/ScriptedRunner.java
@@ -38,6 +38,8 @@
 
     private static final String SLOW = "\0slow\0";
     private static final String CLOSE = "\0close\0";
+    /** Separates a reply from the bytes that follow it late, before the next reply on the connection. */
+    private static final String LATE = "\0late\0";
 
     final AtomicLong endlessBytes = new AtomicLong();
     final List<String> requests = new CopyOnWriteArrayList<>();
@@ -82,6 +84,11 @@
         return reply + CLOSE;
     }
 
+    /** Returns a reply with bytes that follow late, at the point where the next response is expected. */
+    static String followedBy(String reply, String late) {
+        return reply + LATE + late;
+    }
+
     static String header(String request, String name) {
         return request.lines()
                 .filter(line -> line.regionMatches(true, 0, name + ":", 0, name.length() + 1))
@@ -139,9 +146,13 @@
     private void serve(Socket socket) {
         try (socket) {
             InputStream in = socket.getInputStream();
+            String late = "";
             for (String request = read(in); !request.isEmpty(); request = read(in)) {
                 requests.add(request);
-                String reply = script.apply(request);
+                String[] parts = script.apply(request).split(LATE, 2);
+                String reply = parts[0];
+                socket.getOutputStream().write(late.getBytes(ISO_8859_1));
+                late = parts.length > 1 ? parts[1] : "";
                 if (reply.equals(RESET)) {
                     socket.setSoLinger(true, 0);
                     return;
