HttpClient: a response that can't be decoded is not complete

The client of the platform and of the tools did not look at the decoder's result: a chunk that can't be decoded comes as the last part, so that the chunks before it were taken for the whole response, and bytes that are no HTTP were a response with status 999. Both fail now, as 'may have been executed'.

HttpClientTest.brokenResponseFails: 2 of 3 cases failed before, 3 of 3 pass.

--- a/parsleydrift-wire/src/main/java/org/parsleydrift/wire/HttpClient.java
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/HttpClient.java
@@ -216,6 +216,12 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
             lastByteNanos = context.executor().ticker().nanoTime();
+            if (message.decoderResult().isFailure()) {
+                attempt.fail(
+                        true, "not HTTP: " + message.decoderResult().cause().getMessage());
+                context.close();
+                return;
+            }
             if (message instanceof HttpResponse response) {
                 status = response.status().code();
                 keepAlive = HttpUtil.isKeepAlive(response);
--- /dev/null
+++ b/parsleydrift-wire/src/test/java/org/parsleydrift/wire/HttpClientTest.java
@@ -0,0 +1,114 @@
+package org.parsleydrift.wire;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static org.testng.Assert.assertThrows;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.IntFunction;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Responses of servers that are broken, preceded by others or followed by more. */
+public class HttpClientTest {
+    private static final int TIMEOUT_MILLIS = 10_000;
+
+    private final AtomicInteger requests = new AtomicInteger();
+    private final CountDownLatch disconnected = new CountDownLatch(1);
+    private NetworkThreads threads;
+    private HttpClient client;
+    private ServerSocket server;
+
+    @BeforeMethod
+    public void start() throws IOException {
+        requests.set(0);
+        threads = new NetworkThreads("http-client-test", 1);
+        client = new HttpClient(threads);
+        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() throws IOException {
+        server.close();
+        threads.close();
+    }
+
+    /** Replies to each request, given its number from 1 on. */
+    private void serve(IntFunction<String> script) {
+        Thread acceptor = new Thread(() -> accept(script), "server");
+        acceptor.setDaemon(true);
+        acceptor.start();
+    }
+
+    private void accept(IntFunction<String> script) {
+        try {
+            while (true) {
+                Socket socket = server.accept();
+                Thread thread = new Thread(() -> serve(socket, script), "connection");
+                thread.setDaemon(true);
+                thread.start();
+            }
+        } catch (IOException closed) {
+            // The test has ended.
+            return;
+        }
+    }
+
+    private void serve(Socket socket, IntFunction<String> script) {
+        try (socket) {
+            InputStream in = socket.getInputStream();
+            StringBuilder head = new StringBuilder();
+            for (int next = in.read(); next >= 0; next = in.read()) {
+                head.append((char) next);
+                if (head.toString().endsWith("\r\n\r\n")) {
+                    head.setLength(0);
+                    socket.getOutputStream()
+                            .write(script.apply(requests.incrementAndGet()).getBytes(ISO_8859_1));
+                }
+            }
+            disconnected.countDown();
+        } catch (IOException closed) {
+            disconnected.countDown();
+        }
+    }
+
+    private HttpClientResponse get() {
+        String address = "127.0.0.1:" + server.getLocalPort();
+        return client.send(HttpRequestSpec.of(address, "GET", "/", Duration.ofMillis(TIMEOUT_MILLIS)))
+                .join();
+    }
+
+    private static String respond(String body) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    private static String text(HttpClientResponse response) {
+        return response.status() + " " + new String(response.body(), ISO_8859_1);
+    }
+
+    /** Guards against a part of a response that is taken for the whole one, or for a response at all. */
+    @Test(dataProvider = "brokenResponses")
+    public void brokenResponseFails(String reply) {
+        serve(number -> reply);
+        assertThrows(CompletionException.class, this::get);
+    }
+
+    /** Responses that can't be decoded from some point on. */
+    @DataProvider
+    public static Object[][] brokenResponses() {
+        return new Object[][] {
+            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\nzz\r\nhalf\r\n0\r\n\r\n"},
+            {"HTTP/1.1 200 OK\r\nContent-Length: 4x\r\n\r\nhalf"},
+            {"garbage\r\n\r\n"},
+        };
+    }
+}
