HttpClient: an interim response is not the final one

A response with a status below 200 was given to the caller as the final one, and the connection went back to the pool with the final response on its way to the next request. It is skipped now, with its headers.

HttpClientTest.interimResponseIsSkipped failed before ('103'); 4 of 4 pass.

--- a/parsleydrift-wire/src/main/java/org/parsleydrift/wire/HttpClient.java
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/HttpClient.java
@@ -37,6 +37,8 @@
 
     private static final int MAX_RESPONSE_BYTES = 4 << 20;
     private static final int MAX_IDLE_PER_ADDRESS = 64;
+    /** Lowest status of a final response; interim ones may precede it. */
+    private static final int FINAL_STATUS = 200;
 
     private final Bootstrap bootstrap;
     private final Map<String, Deque<Channel>> idleConnections = new ConcurrentHashMap<>();
@@ -224,10 +226,14 @@
             }
             if (message instanceof HttpResponse response) {
                 status = response.status().code();
+                headers.clear();
                 keepAlive = HttpUtil.isKeepAlive(response);
                 response.headers()
                         .forEach(header -> headers.put(header.getKey().toLowerCase(Locale.ROOT), header.getValue()));
             }
+            if (status < FINAL_STATUS) {
+                return;
+            }
             if (message instanceof HttpContent content) {
                 receiveContent(context, content);
             }
--- a/parsleydrift-wire/src/test/java/org/parsleydrift/wire/HttpClientTest.java
+++ b/parsleydrift-wire/src/test/java/org/parsleydrift/wire/HttpClientTest.java
@@ -1,6 +1,7 @@
 package org.parsleydrift.wire;
 
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertThrows;
 
 import java.io.IOException;
@@ -111,4 +112,14 @@
             {"garbage\r\n\r\n"},
         };
     }
+
+    /** Guards against an interim response that is taken for the final one. */
+    @Test
+    public void interimResponseIsSkipped() {
+        serve(number -> "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + respond("body " + number));
+        HttpClientResponse response = get();
+        assertEquals(text(response), "200 body 1");
+        assertEquals(response.headers().get("link"), null);
+        assertEquals(text(get()), "200 body 2");
+    }
 }
