HttpClient: bytes on an idle connection close it

Responses of the platform bear no id. Bytes behind a response stayed on the pooled connection, and a second response, or a part of one, was taken for the beginning of the response to the next request. The connection is closed now; a second response that begins after the next request was sent can't be told from its response. The strict decoder moved to the wire module, where both clients use it.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnection.java
@@ -26,6 +26,7 @@
 import java.util.SequencedSet;
 import org.parsleydrift.kernel.LogLine;
 import org.parsleydrift.kernel.RuntimeClock;
+import org.parsleydrift.wire.StrictResponseDecoder;
 
 /**
  * One HTTP/1.1 connection to a runner, with one request at a time. Responses are matched by request id, since a
@@ -44,7 +45,7 @@
     /** Maximum number of request ids that are kept; a response that comes later than that is not expected. */
     private static final int MAX_SERVED_IDS = 256;
 
-    private final RunnerResponseDecoder decoder = new RunnerResponseDecoder();
+    private final StrictResponseDecoder decoder = new StrictResponseDecoder();
     private final HeaderNames headerNames;
     private final RuntimeClock clock;
     private final ConnectionPool pool;
--- a/parsleydrift-wire/src/main/java/org/parsleydrift/wire/HttpClient.java
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/HttpClient.java
@@ -5,18 +5,20 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -52,7 +54,8 @@
         bootstrap = threads.clientBootstrap(CONNECT_TIMEOUT).handler(new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new HttpClientCodec());
+                StrictResponseDecoder decoder = new StrictResponseDecoder();
+                channel.pipeline().addLast(new HttpRequestEncoder(), decoder, new IdleGuard(decoder));
             }
         });
     }
@@ -112,6 +115,37 @@
         return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
     }
 
+    /** Closes a connection that receives bytes while it serves no request; they must not reach the next one. */
+    private static final class IdleGuard extends ChannelInboundHandlerAdapter {
+        private final StrictResponseDecoder decoder;
+
+        private IdleGuard(StrictResponseDecoder decoder) {
+            this.decoder = decoder;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            if (isIdle(context)) {
+                ReferenceCountUtil.release(message);
+                context.close();
+            } else {
+                context.fireChannelRead(message);
+            }
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            if (isIdle(context) && decoder.hasUndecodedBytes()) {
+                context.close();
+            }
+            context.fireChannelReadComplete();
+        }
+
+        private static boolean isIdle(ChannelHandlerContext context) {
+            return context.pipeline().get(ResponseHandler.class) == null;
+        }
+    }
+
     private final class Attempt {
         private final HttpRequestSpec request;
         private final Consumer<byte[]> chunks;
@@ -260,7 +294,9 @@
 
         private void completeResponse(ChannelHandlerContext context) {
             context.pipeline().remove(this);
-            if (keepAlive && attempt.request.reuseConnection()) {
+            boolean followed =
+                    context.pipeline().get(StrictResponseDecoder.class).hasUndecodedBytes();
+            if (keepAlive && attempt.request.reuseConnection() && !followed) {
                 release(attempt.request.address(), context.channel());
             } else {
                 context.close();
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerResponseDecoder.java
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/StrictResponseDecoder.java
@@ -1,4 +1,4 @@
-package org.parsleydrift.relay;
+package org.parsleydrift.wire;
 
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.HttpMessage;
@@ -9,11 +9,18 @@
  * HTTP response decoder that rejects ambiguous framing, expects no body after HEAD and tells whether it holds bytes that it
  * has not decoded.
  */
-final class RunnerResponseDecoder extends HttpResponseDecoder {
+public final class StrictResponseDecoder extends HttpResponseDecoder {
     private boolean headRequested;
 
-    /** Sets the method of the request that the next response belongs to. */
-    void expectResponseTo(HttpMethod method) {
+    /** Creates a decoder for one connection. */
+    public StrictResponseDecoder() {}
+
+    /**
+     * Sets the method of the request that the next response belongs to.
+     *
+     * @param method the method
+     */
+    public void expectResponseTo(HttpMethod method) {
         headRequested = method.equals(HttpMethod.HEAD);
     }
 
@@ -22,13 +29,21 @@
         return headRequested || super.isContentAlwaysEmpty(message);
     }
 
-    /** Returns whether bytes were received that are not part of any message decoded so far. */
-    boolean hasUndecodedBytes() {
+    /**
+     * Returns whether bytes were received that are not part of any message decoded so far.
+     *
+     * @return whether there are such bytes
+     */
+    public boolean hasUndecodedBytes() {
         return actualReadableBytes() > 0;
     }
 
-    /** Returns a copy of the bytes that were received and are not part of any message decoded so far. */
-    byte[] undecodedBytes() {
+    /**
+     * Returns the bytes that were received and are not part of any message decoded so far.
+     *
+     * @return a copy of the bytes
+     */
+    public byte[] undecodedBytes() {
         return ByteBufUtil.getBytes(internalBuffer());
     }
 
--- a/parsleydrift-wire/src/test/java/org/parsleydrift/wire/HttpClientTest.java
+++ b/parsleydrift-wire/src/test/java/org/parsleydrift/wire/HttpClientTest.java
@@ -3,6 +3,7 @@
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -12,6 +13,7 @@
 import java.time.Duration;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.IntFunction;
 import org.testng.annotations.AfterMethod;
@@ -24,7 +26,7 @@
     private static final int TIMEOUT_MILLIS = 10_000;
 
     private final AtomicInteger requests = new AtomicInteger();
-    private final CountDownLatch disconnected = new CountDownLatch(1);
+    private CountDownLatch disconnected;
     private NetworkThreads threads;
     private HttpClient client;
     private ServerSocket server;
@@ -32,6 +34,7 @@
     @BeforeMethod
     public void start() throws IOException {
         requests.set(0);
+        disconnected = new CountDownLatch(1);
         threads = new NetworkThreads("http-client-test", 1);
         client = new HttpClient(threads);
         server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -51,10 +54,11 @@
     }
 
     private void accept(IntFunction<String> script) {
+        CountDownLatch ended = disconnected;
         try {
             while (true) {
                 Socket socket = server.accept();
-                Thread thread = new Thread(() -> serve(socket, script), "connection");
+                Thread thread = new Thread(() -> serve(socket, script, ended), "connection");
                 thread.setDaemon(true);
                 thread.start();
             }
@@ -64,7 +68,7 @@
         }
     }
 
-    private void serve(Socket socket, IntFunction<String> script) {
+    private void serve(Socket socket, IntFunction<String> script, CountDownLatch ended) {
         try (socket) {
             InputStream in = socket.getInputStream();
             StringBuilder head = new StringBuilder();
@@ -76,9 +80,9 @@
                             .write(script.apply(requests.incrementAndGet()).getBytes(ISO_8859_1));
                 }
             }
-            disconnected.countDown();
+            ended.countDown();
         } catch (IOException closed) {
-            disconnected.countDown();
+            ended.countDown();
         }
     }
 
@@ -122,4 +126,19 @@
         assertEquals(response.headers().get("link"), null);
         assertEquals(text(get()), "200 body 2");
     }
+
+    /** Guards against bytes on an idle connection that are taken for the response to the next request. */
+    @Test(dataProvider = "bytesAfterResponse")
+    public void bytesAfterResponseCloseTheConnection(String bytes) throws InterruptedException {
+        serve(number -> respond("body " + number) + bytes);
+        assertEquals(text(get()), "200 body 1");
+        assertTrue(disconnected.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+        assertEquals(text(get()), "200 body 2");
+    }
+
+    /** A second response, and a part of one. */
+    @DataProvider
+    public static Object[][] bytesAfterResponse() {
+        return new Object[][] {{respond("late")}, {"HTTP/1.1 200 OK\r\nDate: Mon"}};
+    }
 }
