--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakMain.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakMain.java
@@ -48,16 +48,13 @@
         OptionSpec<String> former = parser.accepts(
                         "former-class-path", "class path of an earlier version, as which the processes start")
                 .withRequiredArg();
-        OptionSpec<String> folder = parser.accepts("folder", "where settings, logs and data of the runs go")
-                .withRequiredArg()
-                .defaultsTo("target/stream-soak");
+        OptionSpec<String> folder = folder(parser);
         parser.accepts("help", "print this").forHelp();
         OptionSet options;
         try {
             options = parser.parse(arguments);
         } catch (OptionException fault) {
-            System.err.println("stream-soak: " + fault.getMessage());
-            System.exit(EXIT_USAGE);
+            exitOnUsage(fault.getMessage());
             return;
         }
         if (options.has("help")) {
@@ -65,8 +62,7 @@
             return;
         }
         if (options.valueOf(seconds) > MAX_SECONDS || options.valueOf(entries) > MAX_ENTRIES) {
-            System.err.println("stream-soak: at most " + MAX_SECONDS + " s and " + MAX_ENTRIES + " entry processes");
-            System.exit(EXIT_USAGE);
+            exitOnUsage("at most " + MAX_SECONDS + " s and " + MAX_ENTRIES + " entry processes");
             return;
         }
         int violations = 0;
@@ -90,6 +86,11 @@
         System.exit(violations == 0 ? 0 : 1);
     }
 
+    private static void exitOnUsage(String message) {
+        System.err.println("stream-soak: " + message);
+        System.exit(EXIT_USAGE);
+    }
+
     private static void acceptDisturbances(OptionParser parser) {
         parser.accepts("undisturbed", "disturb neither processes nor runners nor the platform");
         parser.accepts("entry-kills", "kill all entry processes at once, in series of three");
