--- a/parsleydrift-wire/src/main/java/org/parsleydrift/wire/HttpClient.java
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/HttpClient.java
@@ -5,18 +5,20 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -37,6 +39,8 @@
 
     private static final int MAX_RESPONSE_BYTES = 4 << 20;
     private static final int MAX_IDLE_PER_ADDRESS = 64;
+    /** Lowest status of a final response; interim ones may precede it. */
+    private static final int FINAL_STATUS = 200;
 
     private final Bootstrap bootstrap;
     private final Map<String, Deque<Channel>> idleConnections = new ConcurrentHashMap<>();
@@ -50,7 +54,8 @@
         bootstrap = threads.clientBootstrap(CONNECT_TIMEOUT).handler(new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new HttpClientCodec());
+                StrictResponseDecoder decoder = new StrictResponseDecoder();
+                channel.pipeline().addLast(new HttpRequestEncoder(), decoder, new IdleGuard(decoder));
             }
         });
     }
@@ -110,6 +115,37 @@
         return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
     }
 
+    /** Closes a connection that receives bytes while it serves no request; they must not reach the next one. */
+    private static final class IdleGuard extends ChannelInboundHandlerAdapter {
+        private final StrictResponseDecoder decoder;
+
+        private IdleGuard(StrictResponseDecoder decoder) {
+            this.decoder = decoder;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            if (isIdle(context)) {
+                ReferenceCountUtil.release(message);
+                context.close();
+            } else {
+                context.fireChannelRead(message);
+            }
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            if (isIdle(context) && decoder.hasUndecodedBytes()) {
+                context.close();
+            }
+            context.fireChannelReadComplete();
+        }
+
+        private static boolean isIdle(ChannelHandlerContext context) {
+            return context.pipeline().get(ResponseHandler.class) == null;
+        }
+    }
+
     private final class Attempt {
         private final HttpRequestSpec request;
         private final Consumer<byte[]> chunks;
@@ -216,12 +252,22 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
             lastByteNanos = context.executor().ticker().nanoTime();
+            if (message.decoderResult().isFailure()) {
+                attempt.fail(
+                        true, "not HTTP: " + message.decoderResult().cause().getMessage());
+                context.close();
+                return;
+            }
             if (message instanceof HttpResponse response) {
                 status = response.status().code();
+                headers.clear();
                 keepAlive = HttpUtil.isKeepAlive(response);
                 response.headers()
                         .forEach(header -> headers.put(header.getKey().toLowerCase(Locale.ROOT), header.getValue()));
             }
+            if (status < FINAL_STATUS) {
+                return;
+            }
             if (message instanceof HttpContent content) {
                 receiveContent(context, content);
             }
@@ -248,7 +294,9 @@
 
         private void completeResponse(ChannelHandlerContext context) {
             context.pipeline().remove(this);
-            if (keepAlive && attempt.request.reuseConnection()) {
+            boolean followed =
+                    context.pipeline().get(StrictResponseDecoder.class).hasUndecodedBytes();
+            if (keepAlive && attempt.request.reuseConnection() && !followed) {
                 release(attempt.request.address(), context.channel());
             } else {
                 context.close();
