--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/decisions/VirtualTime.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/decisions/VirtualTime.java
@@ -4,15 +4,23 @@
 import java.util.PriorityQueue;
 
 /** The virtual clock and event queue of a run. */
-final class VirtualTime {
+public final class VirtualTime {
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingDouble(Event::atMillis).thenComparingLong(Event::order));
     private double millis;
     private long order;
 
+    /** Creates a clock at zero without events. */
+    public VirtualTime() {}
+
     private record Event(double atMillis, long order, Runnable task) {}
 
-    double millis() {
+    /**
+     * Returns the time since the start of the run.
+     *
+     * @return the time, ms
+     */
+    public double millis() {
         return millis;
     }
 
@@ -20,12 +28,22 @@
         return (long) (millis * 1_000_000);
     }
 
-    void schedule(double delayMillis, Runnable task) {
+    /**
+     * Schedules a task; tasks of the same time run in the order of their scheduling.
+     *
+     * @param delayMillis time until the task runs, ms
+     * @param task what runs then
+     */
+    public void schedule(double delayMillis, Runnable task) {
         events.add(new Event(millis + delayMillis, order++, task));
     }
 
-    /** Runs events up to and including the end time. */
-    void runUntil(double endMillis) {
+    /**
+     * Runs events up to and including the end time.
+     *
+     * @param endMillis end time, ms
+     */
+    public void runUntil(double endMillis) {
         while (!events.isEmpty() && events.peek().atMillis() <= endMillis) {
             Event next = events.poll();
             millis = next.atMillis();
