Model of the drain: streams weighed by their usual time like other requests

TargetLatencies asks for the whole budget of a stream, so most of what it rejects are streams, which can be taken up.

--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/drain/DrainMain.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/drain/DrainMain.java
@@ -37,6 +37,9 @@
             new DrainRule.UnlessAlone(new DrainRule.WholeBudget(), OBSERVED, 0),
             new DrainRule.UnlessAlone(new DrainRule.RejectAll(), LATENCIES, 0));
     private static final List<DrainRule> OBSERVED_RULES = List.of(
+            LATENCIES,
+            new DrainRule.StreamsAsOthers(LATENCIES),
+            new DrainRule.StreamsAsOthers(new DrainRule.TargetLatencies(2, 2)),
             new DrainRule.ObservedLatencies(1, 1, LATENCIES),
             OBSERVED,
             new DrainRule.ObservedLatencies(1, 0.9, new DrainRule.WholeBudget()),
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/drain/DrainRule.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/drain/DrainRule.java
@@ -85,6 +85,17 @@
         }
     }
 
+    /** Decides on streams as on other requests that can be repeated. */
+    record StreamsAsOthers(DrainRule rule) implements DrainRule {
+        @Override
+        public boolean accepts(DrainOffer offer) {
+            RequestKind kind = offer.kind();
+            RequestKind plain = new RequestKind(kind.budgetMillis(), kind.targetMillis(), kind.repeatable(), false);
+            return rule.accepts(new DrainOffer(
+                    plain, offer.budgetMillis(), offer.leftMillis(), offer.latencies(), offer.readyNodes()));
+        }
+    }
+
     /** Rejects everything. */
     record RejectAll() implements DrainRule {
         @Override
