--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
@@ -44,6 +44,8 @@
     /** Time for which a connection is read after its last response, unless the caller closes it before. */
     private static final Duration LINGER = Duration.ofSeconds(1);
 
+    private static final int UNAVAILABLE = 503;
+
     private final RequestHandler handler;
     private final ConnectionOwner server;
     private final RuntimeClock clock;
@@ -131,6 +133,15 @@
         return !closing && (head != null || !pending.isEmpty());
     }
 
+    /** Ends the connection as the process ends: rejects a request that is incomplete, as it was sent to no runner. */
+    void endNow() {
+        if (head != null && !closing) {
+            reject(UNAVAILABLE, "process ends before the request is complete");
+        } else {
+            closeIfIdle();
+        }
+    }
+
     private void close() {
         closing = true;
         channel.close();
@@ -276,27 +287,32 @@
             if (ended) {
                 return;
             }
-            var response = new DefaultFullHttpResponse(
-                    HttpVersion.HTTP_1_1,
-                    HttpResponseStatus.valueOf(status),
-                    headOnly ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(bytes),
-                    headers,
-                    DefaultHttpHeadersFactory.trailersFactory().newHeaders());
-            response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
+            var response =
+                    fullResponse(status, headers, headOnly ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(bytes));
+            if (!headOnly) {
+                response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
+            }
             boolean closes = announceClose(response.headers());
             finish(channel.writeAndFlush(response), closes);
         }
 
         @Override
         public void beginStream(int status, HttpHeaders headers) {
+            announceClose(headers);
+            if (headOnly) {
+                channel.writeAndFlush(fullResponse(status, headers, Unpooled.EMPTY_BUFFER));
+                return;
+            }
             var response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers);
             response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-            announceClose(response.headers());
             channel.writeAndFlush(response);
         }
 
         @Override
         public void sendEvents(byte[] bytes) {
+            if (headOnly) {
+                return;
+            }
             var unsent = channel.unsafe().outboundBuffer();
             if (unsent != null && unsent.totalPendingWriteBytes() > MAX_UNSENT_BYTES) {
                 LOG.log(
@@ -314,7 +330,8 @@
         @Override
         public void endStream() {
             if (!ended) {
-                finish(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), !keepAlive || server.isDraining());
+                Object end = headOnly ? Unpooled.EMPTY_BUFFER : LastHttpContent.EMPTY_LAST_CONTENT;
+                finish(channel.writeAndFlush(end), !keepAlive || server.isDraining());
             }
         }
 
@@ -338,6 +355,22 @@
             return request == null ? ResponseStage.BEFORE_RUNNER : ResponseStage.of(request.stage());
         }
 
+        @Override
+        public void endNow() {
+            if (!ended && request != null) {
+                request.handleProcessEnd();
+            }
+        }
+
+        private DefaultFullHttpResponse fullResponse(int status, HttpHeaders headers, ByteBuf content) {
+            return new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.valueOf(status),
+                    content,
+                    headers,
+                    DefaultHttpHeadersFactory.trailersFactory().newHeaders());
+        }
+
         private boolean announceClose(HttpHeaders headers) {
             boolean closes = !keepAlive || server.isDraining();
             if (closes) {
