--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakMain.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakMain.java
@@ -86,6 +86,12 @@
         System.exit(violations == 0 ? 0 : 1);
     }
 
+    private static OptionSpec<String> folder(OptionParser parser) {
+        return parser.accepts("folder", "where settings, logs and data of the runs go")
+                .withRequiredArg()
+                .defaultsTo("target/stream-soak");
+    }
+
     private static void exitOnUsage(String message) {
         System.err.println("stream-soak: " + message);
         System.exit(EXIT_USAGE);
