RelayTest: broken streams are broken by their runner, without a deadline of 700 ms

brokenStreamLooksIncomplete failed once, beside some twenty processes (load over 30): 504. The runner now closes its connection within the second event, and a second test keeps the end by the deadline, which is 4 s away.

--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RelayTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RelayTest.java
@@ -391,16 +391,28 @@
         assertTrue(runner.disconnected.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
     }
 
+    private static final String PART_OF_A_STREAM =
+            "HTTP/1.1 200 OK\r\nParsleydrift-Request: q1\r\nParsleydrift-Stamp: s\r\nContent-Length: 100\r\n"
+                    + "Connection: close\r\n\r\nid: 1\ndata: a\n\nid: 2\nda";
+
     /** A broken stream must have neither a terminating chunk nor a partial event. */
     @Test
     public void brokenStreamLooksIncomplete() throws IOException {
         publishManifest();
-        runner(
-                "r1",
-                request ->
-                        "HTTP/1.1 200 OK\r\nParsleydrift-Request: q1\r\nParsleydrift-Stamp: s\r\nContent-Length: 100\r\n"
-                                + "Connection: close\r\n\r\nid: 1\ndata: a\n\nid: 2\nda");
-        try (Socket socket = send("/events/", "Parsleydrift-Deadline-Ms: 700\r\n")) {
+        runner("r1", request -> ScriptedRunner.lastReply(PART_OF_A_STREAM));
+        assertIsIncomplete("Parsleydrift-Deadline-Ms: 10000\r\n");
+    }
+
+    /** A stream that its deadline ends must have neither a terminating chunk nor a partial event. */
+    @Test
+    public void streamPastItsDeadlineLooksIncomplete() throws IOException {
+        publishManifest();
+        runner("r1", request -> PART_OF_A_STREAM);
+        assertIsIncomplete("Parsleydrift-Deadline-Ms: 4000\r\n");
+    }
+
+    private void assertIsIncomplete(String headers) throws IOException {
+        try (Socket socket = send("/events/", headers)) {
             StringBuilder text = new StringBuilder();
             try {
                 for (int next = socket.getInputStream().read();
