CallerConnection: a request whose handling fails gets a response

Cause: an exception or error of the handler, before it has returned, went to Netty, which closed the connection: the caller got no response, the log a line of level DEBUG. On the next close, the response without a request threw a NullPointerException. A pipelined request failed in a task of the loop instead, and stayed open until its caller left.

Change: the response is 502, as a runner may have been asked, and the fault is logged as request_handling_failed. The connection goes on.

CallerConnectionTest.requestThatTheHandlerFailsOnGetsAResponse failed before.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
@@ -248,7 +248,21 @@
         Response response = new Response(keepAlive, "HEAD".equals(complete.method()));
         current = response;
         server.responses().add(response);
-        response.request = handler.handle(complete, response);
+        try {
+            response.request = handler.handle(complete, response);
+        } catch (RuntimeException | Error fault) {
+            LOG.log(
+                    Logger.Level.ERROR,
+                    LogLine.of("request_handling_failed")
+                            .with("peer", channel.remoteAddress())
+                            .toString(),
+                    fault);
+            // A runner may have been asked.
+            response.sendFull(
+                    HttpResponseStatus.BAD_GATEWAY.code(),
+                    DefaultHttpHeadersFactory.headersFactory().newHeaders(),
+                    new byte[0]);
+        }
     }
 
     /** Rejects a malformed request and closes the connection, since the start of the next request is unknown. */
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/CallerConnectionTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/CallerConnectionTest.java
@@ -21,6 +21,9 @@
 
 /** Framing of callers' requests and responses. */
 public class CallerConnectionTest {
+    /** Path of requests that the handler fails on. */
+    private static final String FAILING = "/failing/";
+
     private final List<CallerRequest> requests = new ArrayList<>();
     private final List<CallerResponse> responses = new ArrayList<>();
     private final OwedResponses owed = new OwedResponses(new SimpleMeterRegistry());
@@ -31,6 +34,9 @@
         responses.clear();
         disconnects = 0;
         RequestHandler handler = (request, response) -> {
+            if (request.target().startsWith(FAILING)) {
+                throw new StackOverflowError("by the handler");
+            }
             requests.add(request);
             responses.add(response);
             return new OpenRequest() {
@@ -94,6 +100,18 @@
         return text.toString();
     }
 
+    /** Guards against a request that ends without a response, as an error in its handling closes the connection. */
+    @Test
+    public void requestThatTheHandlerFailsOnGetsAResponse() {
+        EmbeddedChannel channel = connect();
+        int owedBefore = owed.count();
+        send(channel, "POST " + FAILING + " HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+        assertTrue(readResponse(channel).startsWith("HTTP/1.1 502 Bad Gateway\r\n"));
+        assertEquals(owed.count(), owedBefore);
+        send(channel, "POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+        assertEquals(requests.size(), 1);
+    }
+
     @DataProvider
     Object[][] ambiguous() {
         return new Object[][] {
