--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/DrainAdmission.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/DrainAdmission.java
@@ -25,8 +25,8 @@
      */
     static boolean accepts(Route route, Duration timeout, Duration timeLeft) {
         Duration needed = timeout;
-        if (!route.isStreaming() && !route.targetLatency().isZero()) {
-            int latencies = route.isIdempotent() ? REPEATABLE_LATENCIES : UNREPEATABLE_LATENCIES;
+        if (!route.targetLatency().isZero()) {
+            int latencies = route.isRetriable() ? REPEATABLE_LATENCIES : UNREPEATABLE_LATENCIES;
             Duration usual = route.targetLatency().multipliedBy(latencies);
             needed = usual.compareTo(timeout) < 0 ? usual : timeout;
         }
