--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoak.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoak.java
@@ -35,7 +35,7 @@
             }
             fleet.start();
             try (Disturbances disturbances = new Disturbances(fleet, random.split(), report)) {
-                if (options.formerClassPath().isPresent()) {
+                if (options.formerClassPath().isPresent() && responses.callers() == 0) {
                     disturbances.scheduleSoftwareUpgrade();
                 }
                 if (options.entryKills()) {
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakOptions.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakOptions.java
@@ -18,7 +18,8 @@
  * @param entryKills whether all entry processes are killed at once, three times in short series
  * @param rejoining whether all entry processes are killed during upgrades of the runners
  * @param time duration of the load
- * @param formerClassPath class path of an earlier version, as which the processes start; they are upgraded in turn
+ * @param formerClassPath class path of an earlier version, as which the processes start; they are upgraded in turn, unless
+ *     there are callers that compare responses
  * @param responses callers that compare each response with what its runner sent
  */
 public record StreamSoakOptions(
