Relay: a response swallowed by another one fails at once

A second response that is cut short within its body takes the beginning of the next response for its rest; the next request waited until its deadline. Its head is found in the skipped body now: the outcome is unknown, and an idempotent call goes to another runner.

RunnerConnectionTest.responseSwallowedByAnotherOneFailsAtOnce failed before (54 of 55), passes now.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnection.java
@@ -1,6 +1,7 @@
 package org.parsleydrift.relay;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -123,7 +124,6 @@
         skipping = false;
         skippedBytes = 0;
         headSeen = false;
-        heads = new EmbeddedHeadDetector(headerNames.requestId(), servedIds::contains);
         recordServed(next.id());
         HttpMethod method = HttpMethod.valueOf(next.method());
         decoder.expectResponseTo(method);
@@ -216,6 +216,7 @@
             reject(IrregularResponse.AMBIGUOUS, fault.get());
             return;
         }
+        heads = new EmbeddedHeadDetector(headerNames.requestId(), servedIds::contains);
         int status = response.status().code();
         skipping = status < 200 || !matchesRequest(response.headers());
         if (skipping) {
@@ -268,7 +269,7 @@
     private void processContent(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
         if (skipping) {
-            skip(content.content().readableBytes());
+            skipContent(content.content());
             return;
         }
         ByteBuf bytes = content.content();
@@ -286,6 +287,15 @@
         }
     }
 
+    /** Skips the body of another response, which may be cut short and contain the beginning of the expected one. */
+    private void skipContent(ByteBuf content) {
+        if (heads.detect(ByteBufUtil.getBytes(content))) {
+            reject(IrregularResponse.CONTAINS_HEAD, "response swallowed by that to another request");
+        } else {
+            skip(content.readableBytes());
+        }
+    }
+
     private void skip(int bytes) {
         skippedBytes += bytes;
         if (skippedBytes > RelayLimits.MAX_SKIPPED_BYTES) {
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RunnerConnectionTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RunnerConnectionTest.java
@@ -384,4 +384,14 @@
         channel.close();
         assertBroken("request not written");
     }
+
+    /** Guards against a request that waits for its response, which another one has swallowed, until its deadline. */
+    @Test
+    public void responseSwallowedByAnotherOneFailsAtOnce() {
+        serve("q1");
+        send("q2");
+        receive(head("q1", "Content-Length: 400\r\n") + "half");
+        receive(responseTo("q2", "two"));
+        assertBroken("swallowed");
+    }
 }
