A request that arrives as its connection is closed as idle is answered

Only requests that were parsed counted; bytes that were still in the socket, or a connection that had just been accepted, did not, and on a busy machine that lasts for half a second.

While it drains, a node closes a connection only if it has been idle for 250 ms and was found so twice, so that what had arrived by the first time is read in between.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
@@ -45,6 +45,9 @@
     /** Time for which a connection is read after its last response, unless the caller closes it before. */
     private static final Duration LINGER = Duration.ofSeconds(1);
 
+    /** Time without a request after which a connection counts as idle while the node drains. */
+    private static final Duration MIN_IDLE = Duration.ofMillis(250);
+
     private static final int UNAVAILABLE = 503;
 
     private final RequestHandler handler;
@@ -60,6 +63,8 @@
     private boolean lingering;
 
     private long idleSinceNanos;
+    /** Whether the connection was idle when it was last to be closed if idle. */
+    private boolean foundIdle;
     /** Number of unsent bytes at the latest check, which shows whether the caller reads. */
     private long lastUnsentBytes;
 
@@ -96,6 +101,7 @@
             ReferenceCountUtil.release(message);
             return;
         }
+        foundIdle = false;
         pending.add((HttpObject) message);
         if (pending.size() > MAX_PENDING_PARTS) {
             channel.config().setAutoRead(false);
@@ -139,10 +145,16 @@
         return unsent == null ? 0 : unsent.totalPendingWriteBytes() - unsent.currentProgress();
     }
 
-    /** Closes the connection unless a request is being received or processed, or a response is being sent. */
+    /**
+     * Closes the connection unless a request is being received or processed, or a response is being sent; not before the second
+     * call that finds it idle, as what the caller has sent by the first one may not have been read yet.
+     */
     void closeIfIdle() {
-        boolean busy = (current != null && !current.delivered) || isReceiving();
-        if (!busy && !closing) {
+        boolean busy = (current != null && !current.delivered) || isReceiving() || closing;
+        boolean isRecent = clock.nanos() - idleSinceNanos < MIN_IDLE.toNanos();
+        if (busy || isRecent || !foundIdle) {
+            foundIdle = !busy && !isRecent;
+        } else {
             close();
         }
     }
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DrainTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DrainTest.java
@@ -185,6 +185,22 @@
         }
     }
 
+    /** Guards against requests that arrive as their connection is closed as idle, and get no response. */
+    @Test
+    public void requestThatArrivesAsIdleConnectionsCloseIsAnswered() throws IOException {
+        fleet.addRunner("r1", "s", "v1", request -> ScriptedRunner.response("200 OK", request, "", "done"));
+        try (Socket caller = connect("")) {
+            fleet.awaitConnection(NODE);
+            fleet.drain(NODE, LONG);
+            fleet.closeIdleConnections(NODE);
+            caller.getOutputStream()
+                    .write(("POST /orders/ HTTP/1.1\r\nHost: h\r\nParsleydrift-Request: q1\r\n"
+                                    + "Parsleydrift-Deadline-Ms: 5000\r\nContent-Length: 2\r\n\r\nhi")
+                            .getBytes(UTF_8));
+            assertTrue(read(caller).startsWith("HTTP/1.1 200 "));
+        }
+    }
+
     /** Guards against responses that are destroyed by a reset, as the connection is closed with unread bytes of the caller. */
     @Test
     public void closingResponseArrivesBesidePipelinedRequests() throws Exception {
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/StreamFleet.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/StreamFleet.java
@@ -251,6 +251,15 @@
         }
     }
 
+    /** Waits until a caller is connected to a node. */
+    void awaitConnection(String name) {
+        AtomicInteger open = new AtomicInteger();
+        long endNanos = loop.clock().nanos() + Duration.ofMillis(TIMEOUT_MILLIS).toNanos();
+        do {
+            run(() -> open.set(nodes.get(name).server.openConnections()));
+        } while (open.get() == 0 && loop.clock().nanos() - endNanos < 0);
+    }
+
     /** Returns the port at which a node listens for callers. */
     int port(String name) {
         return nodes.get(name).server.port();
