--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/ResponseJudge.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/ResponseJudge.java
@@ -53,7 +53,7 @@
     }
 
     private void judgeFailure(CallerAttempt attempt, int status) {
-        boolean isDue = status == NOT_FOUND && attempt.isOnChangingRoute() || status == TOO_LARGE && limitsChange;
+        boolean isDue = (status == NOT_FOUND && attempt.isOnChangingRoute()) || (status == TOO_LARGE && limitsChange);
         if (PROMISES.contains(status)) {
             if (attempt.runsOnce() && records.refuse(attempt.id())) {
                 violation("REFUSED", attempt, "has run and was answered " + status);
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/SignalSeries.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/SignalSeries.java
@@ -71,7 +71,7 @@
             }
         }
         if (options.has(ResponseTrouble.MANIFEST)) {
-            for (int i = 1; i * MANIFEST_MILLIS < time.toMillis(); i++) {
+            for (int i = 1; (long) i * MANIFEST_MILLIS < time.toMillis(); i++) {
                 int version = i + 1;
                 disturbances.later((long) i * MANIFEST_MILLIS, () -> fleet.writeManifest(version, version % 2 == 0));
             }
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/SoakManifest.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/SoakManifest.java
@@ -8,17 +8,6 @@
     static final Duration RETENTION = Duration.ofSeconds(6);
 
     private static final String LOWERED_LIMITS = "\"max_body_bytes\": 2000, \"idle_timeout_ms\": 1000";
-    private static final String TEXT = """
-            {"version": %d, "limits": {%s},
-             "services": [{"name": "desk", "health_path": "/healthz", "engine": {"chunk_tokens": 5}},
-                          {"name": "clerk", "health_path": "/healthz"}], "routes": [
-              {"name": "dispatch", "host": "127.0.0.1", "path_prefix": "/dispatch/", "type": "streaming",
-               "service": "desk", "timeout_ms": 3000, "resumable": true, "retention_s": 60},
-              {"name": "chains", "host": "127.0.0.1", "path_prefix": "/chains/", "type": "streaming",
-               "service": "desk", "timeout_ms": 3000, "stateful": true, "retention_s": %d},
-              {"name": "calls", "host": "127.0.0.1", "path_prefix": "/calls/", "type": "idempotent",
-               "service": "desk", "timeout_ms": 3000, "target_latency_ms": 1000, "max_attempts": 3}%s%s%s]}
-            """;
     private static final String ROUTE = """
             ,
               {"name": "%s", "host": "127.0.0.1", "path_prefix": "%s", "type": "%s",
@@ -33,12 +22,22 @@
      * @param isReduced whether a route is left out and limits are lower
      */
     static String text(int version, boolean isReduced) {
-        return TEXT.formatted(
-                version,
-                isReduced ? LOWERED_LIMITS : "",
-                RETENTION.toSeconds(),
-                ROUTE.formatted("answers", CallerAttempt.REPEATABLE, "idempotent"),
-                ROUTE.formatted("single", CallerAttempt.ONCE, "non_idempotent"),
-                isReduced ? "" : ROUTE.formatted("changing", CallerAttempt.CHANGING, "non_idempotent"));
+        return """
+                {"version": %d, "limits": {%s},
+                 "services": [{"name": "desk", "health_path": "/healthz", "engine": {"chunk_tokens": 5}},
+                              {"name": "clerk", "health_path": "/healthz"}], "routes": [
+                  {"name": "dispatch", "host": "127.0.0.1", "path_prefix": "/dispatch/", "type": "streaming",
+                   "service": "desk", "timeout_ms": 3000, "resumable": true, "retention_s": 60},
+                  {"name": "chains", "host": "127.0.0.1", "path_prefix": "/chains/", "type": "streaming",
+                   "service": "desk", "timeout_ms": 3000, "stateful": true, "retention_s": %d},
+                  {"name": "calls", "host": "127.0.0.1", "path_prefix": "/calls/", "type": "idempotent",
+                   "service": "desk", "timeout_ms": 3000, "target_latency_ms": 1000, "max_attempts": 3}%s%s%s]}
+                """.formatted(
+                        version,
+                        isReduced ? LOWERED_LIMITS : "",
+                        RETENTION.toSeconds(),
+                        ROUTE.formatted("answers", CallerAttempt.REPEATABLE, "idempotent"),
+                        ROUTE.formatted("single", CallerAttempt.ONCE, "non_idempotent"),
+                        isReduced ? "" : ROUTE.formatted("changing", CallerAttempt.CHANGING, "non_idempotent"));
     }
 }
--- a/parsleydrift-bench/src/test/java/org/parsleydrift/bench/streams/RoleProcessTest.java
+++ b/parsleydrift-bench/src/test/java/org/parsleydrift/bench/streams/RoleProcessTest.java
@@ -193,7 +193,7 @@
 
     private static void send(Socket socket, String path, Duration budget) throws IOException {
         socket.setSoTimeout((int) TIMEOUT.toMillis());
-        socket.getOutputStream().write(("""
+        String request = """
                 POST %s HTTP/1.1\r
                 Host: 127.0.0.1\r
                 X-Attempt-Id: a1\r
@@ -201,7 +201,8 @@
                 Content-Length: 2\r
                 Connection: close\r
                 \r
-                go""".formatted(path, budget.toMillis())).getBytes(ISO_8859_1));
+                go""".formatted(path, budget.toMillis());
+        socket.getOutputStream().write(request.getBytes(ISO_8859_1));
     }
 
     /** Reads until the end of the connection; what came before a reset counts. */
@@ -286,9 +287,11 @@
     public void processThatReadsItsSettingsEndsAtOnce() throws IOException, InterruptedException {
         Path pipe = createPipe("ending.json");
         start(pipe);
-        try (OutputStream reading = Files.newOutputStream(pipe)) {
+        // The process reads from the pipe until its writer closes it.
+        try (OutputStream writer = Files.newOutputStream(pipe)) {
             process.destroy();
             awaitEnd(TIMEOUT);
+            writer.flush();
         }
         assertFalse(log().contains("drain_begun"), log());
     }
