DrainTest.queuedRequestIsRejectedAsNotRun: occupies the runner before it sends the queued request

The test sent eight requests on connections of their own and the ninth without waiting for the runner's slots to be taken; connections that become readable together are read in no set order, so the ninth could get a slot and one of the eight was queued.

Each of the eight is awaited at the runner before the next is sent. The assertions are unchanged. DrainTest: 15 tests pass.

--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DrainTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DrainTest.java
@@ -71,6 +71,7 @@
         Socket[] atRunner = new Socket[StreamFleet.SLOTS];
         for (int i = 0; i < atRunner.length; i++) {
             atRunner[i] = fleet.send(NODE, "/orders/" + i, "a" + i, "");
+            fleet.awaitArrival("/orders/" + i);
         }
         try (Socket queued = fleet.send(NODE, "/orders/queued", "q1", "")) {
             fleet.awaitQueued(NODE, 1);
