Connections that look idle are closed only after what has arrived is read

The timers that are due then run before the sockets are read: a poll that is interrupted past its timeout reports nothing. So the idle check counted the standstill as silence, and in the drain the listener was closed with connections waiting to be accepted and connections were closed although the second look at them came before any read.

A connection that looks idle or timed out is looked at again 10 ms later, after the network thread has read, and closed if it still does; the listener is closed then as well. The counting of two calls of closeIfIdle goes. Closing an unsent response of a caller that does not read is recorded in close().

DrainTest.requestThatArrivesDuringAStandstillIsAnsweredInTheDrain and ..OnATimedOutConnection fail before (connection reset; no bytes) and pass now, with the 26 others of DrainTest and CallerConnectionTest.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
@@ -63,8 +63,6 @@
     private boolean lingering;
 
     private long idleSinceNanos;
-    /** Whether the connection was idle when it was last to be closed if idle. */
-    private boolean foundIdle;
     /** Number of unsent bytes at the latest check, which shows whether the caller reads. */
     private long lastUnsentBytes;
 
@@ -101,7 +99,6 @@
             ReferenceCountUtil.release(message);
             return;
         }
-        foundIdle = false;
         pending.add((HttpObject) message);
         if (pending.size() > MAX_PENDING_PARTS) {
             channel.config().setAutoRead(false);
@@ -118,25 +115,29 @@
         context.close();
     }
 
-    /** Closes the connection if it has been idle, or a request incomplete, for longer than the limits allow. */
-    void checkIdle(CallerLimits limits) {
-        boolean sending = current != null && current.ended && !current.delivered;
+    /** Returns whether the connection has been idle, or a request incomplete, for longer than the limits allow. */
+    boolean isTimedOut(CallerLimits limits) {
         boolean busy = current != null && !current.ended;
-        if (busy || (closing && !lingering && !sending)) {
-            return;
+        if (busy || (closing && !lingering && !isSending())) {
+            return false;
         }
-        if (sending && unsentBytes() != lastUnsentBytes) {
+        if (isSending() && unsentBytes() != lastUnsentBytes) {
             lastUnsentBytes = unsentBytes();
             idleSinceNanos = clock.nanos();
         }
         Duration open =
                 head == null ? limits.idleTimeout() : limits.headerTimeout().plus(limits.idleTimeout());
-        if (clock.nanos() - idleSinceNanos > (lingering ? LINGER : open).toNanos()) {
-            if (sending) {
-                server.responses().recordMissing(current, "caller does not read");
-            }
-            close();
-        }
+        return clock.nanos() - idleSinceNanos > (lingering ? LINGER : open).toNanos();
+    }
+
+    /** Returns whether no request is being received or processed and no response is being sent, and not only just now. */
+    boolean isIdle() {
+        boolean busy = (current != null && !current.delivered) || isReceiving() || closing;
+        return !busy && clock.nanos() - idleSinceNanos >= MIN_IDLE.toNanos();
+    }
+
+    private boolean isSending() {
+        return current != null && current.ended && !current.delivered;
     }
 
     /** Returns the number of bytes of responses that the network has not taken. */
@@ -145,35 +146,23 @@
         return unsent == null ? 0 : unsent.totalPendingWriteBytes() - unsent.currentProgress();
     }
 
-    /**
-     * Closes the connection unless a request is being received or processed, or a response is being sent; not before the second
-     * call that finds it idle, as what the caller has sent by the first one may not have been read yet.
-     */
-    void closeIfIdle() {
-        boolean busy = (current != null && !current.delivered) || isReceiving() || closing;
-        boolean isRecent = clock.nanos() - idleSinceNanos < MIN_IDLE.toNanos();
-        if (busy || isRecent || !foundIdle) {
-            foundIdle = !busy && !isRecent;
-        } else {
-            close();
-        }
-    }
-
     /** Returns whether a request is incomplete or waits for the end of the one before. */
     boolean isReceiving() {
         return !closing && (head != null || !pending.isEmpty());
     }
 
-    /** Ends the connection as the process ends: rejects a request that is incomplete, as it was sent to no runner. */
-    void endNow() {
+    /** Rejects a request that is incomplete as the process ends. It was sent to no runner. */
+    void rejectIncomplete() {
         if (head != null && !closing) {
             reject(UNAVAILABLE, "process ends before the request is complete");
-        } else {
-            closeIfIdle();
         }
     }
 
-    private void close() {
+    /** Closes the connection, also if the response to the last request is not wholly sent. */
+    void close() {
+        if (isSending()) {
+            server.responses().recordMissing(current, "caller does not read");
+        }
         closing = true;
         channel.close();
     }
@@ -386,7 +375,8 @@
         public void abort() {
             ended = true;
             server.responses().remove(this);
-            close();
+            closing = true;
+            channel.close();
         }
 
         @Override
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerServer.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerServer.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.parsleydrift.kernel.EventLoop;
 import org.parsleydrift.registry.CallerLimits;
@@ -17,7 +18,10 @@
 public final class CallerServer implements AutoCloseable {
 
     private static final Duration IDLE_CHECK = Duration.ofMillis(500);
+    /** Time in which the network thread reads what had arrived before, also if the process stood still. */
+    private static final Duration READ_DELAY = Duration.ofMillis(10);
 
+    private final EventLoop loop;
     private final Supplier<CallerLimits> limits;
     private final Set<CallerConnection> connections = new HashSet<>();
     private final Channel listener;
@@ -40,6 +44,7 @@
             InetSocketAddress address,
             Relay relay,
             Supplier<CallerLimits> limits) {
+        this.loop = loop;
         this.limits = limits;
         this.responses = relay.owedResponses();
         this.listener = threads.serverBootstrap()
@@ -55,8 +60,7 @@
                 .bind(address)
                 .syncUninterruptibly()
                 .channel();
-        loop.scheduleWithFixedDelay(
-                IDLE_CHECK, () -> List.copyOf(connections).forEach(each -> each.checkIdle(limits.get())));
+        loop.scheduleWithFixedDelay(IDLE_CHECK, this::closeTimedOutConnections);
     }
 
     /**
@@ -73,16 +77,31 @@
         draining = true;
     }
 
-    /** Stops listening and closes the connections that are between requests. */
+    /** Stops listening and closes the connections that are between requests, but not before what has arrived is read. */
     public void closeIdleConnections() {
-        listener.close();
-        List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
+        loop.schedule(READ_DELAY, listener::close);
+        closeIfStill(CallerConnection::isIdle);
     }
 
     /** Responds to all open requests, rejects those that are incomplete, and closes the other connections. */
     public void endRequests() {
         responses.endAll();
-        List.copyOf(connections).forEach(CallerConnection::endNow);
+        List.copyOf(connections).forEach(CallerConnection::rejectIncomplete);
+        closeIfStill(CallerConnection::isIdle);
+    }
+
+    /** Closes the connections that have been idle, or a request incomplete, for longer than the limits allow. */
+    void closeTimedOutConnections() {
+        closeIfStill(each -> each.isTimedOut(limits.get()));
+    }
+
+    /** Closes the connections that meet a condition now and after the network thread has read what has arrived. */
+    private void closeIfStill(Predicate<CallerConnection> condition) {
+        List<CallerConnection> found = connections.stream().filter(condition).toList();
+        if (!found.isEmpty()) {
+            loop.schedule(
+                    READ_DELAY, () -> found.stream().filter(condition).toList().forEach(CallerConnection::close));
+        }
     }
 
     /**
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DrainTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DrainTest.java
@@ -7,11 +7,13 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.Socket;
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -26,8 +28,15 @@
     /** Size of a response that they hold, but not that of the caller alone, bytes. */
     private static final int SENDABLE_RESPONSE = 1 << 20;
 
+    private static final Duration STANDSTILL = Duration.ofMillis(300);
+
     private StreamFleet fleet;
 
+    /** An action on sockets. */
+    private interface SocketAction {
+        void run() throws IOException;
+    }
+
     @BeforeMethod
     public void start() {
         fleet = new StreamFleet();
@@ -209,14 +218,45 @@
             fleet.awaitConnection(NODE);
             fleet.drain(NODE, LONG);
             fleet.closeIdleConnections(NODE);
-            caller.getOutputStream()
-                    .write(("POST /orders/ HTTP/1.1\r\nHost: h\r\nParsleydrift-Request: q1\r\n"
-                                    + "Parsleydrift-Deadline-Ms: 5000\r\nContent-Length: 2\r\n\r\nhi")
-                            .getBytes(UTF_8));
+            caller.getOutputStream().write(order("q1"));
             assertTrue(read(caller).startsWith("HTTP/1.1 200 "));
         }
     }
 
+    /** Guards against requests that get no response, as they arrive while the process stands still within its drain. */
+    @Test
+    public void requestThatArrivesDuringAStandstillIsAnsweredInTheDrain() throws IOException {
+        fleet.addRunner("r1", "s", "v1", request -> ScriptedRunner.response("200 OK", request, "", "done"));
+        try (Socket idle = connect("")) {
+            fleet.awaitConnection(NODE);
+            LockSupport.parkNanos(STANDSTILL.toNanos());
+            fleet.drain(NODE, LONG);
+            AtomicReference<Socket> connected = new AtomicReference<>();
+            fleet.closeIdleConnectionsAfter(NODE, () -> {
+                standStill(() -> {
+                    idle.getOutputStream().write(order("q1"));
+                    connected.set(connect(new String(order("q2"), UTF_8)));
+                });
+            });
+            assertTrue(read(idle).startsWith("HTTP/1.1 200 "));
+            assertTrue(read(connected.get()).startsWith("HTTP/1.1 200 "));
+            connected.get().close();
+        }
+    }
+
+    /** Guards against requests that get no response, as their connection times out while the process stands still. */
+    @Test
+    public void requestThatArrivesDuringAStandstillIsAnsweredOnATimedOutConnection() throws IOException {
+        fleet.addRunner("r1", "s", "v1", request -> ScriptedRunner.response("200 OK", request, "", "done"));
+        fleet.setIdleTimeout(STANDSTILL.dividedBy(2));
+        try (Socket caller = connect("")) {
+            fleet.awaitConnection(NODE);
+            fleet.closeTimedOutConnectionsAfter(
+                    NODE, () -> standStill(() -> caller.getOutputStream().write(order("q1"))));
+            assertTrue(StreamFleet.readUntil(caller, "done").startsWith("HTTP/1.1 200 "));
+        }
+    }
+
     /** Guards against responses that are destroyed by a reset, as the connection is closed with unread bytes of the caller. */
     @Test
     public void closingResponseArrivesBesidePipelinedRequests() throws Exception {
@@ -262,6 +302,25 @@
         }
     }
 
+    private static byte[] order(String id) {
+        return ("POST /orders/ HTTP/1.1\r\nHost: h\r\nParsleydrift-Request: " + id
+                        + "\r\nParsleydrift-Deadline-Ms: 5000\r\nContent-Length: 2\r\n\r\nhi")
+                .getBytes(UTF_8);
+    }
+
+    /** Lets a caller send while the calling thread, which is that of the node, does nothing. */
+    private static void standStill(SocketAction action) {
+        try {
+            action.run();
+        } catch (IOException failed) {
+            throw new UncheckedIOException(failed);
+        }
+        long endNanos = System.nanoTime() + STANDSTILL.toNanos();
+        while (System.nanoTime() - endNanos < 0) {
+            LockSupport.parkNanos(endNanos - System.nanoTime());
+        }
+    }
+
     private static void await(CountDownLatch latch) {
         try {
             latch.await();
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/StreamFleet.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/StreamFleet.java
@@ -67,6 +67,7 @@
     private final Map<String, Runner> entries = new ConcurrentHashMap<>();
     private final StoreSet storeSet = new StoreSet(
             1, STORES.stream().map(each -> new StoreMember(each, each, each)).toList(), List.of());
+    private volatile CallerLimits limits = CallerLimits.defaults();
     private volatile boolean peersCutOff;
     private long revision;
     private int manifestVersion;
@@ -103,11 +104,7 @@
             losses.publishTo((loss, connectionLost, lostRunners) ->
                     peers().forEach(each -> each.losses.recordReported(List.of(loss), connectionLost)));
             server = new CallerServer(
-                    threads,
-                    loop,
-                    new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-                    relay,
-                    CallerLimits::defaults);
+                    threads, loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), relay, () -> limits);
             List<SharedObject> known = entries.keySet().stream()
                     .map(each -> new SharedObject(each, revision, false, new byte[0]))
                     .toList();
@@ -223,6 +220,29 @@
         run(nodes.get(name).server::closeIdleConnections);
     }
 
+    /** Closes the idle connections of a node as the first thing after a time in which it stood still. */
+    void closeIdleConnectionsAfter(String name, Runnable standstill) {
+        run(() -> {
+            standstill.run();
+            nodes.get(name).server.closeIdleConnections();
+        });
+    }
+
+    /** Closes the timed-out connections of a node as the first thing after a time in which it stood still. */
+    void closeTimedOutConnectionsAfter(String name, Runnable standstill) {
+        run(() -> {
+            standstill.run();
+            nodes.get(name).server.closeTimedOutConnections();
+        });
+    }
+
+    /** Sets the time after which all nodes close a connection that is idle. */
+    void setIdleTimeout(Duration timeout) {
+        CallerLimits defaults = CallerLimits.defaults();
+        limits =
+                new CallerLimits(defaults.maxHeaderBytes(), defaults.maxBodyBytes(), defaults.headerTimeout(), timeout);
+    }
+
     /** Makes a node respond to its open requests, as at the end of its drain. */
     void endRequests(String name) {
         run(nodes.get(name).server::endRequests);
