A draining node estimates by observed latencies whether it can answer a request

A node that ends soon accepted requests by multiples of their route's target latency. Target latencies do not tell how long requests take: calls of 3 and 5 s on a route with a target of 0.8 s were accepted and answered 502 at the end, and quick requests of routes without a target were rejected while no other node was ready.

The node keeps the latencies of the last 64 answered requests of each route. A request is accepted if the time left is at least the longest of them (callers that cannot repeat it) or their 90th percentile (others), or its own timeout; the target latency decides until eight are known. Routes that leave the manifest are forgotten.

--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/RoutingManifest.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/RoutingManifest.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 
@@ -16,6 +17,7 @@
 public final class RoutingManifest {
     private final long version;
     private final Map<String, Map<String, Route>> routesByHost;
+    private final Set<String> routeNames;
     private final Map<String, UpstreamService> services;
     private final CallerLimits limits;
     private final Optional<TeamKeys> teams;
@@ -58,6 +60,7 @@
         routes.forEach(route -> byHost.computeIfAbsent(route.host().toLowerCase(Locale.ROOT), any -> new HashMap<>())
                 .put(route.pathPrefix(), route));
         this.routesByHost = byHost;
+        this.routeNames = routes.stream().map(Route::name).collect(Collectors.toUnmodifiableSet());
         this.streamsStateful = routes.stream().anyMatch(Route::isStreaming)
                 && routes.stream().filter(Route::isStreaming).allMatch(Route::stateful);
         OptionalInt bestOfTeams = teams.map(TeamKeys::bestPriority).orElse(OptionalInt.empty());
@@ -77,6 +80,15 @@
         return version;
     }
 
+    /**
+     * Returns the names of all routes.
+     *
+     * @return the names
+     */
+    public Set<String> routeNames() {
+        return routeNames;
+    }
+
     /**
      * Returns the limits for callers.
      *
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Relay.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Relay.java
@@ -34,6 +34,8 @@
     private final RelayMetrics metrics;
     private final OwedResponses owedResponses;
     private final RunnerLosses losses;
+    private final RouteLatencies latencies = new RouteLatencies();
+    private final DrainAdmission drainAdmission = new DrainAdmission(latencies);
     private final ResponseBuffers responseBuffers = ResponseBuffers.ofHeap();
     private final List<RelayedRequest> awaitingPreparation = new ArrayList<>();
     private AdmissionPolicy admission = AdmissionPolicy.DEFAULT;
@@ -150,7 +152,7 @@
     /** Returns whether a request with a timeout can be accepted, as far as the end of the process is concerned. */
     boolean hasTimeFor(Route route, Duration timeout) {
         return timeUntilEnd()
-                .map(each -> DrainAdmission.accepts(route, timeout, each, otherNodeReady.getAsBoolean()))
+                .map(each -> drainAdmission.accepts(route, timeout, each, otherNodeReady.getAsBoolean()))
                 .orElse(true);
     }
 
@@ -201,6 +203,7 @@
     private void registryChanged() {
         resumeWaiting();
         metrics.recordRunners(registry.allRunners());
+        registry.manifest().ifPresent(each -> latencies.retain(each.routeNames()));
         dispatcher.manifestChanged();
         dispatcher.runnersChanged();
     }
@@ -209,6 +212,11 @@
         openRequests.remove(request);
     }
 
+    /** Records the latency of a request that was answered. */
+    void recordLatency(Route route, Duration latency) {
+        latencies.add(route.name(), latency);
+    }
+
     EventLoop loop() {
         return loop;
     }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -458,7 +458,9 @@
     }
 
     private void finish(String outcome, String cause) {
-        if (!outcome.equals(RequestLifecycle.ANSWERED)) {
+        if (outcome.equals(RequestLifecycle.ANSWERED)) {
+            relay.recordLatency(route, elapsed());
+        } else {
             int forwardedEvents = exchange == null ? 0 : exchange.forwardedEvents();
             turn.ifPresent(each -> each.settleAborted(forwardedEvents, service));
         }
