Work with a lost runner is not sent on without the store VMs

A node that had no answer granted the second runner; with the peers silent as well, each node granted one.

Without an answer of the store VMs nothing is granted: such work is rejected as not run, with Retry-After, and its caller comes back. Only work for which a runner counts is concerned; turns cannot begin without the store VMs anyway.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerLosses.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerLosses.java
@@ -261,7 +261,7 @@
                 .handleAsync(
                         (others, failure) -> {
                             RunnerReservation result =
-                                    failure == null ? decide(loss, others) : decideWithoutStores(work.key());
+                                    failure == null ? decide(loss, others) : RunnerReservation.UNKNOWN;
                             if (result == RunnerReservation.GRANTED) {
                                 reserved.put(loss, attempt);
                             } else {
@@ -291,13 +291,6 @@
         return runners.size() <= RunnerLossTracker.MAX_LOST_RUNNERS;
     }
 
-    /** With one runner known, the next one does not exceed the limit unless others have been lost in the last moments. */
-    private RunnerReservation decideWithoutStores(WorkKey work) {
-        return tracker.lostRunners(work) + 1 < RunnerLossTracker.MAX_LOST_RUNNERS
-                ? RunnerReservation.GRANTED
-                : RunnerReservation.UNKNOWN;
-    }
-
     private void logReservation(RunnerLoss loss, Runner runner, RunnerReservation result, long startNanos) {
         LOG.log(
                 Logger.Level.INFO,
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerReservation.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerReservation.java
@@ -8,6 +8,6 @@
     AT_LIMIT,
     /** Attempts under way elsewhere would exceed the limit together with this one. */
     UNDER_WAY,
-    /** The store VMs did not answer, and this node can't exclude that the limit would be exceeded. */
+    /** The store VMs did not answer, so the limit may be exceeded by attempts at other nodes. */
     UNKNOWN
 }
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RunnerEndingRequestTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RunnerEndingRequestTest.java
@@ -159,6 +159,20 @@
         assertTrue(arrivals <= MAX_LOST_RUNNERS, arrivals + " runners");
     }
 
+    /** Guards against nodes that each send a request to one more runner, as they hear neither of each other nor of the store VMs. */
+    @Test
+    public void nodesWithoutPeersAndStoresDoNotExceedTheLimit() throws IOException {
+        fleet.cutOffPeers();
+        StreamFleet.STORES.forEach(each -> fleet.setPartitioned(each, true));
+        addRunners(ScriptedRunner.CRASH);
+        List<String> responses = NODES.stream()
+                .limit(2)
+                .flatMap(node -> IntStream.range(0, 2)
+                        .mapToObj(each -> send(node, "/calls/deadly", "try-" + node + each, PROGRAM.formatted(1))))
+                .toList();
+        assertTrue(fleet.runnersReached("deadly") <= MAX_LOST_RUNNERS, responses.toString());
+    }
+
     /** Guards against a response without length that ends within an event and is taken for an answer of the runner. */
     @Test
     public void runnerThatEndsWithinAnEventIsCounted() throws IOException {
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/StreamFleet.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/StreamFleet.java
@@ -55,7 +55,7 @@
     /** Slots of each runner. */
     static final int SLOTS = 8;
 
-    private static final List<String> STORES = List.of("store1", "store2", "store3");
+    static final List<String> STORES = List.of("store1", "store2", "store3");
 
     private final NetworkThreads threads = new NetworkThreads("stream-fleet", 1);
     private final NetworkLoop loop = new NetworkLoop(threads, new SystemClock());
