Relay: a rejection by a runner holds though its response is not complete

Cause: a response that states "not executed" (its header, or 421) was taken for an unknown outcome if the connection ended or was reset before the end of its body, or, without a length, before the request was written, as when a runner rejects without reading a long body. Callers got 502 for a call that another runner could have run, non-idempotent ones without a promise that they may send it again.

Change: the head states it, nothing in the body can take it back, so the response counts as a rejection as soon as its head is whole and bears the id of the request. It stays unknown without the id, which a late response to an earlier request could lack, with a head that is cut short, and if a second response begins behind it.

RunnerConnectionFixture holds what RunnerConnectionTest had, whose tests are unchanged.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/EmbeddedHeadDetector.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/EmbeddedHeadDetector.java
@@ -62,6 +62,11 @@
         return matched > 0;
     }
 
+    /** Returns whether the bytes read so far end within a head. */
+    boolean isWithinHead() {
+        return inHead;
+    }
+
     private boolean read(char next) {
         if (matches(matched, next)) {
             matched++;
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/ResponseHead.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/ResponseHead.java
@@ -19,6 +19,7 @@
     private static final int FIRST_NOT_SUCCESSFUL = 300;
     private static final int MIN_STATUS = 100;
     private static final int MAX_STATUS = 599;
+    private static final int MISDIRECTED = 421;
 
     private ResponseHead() {}
 
@@ -51,6 +52,17 @@
         return containsStatusLine(response) ? Optional.of("status line within the head") : Optional.empty();
     }
 
+    /**
+     * Returns whether a head states that the runner has not executed the request and never will.
+     *
+     * @param status the status
+     * @param headers the headers
+     * @param headerNames names of the headers
+     */
+    static boolean statesNotExecuted(int status, HttpHeaders headers, HeaderNames headerNames) {
+        return headers.contains(headerNames.notExecuted()) || status == MISDIRECTED;
+    }
+
     private static boolean isRepeated(HttpHeaders headers, String name) {
         return headers.getAll(name).size() > 1;
     }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnection.java
@@ -63,6 +63,9 @@
     private boolean skipping;
     private int skippedBytes;
     private boolean headSeen;
+    /** Whether the head of the response states that the runner has not executed the request and never will. */
+    private boolean notExecuted;
+
     private boolean reusable = true;
     private boolean keepAlive;
     /** Whether the end of the response is that of the connection. */
@@ -124,6 +127,7 @@
         skipping = false;
         skippedBytes = 0;
         headSeen = false;
+        notExecuted = false;
         recordServed(next.id());
         HttpMethod method = HttpMethod.valueOf(next.method());
         decoder.expectResponseTo(method);
@@ -240,6 +244,8 @@
             return;
         }
         headSeen = true;
+        notExecuted = response.headers().contains(headerNames.requestId())
+                && ResponseHead.statesNotExecuted(status, response.headers(), headerNames);
         boolean isHead = HttpMethod.HEAD.name().equals(request.method());
         boolean isBodiless = isHead || status == NO_CONTENT || status == NOT_MODIFIED;
         endsWithConnection =
@@ -309,7 +315,7 @@
             return;
         }
         boolean allWritten = written != null && written.isSuccess();
-        if (endsWithConnection && !allWritten) {
+        if (endsWithConnection && !allWritten && !isRejected()) {
             // A failed write consumes the error of a reset, which then looks like a plain end.
             reject(IrregularResponse.INCOMPLETE, "connection ended before the request was written");
             return;
@@ -346,11 +352,24 @@
     private void loseConnection(String reason) {
         RunnerResponseListener receiver = listener;
         listener = null;
-        if (receiver != null) {
+        if (receiver == null) {
+            return;
+        }
+        if (isRejected()) {
+            receiver.onEnd();
+        } else {
             receiver.onConnectionLost(reason);
         }
     }
 
+    /**
+     * Returns whether the runner has rejected the request. The head alone states it, so the rest of the response may be
+     * missing; a runner that begins a second response behind it is not believed.
+     */
+    private boolean isRejected() {
+        return notExecuted && !heads.isWithinHead();
+    }
+
     /** Fails the request, which the runner may have run, and closes the connection. */
     private void reject(IrregularResponse kind, String reason) {
         RunnerResponseListener receiver = listener;
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerExchange.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerExchange.java
@@ -261,7 +261,7 @@
     }
 
     private void deliver() {
-        boolean notExecuted = headers.contains(relay.headerNames().notExecuted()) || status == MISDIRECTED;
+        boolean notExecuted = ResponseHead.statesNotExecuted(status, headers, relay.headerNames());
         boolean successful = status < FIRST_NOT_SUCCESSFUL && (!streamBegun || events.isWellFormed());
         observation.ifPresent(each -> endObservation(each, !notExecuted, successful));
         if (notExecuted) {
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerResponseListener.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerResponseListener.java
@@ -13,7 +13,7 @@
     /** Receives a part of the body. */
     void onPart(byte[] bytes);
 
-    /** Receives the end of a complete response. */
+    /** Receives the end of a complete response, or of one whose head states that the request was not executed. */
     void onEnd();
 
     /**
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DuplicateResponseTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DuplicateResponseTest.java
@@ -109,6 +109,22 @@
         assertEquals(fleet.arrivals("/events/"), 1);
     }
 
+    /** Guards against a call that is given up after its rejection was cut short, though another runner can run it. */
+    @Test
+    public void rejectionCutShortIsOneAllTheSame() throws IOException {
+        fleet.addRunner(
+                "r1",
+                "s",
+                "v1",
+                reply(each -> respond(each, "Parsleydrift-Not-Executed: 1\r\nContent-Length: 90\r\n", "half")
+                        .replace("200 OK", "503 Full")));
+        fleet.addRunner("r2", "s", "v1", DuplicateResponseTest::whole);
+        for (int i = 0; i < 4; i++) {
+            String response = send("/orders/", "q" + i);
+            assertTrue(response.startsWith("HTTP/1.1 200 ") && response.endsWith("\r\n\r\nwhole"), response);
+        }
+    }
+
     /** Guards against the response to an earlier request with the same id, which comes late a second time. */
     @Test(dataProvider = "ids")
     public void lateResponseIsNotTakenForTheNextOne(String firstId, String secondId) throws IOException {
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RunnerConnectionTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RunnerConnectionTest.java
@@ -1,125 +1,17 @@
 package org.parsleydrift.relay;
 
-import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
-import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.List;
-import org.parsleydrift.kernel.ManualScheduler;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Handling of late, duplicate, truncated and malformed responses of runners. */
-public class RunnerConnectionTest {
-    private static final String STAMP = "Parsleydrift-Stamp: s\r\n";
-
-    private final List<RunnerConnection> pooled = new ArrayList<>();
-    private final List<String> events = new ArrayList<>();
-    private final List<IrregularResponse> irregular = new ArrayList<>();
-    private RunnerConnection connection;
-    private EmbeddedChannel channel;
-
-    private final RunnerResponseListener listener = new RunnerResponseListener() {
-        @Override
-        public void onHead(int status, HttpHeaders headers) {
-            events.add("head " + status);
-        }
-
-        @Override
-        public void onPart(byte[] bytes) {
-            events.add("part " + new String(bytes, UTF_8));
-        }
-
-        @Override
-        public void onEnd() {
-            events.add("end");
-        }
-
-        @Override
-        public void onFailure(boolean mayHaveRun, String reason) {
-            events.add("broken " + mayHaveRun);
-        }
-
-        @Override
-        public void onConnectionLost(String reason) {
-            onFailure(true, reason);
-        }
-    };
-
-    @BeforeMethod
-    public void connect() {
-        pooled.clear();
-        events.clear();
-        irregular.clear();
-        ConnectionPool pool = new ConnectionPool() {
-            @Override
-            public void release(RunnerConnection idle) {
-                pooled.add(idle);
-            }
-
-            @Override
-            public void remove(RunnerConnection closed) {
-                pooled.remove(closed);
-            }
-
-            @Override
-            public void recordIrregular(IrregularResponse kind) {
-                irregular.add(kind);
-            }
-        };
-        connection = new RunnerConnection(pool, "r1", HeaderNames.defaults(), new ManualScheduler());
-        channel = new EmbeddedChannel(connection.handlers());
-    }
-
-    private void send(String id) {
-        send(id, "GET");
-    }
-
-    private void send(String id, String method) {
-        HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
-        connection.send(new RunnerRequest(id, method, "/a/", headers, new byte[0], true), listener);
-    }
-
-    private static String head(String id, String headers) {
-        return "HTTP/1.1 200 OK\r\nParsleydrift-Request: " + id + "\r\n" + STAMP + headers + "\r\n";
-    }
-
-    /** Serves a request on the connection and forgets its events. */
-    private void serve(String id) {
-        send(id);
-        receive(responseTo(id, "one"));
-        pooled.clear();
-        events.clear();
-    }
-
-    private void assertBroken(String reason) {
-        assertEquals(events.getLast(), "broken true", reason + ": " + events);
-        assertFalse(events.contains("end"), reason + ": " + events);
-        assertFalse(channel.isOpen(), reason);
-        assertEquals(pooled, List.of(), reason);
-    }
-
-    private static String responseTo(String id, String body) {
-        return "HTTP/1.1 200 OK\r\nParsleydrift-Request: " + id + "\r\n" + STAMP + "Content-Length: " + body.length()
-                + "\r\n\r\n" + body;
-    }
-
-    private void receive(String text) {
-        channel.writeInbound(Unpooled.copiedBuffer(text, UTF_8));
-    }
-
+public class RunnerConnectionTest extends RunnerConnectionFixture {
     @Test
     public void completeResponseReturnsConnectionToPool() {
         send("q1");
@@ -370,14 +262,7 @@
     /** Guards against a partial response that looks complete since a failed write consumed the reset. */
     @Test
     public void endBeforeRequestIsWrittenIsNoEndOfResponse() {
-        ChannelPromise unwritten = channel.newPromise();
-        channel.pipeline().addFirst(new ChannelOutboundHandlerAdapter() {
-            @Override
-            public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
-                ReferenceCountUtil.release(message);
-                unwritten.addListener(done -> promise.tryFailure(done.cause()));
-            }
-        });
+        ChannelPromise unwritten = delayWrites();
         send("q1");
         receive(head("q1", "") + "half");
         unwritten.setFailure(new IOException("connection reset"));
