Relay: a turn that may have run is not recorded as released when its caller leaves the queue

Cause: a caller that left while its request waited for a second runner, after an attempt whose outcome is unknown, had the turn's reservation released, which states at the store VMs that no runner has started the turn or will.

Change: the reservation is settled with the tokens of the forwarded events, as after any other end of a request that may have run. The quota's latest charge, that of the attempt which is not made, is refunded; the one of the first attempt stays, as before.

RequestLifecycleTest.possibleRunKeepsItsReservationIfTheCallerLeaves failed before and passes.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestLifecycle.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestLifecycle.java
@@ -322,14 +322,20 @@
                         "after_offer",
                         new RequestAction.CancelAttempt(),
                         new RequestAction.ReportAttemptEnd(AttemptEnd.INCOMPLETE));
-            case AWAITING_PREPARATION, MATCHING, BEGINNING, QUEUED ->
-                end(
+            case AWAITING_PREPARATION, MATCHING, BEGINNING, QUEUED -> handleDisconnectWhileWaiting();
+        };
+    }
+
+    /** Only the charge of the attempt that is not made is given back if an earlier one may have run. */
+    private List<RequestAction> handleDisconnectWhileWaiting() {
+        return attempts.mayHaveRun()
+                ? end("caller_left", "after_offer", new RequestAction.Withdraw(), new RequestAction.RefundQuota())
+                : end(
                         "caller_left",
                         "before_offer",
                         new RequestAction.Withdraw(),
                         new RequestAction.ReleaseReservation(),
                         new RequestAction.RefundQuota());
-        };
     }
 
     /** Rejects the request as not run; only if no runner can have started it or will. */
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RequestLifecycleTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RequestLifecycleTest.java
@@ -57,6 +57,25 @@
         assertEquals(lifecycle.stage(), RequestStage.ENDED);
     }
 
+    /** Guards against a reservation that is released as "not run", though an attempt before the wait may have run. */
+    @Test
+    public void possibleRunKeepsItsReservationIfTheCallerLeaves() {
+        RequestLifecycle lifecycle = queued(new RequestEvent.Assigned(), LOST_AT_R1, new RequestEvent.Admitted());
+        assertEquals(
+                lifecycle.apply(new RequestEvent.CallerLeft()),
+                List.of(
+                        new RequestAction.Withdraw(),
+                        new RequestAction.RefundQuota(),
+                        new RequestAction.End("caller_left", "after_offer")));
+        assertEquals(
+                queued().apply(new RequestEvent.CallerLeft()),
+                List.of(
+                        new RequestAction.Withdraw(),
+                        new RequestAction.ReleaseReservation(),
+                        new RequestAction.RefundQuota(),
+                        new RequestAction.End("caller_left", "before_offer")));
+    }
+
     /** "Not executed" by a second runner must not hide that the first one may have run the request. */
     @Test
     public void notRunAtSecondRunnerDoesNotHideTheFirst() {
