Relay: a reservation that is not granted yet is released at once when its request ends

Cause: a turn that ended while the store VMs had not answered its begin (drain, deadline, caller gone) was released only once the answer came. If the process ended before, the program was charged with the maximum of a turn that no runner got, until the record expired.

Change: the release is written as the request ends. It takes precedence over the reservation at the store VMs, in whichever order the two arrive. A late answer releases nothing a second time.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/TurnRecord.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/TurnRecord.java
@@ -26,6 +26,10 @@
     private final String owner;
     private final StreamBinding binding;
     private boolean reserved;
+    /** Whether a reservation may have been written, but is not granted yet. */
+    private boolean beginning;
+
+    private boolean released;
     private TurnLineage lineage;
 
     /**
@@ -66,11 +70,13 @@
                 timeout,
                 origin,
                 binding.resumedStream());
+        beginning = budget.isPresent();
         return relay.conversations()
                 .begin(begin)
                 .thenApplyAsync(
                         result -> {
-                            reserved = result instanceof BeginResult.Granted && budget.isPresent();
+                            beginning = false;
+                            reserved = result instanceof BeginResult.Granted && budget.isPresent() && !released;
                             if (result instanceof BeginResult.Granted granted) {
                                 lineage = granted.lineage();
                             }
@@ -107,10 +113,15 @@
         }
     }
 
-    /** Releases the token reservation; only if no runner has started the request or will. */
+    /**
+     * Releases the token reservation; only if no runner has started the request or will. One that is being written is
+     * released at once, as the process may end before it is granted; a release takes precedence at the store VMs.
+     */
     void release() {
-        if (reserved) {
+        if (reserved || beginning) {
             reserved = false;
+            beginning = false;
+            released = true;
             relay.conversations().release(program(), parameters.id(), route.retention());
         }
     }
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/AbortedTurnTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/AbortedTurnTest.java
@@ -16,6 +16,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
@@ -65,10 +66,14 @@
     private ScriptedRunner runner;
     private ReplicaCalls entry;
     private ReplicaCalls store;
+    private boolean storeAnswersReads;
+    private boolean processEnded;
 
     @BeforeMethod
     public void start() {
         grants.clear();
+        storeAnswersReads = true;
+        processEnded = false;
         threads = new NetworkThreads("relay-test", 1);
         loop = new NetworkLoop(threads, new SystemClock());
         registry = new Registry(loop, new ObjectDecoder() {
@@ -116,7 +121,9 @@
         return new FrameSender() {
             @Override
             public void send(String address, byte[] frame) {
-                loop.schedule(Duration.ZERO, () -> receiver.get().receive(frame));
+                if (!processEnded) {
+                    loop.schedule(Duration.ZERO, () -> receiver.get().receive(frame));
+                }
             }
 
             @Override
@@ -125,6 +132,9 @@
     }
 
     private CompletableFuture<ReplicaReply> handleReplicaRequest(ReplicaRequest request) {
+        if (request instanceof ReplicaRequest.Read && !storeAnswersReads) {
+            return new CompletableFuture<>();
+        }
         return CompletableFuture.completedFuture(
                 switch (request) {
                     case ReplicaRequest.Write write -> {
@@ -178,7 +188,8 @@
 
     private int countedTokens(String id) {
         CompletableFuture<Integer> counted = new CompletableFuture<>();
-        loop.execute(() -> counted.complete(grants.get(id).countedTokens()));
+        loop.execute(() -> counted.complete(
+                Optional.ofNullable(grants.get(id)).map(Grant::countedTokens).orElse(-1)));
         return counted.join();
     }
 
@@ -211,6 +222,22 @@
         }
     }
 
+    /** Guards against a reservation that stays charged, as the process ends before the store VM has granted the turn. */
+    @Test
+    public void turnThatHasNotBegunCostsNothingIfItsProcessEnds() throws IOException {
+        serve(request -> ScriptedRunner.SILENCE);
+        loop.execute(() -> storeAnswersReads = false);
+        try (Socket socket = send("q1", "")) {
+            awaitCounted("q1", 288);
+            loop.execute(server::endRequests);
+            String response = new String(socket.getInputStream().readAllBytes(), ISO_8859_1);
+            assertTrue(response.startsWith("HTTP/1.1 503 "), response);
+            loop.execute(() -> processEnded = true);
+            awaitCounted("q1", 0);
+        }
+        assertEquals(runner.requests, List.of());
+    }
+
     /** Only the events forwarded before a stream breaks are charged. */
     @Test
     public void brokenTurnCostsForwardedEvents() throws IOException {
