Relay: streams to callers of HTTP/1.0 are sent without chunks

Cause: all streams were sent in chunks, which RFC 9112 forbids towards HTTP/1.0 (section 6.1): such callers took the chunk sizes for a part of the body. One that asked for a kept connection waited for the end of a stream that it could not recognize.

Change: the end of such a stream is that of its connection, which the head announces. Until the stream is complete, the socket is set to reset the connection on any close, so that a stream that is broken off does not look complete. The end of the process in the middle of such a stream was not played.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -258,6 +259,7 @@
         HttpRequest request = head;
         head = null;
         boolean keepAlive = HttpUtil.isKeepAlive(request);
+        boolean knowsChunks = request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
         CallerRequest complete = new CallerRequest(
                 request.method().name(),
                 request.uri(),
@@ -265,7 +267,7 @@
                 request.headers(),
                 body.toByteArray());
         body.reset();
-        Response response = new Response(keepAlive, "HEAD".equals(complete.method()));
+        Response response = new Response(keepAlive, "HEAD".equals(complete.method()), knowsChunks);
         current = response;
         server.responses().add(response);
         try {
@@ -304,6 +306,8 @@
     private final class Response implements CallerResponse, OwedResponse {
         private final boolean keepAlive;
         private final boolean headOnly;
+        /** Whether the caller knows chunks; if not, a stream ends with its connection. */
+        private final boolean knowsChunks;
         /** Null until the handler has returned, which may be after the response. */
         private OpenRequest request;
 
@@ -313,9 +317,10 @@
         /** Whether the network has taken the last byte. */
         private boolean delivered;
 
-        private Response(boolean keepAlive, boolean headOnly) {
+        private Response(boolean keepAlive, boolean headOnly, boolean knowsChunks) {
             this.keepAlive = keepAlive;
             this.headOnly = headOnly;
+            this.knowsChunks = knowsChunks;
         }
 
         @Override
@@ -340,10 +345,24 @@
                 return;
             }
             var response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers);
-            response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+            if (knowsChunks) {
+                response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+            } else {
+                closes = true;
+                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+                // However the connection ends before the stream does, it must not look like the end of the stream.
+                resetOnClose(true);
+            }
             channel.writeAndFlush(response);
         }
 
+        /** Sets whether closing the connection resets it, also if the process ends. */
+        private void resetOnClose(boolean reset) {
+            if (channel.isOpen()) {
+                channel.config().setOption(ChannelOption.SO_LINGER, reset ? 0 : -1);
+            }
+        }
+
         @Override
         public void sendEvents(byte[] bytes) {
             if (headOnly) {
@@ -367,7 +386,11 @@
         public void endStream() {
             if (!ended) {
                 Object end = headOnly ? Unpooled.EMPTY_BUFFER : LastHttpContent.EMPTY_LAST_CONTENT;
-                finish(channel.writeAndFlush(end));
+                ChannelFuture sent = channel.writeAndFlush(end);
+                if (!knowsChunks && !headOnly) {
+                    sent.addListener(done -> resetOnClose(!done.isSuccess()));
+                }
+                finish(sent);
             }
         }
 
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerResponse.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerResponse.java
@@ -15,11 +15,15 @@
     /** Sends complete events. */
     void sendEvents(byte[] bytes);
 
-    /** Ends a stream with the terminating chunk, which marks it as complete. */
+    /**
+     * Ends a stream with the terminating chunk, which marks it as complete; for a caller of HTTP/1.0, by closing the
+     * connection.
+     */
     void endStream();
 
     /**
-     * Closes the connection without the terminating chunk, so that the caller recognizes the response as incomplete.
+     * Closes the connection without the terminating chunk, so that the caller recognizes the response as incomplete. A
+     * stream to a caller of HTTP/1.0 has no chunks; its connection is reset.
      */
     void abort();
 }
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/CallerConnectionTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/CallerConnectionTest.java
@@ -176,6 +176,27 @@
         assertFalse(channel.isOpen());
     }
 
+    /** Guards against chunks in a stream to a caller of HTTP/1.0, which takes their sizes for a part of the body. */
+    @Test(dataProvider = "headersOfOldCallers")
+    public void streamToCallerOfOldVersionEndsWithConnection(String headers) {
+        EmbeddedChannel channel = connect();
+        send(channel, "GET /a/ HTTP/1.0\r\nHost: h\r\n" + headers + "\r\n");
+        responses
+                .getFirst()
+                .beginStream(200, DefaultHttpHeadersFactory.headersFactory().newHeaders());
+        responses.getFirst().sendEvents("id: 1\n\n".getBytes(UTF_8));
+        assertTrue(channel.isOpen());
+        responses.getFirst().endStream();
+        assertEquals(readResponse(channel), "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nid: 1\n\n");
+        assertFalse(channel.isOpen());
+    }
+
+    /** Header lines about the connection; the end of a stream is its end in any case. */
+    @DataProvider
+    public Object[][] headersOfOldCallers() {
+        return new Object[][] {{""}, {"Connection: close\r\n"}, {"Connection: keep-alive\r\n"}};
+    }
+
     /** Guards against bytes after the head of a response to HEAD, which the caller takes for the next response. */
     @Test
     public void responseToHeadHasNoBody() {
