Timers of a network thread run after what has arrived is read

When a node had stood still (SIGSTOP, a pause of its thread), requests ended with 504 and their runners counted as silent although the response had arrived meanwhile. Netty runs due timers after a poll that was interrupted past its timeout and reports nothing, and after a handler that took long, without a read in between. Each timeout of the roles acts so: deadlines, hop timeouts, timeouts of leases and store calls, silent members and peers, the end of a drain. The look 10 ms later holds this for idle connections only.

NetworkLoop runs a due timer in the next pass of the thread, which reads first. There is no bound of lateness below which it would run at once: a timer that is due at the end of a pause is not late itself. EventLoop states it. Not covered: Netty's own connect timeout.

--- a/parsleydrift-kernel/src/main/java/org/parsleydrift/kernel/EventLoop.java
+++ b/parsleydrift-kernel/src/main/java/org/parsleydrift/kernel/EventLoop.java
@@ -10,7 +10,13 @@
  * <p>All implementations keep the same contract. {@link #execute} can be called on any thread, and always queues its task:
  * the task never runs within the call, not even when it is called on the thread of the loop. Tasks that one thread submits
  * with it run in the order of submission, one at a time. A task that throws an exception does not keep later ones from
- * running. Between tasks of {@link #execute} and of {@link #schedule} there is no order.
+ * running.
+ *
+ * <p>A task of {@link #schedule} runs after all tasks that were submitted with {@link #execute} before it was due, and after
+ * the loop has read what had arrived by then. A timeout therefore does not mistake a time in which the process or the loop's
+ * thread was stopped for a silence of others. This does not cover messages that other threads receive and have not submitted
+ * yet, messages that were not received as the whole machine was stopped, and messages that take more than one read, such as
+ * those on connections to be accepted. There is no further order between the tasks of these two methods.
  */
 public interface EventLoop extends Executor {
     /**
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/StreamFleet.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/StreamFleet.java
@@ -2,8 +2,13 @@
 
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.testng.Assert.assertTrue;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -19,9 +24,11 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.parsleydrift.conversation.ConversationClient;
@@ -236,6 +243,32 @@
         });
     }
 
+    /** Makes the network thread stand still for a time as it reads, so that timers become due after its last read. */
+    void standStill(Duration time) throws IOException, InterruptedException {
+        CountDownLatch begun = new CountDownLatch(1);
+        Channel listener = threads.serverBootstrap()
+                .childHandler(new ChannelInboundHandlerAdapter() {
+                    @Override
+                    public void channelRead(ChannelHandlerContext context, Object message) {
+                        ReferenceCountUtil.release(message);
+                        begun.countDown();
+                        long endNanos = System.nanoTime() + time.toNanos();
+                        while (System.nanoTime() - endNanos < 0) {
+                            LockSupport.parkNanos(endNanos - System.nanoTime());
+                        }
+                    }
+                })
+                .bind(InetAddress.getLoopbackAddress(), 0)
+                .syncUninterruptibly()
+                .channel();
+        try (Socket socket =
+                new Socket(InetAddress.getLoopbackAddress(), ((InetSocketAddress) listener.localAddress()).getPort())) {
+            socket.getOutputStream().write(1);
+            assertTrue(begun.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+        }
+        listener.close();
+    }
+
     /** Sets the time after which all nodes close a connection that is idle. */
     void setIdleTimeout(Duration timeout) {
         CallerLimits defaults = CallerLimits.defaults();
--- a/parsleydrift-wire/src/main/java/org/parsleydrift/wire/NetworkLoop.java
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/NetworkLoop.java
@@ -3,6 +3,7 @@
 import java.lang.System.Logger;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.parsleydrift.kernel.Cancellable;
 import org.parsleydrift.kernel.EventLoop;
 import org.parsleydrift.kernel.LogLine;
@@ -10,7 +11,7 @@
 
 /**
  * An event loop on a network thread. Running tasks on the thread that received the data avoids a context switch per
- * message.
+ * message. Timers run after the connections of the thread have been read.
  */
 public final class NetworkLoop implements EventLoop {
     private static final Logger LOG = System.getLogger(NetworkLoop.class.getName());
@@ -41,8 +42,20 @@
 
     @Override
     public Cancellable schedule(Duration delay, Runnable task) {
-        var timer = loop.schedule(() -> runSafely(task), delay.toNanos(), TimeUnit.NANOSECONDS);
-        return () -> timer.cancel(false);
+        AtomicBoolean cancelled = new AtomicBoolean();
+        Runnable afterRead = () -> {
+            if (!cancelled.get()) {
+                runSafely(task);
+            }
+        };
+        // Netty may run a due timer before it reads what has arrived meanwhile. A timer without a delay that the loop
+        // schedules itself runs after the next read.
+        var due = loop.schedule(
+                () -> loop.schedule(afterRead, 0, TimeUnit.NANOSECONDS), delay.toNanos(), TimeUnit.NANOSECONDS);
+        return () -> {
+            cancelled.set(true);
+            due.cancel(false);
+        };
     }
 
     private static void runSafely(Runnable task) {
