Store VMs that stood still do not replace the members that they did not poll

A standby that went on after a pause replaced a healthy member, and after a pause of all store VMs members were removed: no poll was under way in the pause, so all silence of the members was the VM's own, and the first round after it found them unresponsive or gone. The set is written by its unchanged revision. Meanwhile the new member is incomplete, and one disk less may be lost. Reading before timers run does not help here, as there is no reply to read.

After more than 500 ms without a round silence counts anew, as for leases (SlotLeases) and reports of lost runners (RunnerLossSync). A VM whose rounds are all that far apart detects no failure.

StandbyTest.standbyThatStoodStillReplacesNobody and setIsUnchangedAfterAllStoreVmsStoodStill fail before and pass now, with the other three.

--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/MemberMonitor.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/MemberMonitor.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -19,11 +20,29 @@
     /** Number of members that watch the shared object that holds the set. */
     private static final int WATCHER_COUNT = 2;
 
+    /** Time between rounds from which on this VM counts as paused: it has polled nobody and read no replies. */
+    private static final Duration MAX_ROUND_GAP = Duration.ofMillis(500);
+
     private final Map<String, MemberStatus> statuses = new HashMap<>();
+    private OptionalLong lastRoundNanos = OptionalLong.empty();
 
     /** Start of the uninterrupted polling of a member, time of its last reply, and the complete epoch in that reply. */
     private record MemberStatus(long polledSinceNanos, long lastReplyNanos, long completeEpoch) {}
 
+    /**
+     * Records the start of a round. After a pause of this VM the silence of its members counts anew, as it was its own.
+     *
+     * @param nowNanos the current time in ns
+     */
+    void beginRound(long nowNanos) {
+        boolean paused = lastRoundNanos.isPresent() && nowNanos - lastRoundNanos.getAsLong() > MAX_ROUND_GAP.toNanos();
+        if (paused) {
+            statuses.replaceAll(
+                    (diskId, status) -> new MemberStatus(nowNanos, status.lastReplyNanos(), status.completeEpoch()));
+        }
+        lastRoundNanos = OptionalLong.of(nowNanos);
+    }
+
     /** Discards the reported epochs, which refer to the previous set. */
     void clearCompleteEpochs() {
         statuses.replaceAll(
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/StoreSetController.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/StoreSetController.java
@@ -161,6 +161,7 @@
     }
 
     private void reconcile() {
+        monitor.beginRound(loop.clock().nanos());
         watchListener.accept(newestSet.isEmpty()
                 || monitor.isWatcher(
                         newestSet.get(),
--- a/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/StandbyTest.java
+++ b/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/StandbyTest.java
@@ -20,6 +20,9 @@
     /** Time within which a lost member is replaced by a complete one. */
     private static final Duration REPLACEMENT_TIME = Duration.ofSeconds(3);
 
+    /** Time after which silent members count as gone. */
+    private static final Duration STANDSTILL = Duration.ofSeconds(12);
+
     private static final int SEEDS = 40;
     private static final int STEPS = 4;
 
@@ -148,4 +151,31 @@
             }
         };
     }
+
+    /** Guards against members that are replaced although only the standby that replaces them stood still. */
+    @Test
+    public void standbyThatStoodStillReplacesNobody() {
+        StoreCluster cluster = ofNine();
+        List<String> members = members(cluster);
+        List<StoreCluster.Store> standbys = cluster.stores.values().stream()
+                .filter(each -> !members.contains(each.name))
+                .toList();
+        standbys.forEach(each -> each.loop.pause());
+        cluster.run(STANDSTILL);
+        standbys.forEach(each -> each.loop.resume());
+        cluster.run(REPLACEMENT_TIME);
+        assertEquals(members(cluster), members);
+    }
+
+    /** Guards against members that are removed or replaced although all store VMs stood still together. */
+    @Test
+    public void setIsUnchangedAfterAllStoreVmsStoodStill() {
+        StoreCluster cluster = ofNine();
+        StoreSet set = newest(cluster);
+        cluster.stores.values().forEach(each -> each.loop.pause());
+        cluster.run(STANDSTILL);
+        cluster.stores.values().forEach(each -> each.loop.resume());
+        cluster.run(REPLACEMENT_TIME);
+        assertEquals(newest(cluster), set);
+    }
 }
