HttpServer answers what it has read before it closes a connection

Readiness, directory, metrics, the daemon of system-driven programs and the stand-ins closed a connection at once after a rejection (malformed, too large, too many connections), although the caller was still sending. Closing with unread bytes resets the connection and can destroy the rejection on its way: the caller saw a broken pipe. A request that was sent ahead while the one before was open closed the connection, too, so that neither got a response.

Requests of a connection are now handled one after the other, rejections included, so none is written into another response. A request that is too large closes the connection in each case; without it, Netty kept some of them open.

--- a/parsleydrift-wire/src/main/java/org/parsleydrift/wire/HttpExchange.java
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/HttpExchange.java
@@ -3,7 +3,8 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -30,7 +31,8 @@
     private final QueryStringDecoder target;
     private final byte[] body;
     private final HttpHeaders headers;
-    private final boolean keepAlive;
+    private final ChannelPromise sent;
+    private volatile boolean closesAfterResponse;
     private final AtomicBoolean ended = new AtomicBoolean();
 
     HttpExchange(Channel channel, FullHttpRequest request) {
@@ -39,7 +41,8 @@
         this.target = new QueryStringDecoder(request.uri());
         this.body = ByteBufUtil.getBytes(request.content());
         this.headers = request.headers();
-        this.keepAlive = HttpUtil.isKeepAlive(request);
+        this.sent = channel.newPromise();
+        this.closesAfterResponse = !HttpUtil.isKeepAlive(request);
     }
 
     /**
@@ -140,13 +143,10 @@
                 .set(HttpHeaderNames.CONTENT_TYPE, contentType)
                 .setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
         headers.forEach((name, value) -> response.headers().set(name, value));
-        if (!keepAlive) {
+        if (closesAfterResponse) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
-        var sent = channel.writeAndFlush(response);
-        if (!keepAlive) {
-            sent.addListener(ChannelFutureListener.CLOSE);
-        }
+        channel.writeAndFlush(response, sent);
     }
 
     /**
@@ -195,10 +195,7 @@
     /** Ends a response started with {@link #beginStream}. */
     public void endStream() {
         if (ended.compareAndSet(false, true)) {
-            var sent = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-            if (!keepAlive) {
-                sent.addListener(ChannelFutureListener.CLOSE);
-            }
+            channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT, sent);
         }
     }
 
@@ -220,4 +217,18 @@
     boolean isFinished() {
         return ended.get();
     }
+
+    /** Returns the future of the last byte of the response; does not complete if the exchange is aborted. */
+    ChannelFuture sent() {
+        return sent;
+    }
+
+    /** Makes the response the last one on its connection. Must be called before the response is begun. */
+    void closeAfterResponse() {
+        closesAfterResponse = true;
+    }
+
+    boolean closesAfterResponse() {
+        return closesAfterResponse;
+    }
 }
--- a/parsleydrift-wire/src/main/java/org/parsleydrift/wire/HttpServer.java
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/HttpServer.java
@@ -1,20 +1,29 @@
 package org.parsleydrift.wire;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.lang.System.Logger;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.parsleydrift.kernel.LogLine;
 
@@ -23,6 +32,21 @@
     private static final Logger LOG = System.getLogger(HttpServer.class.getName());
     private static final int MAX_BODY_BYTES = 1 << 20;
     private static final int IDLE_TIMEOUT_SECONDS = 120;
+    /** Number of requests sent ahead above which a connection is not read. */
+    private static final int MAX_PENDING_REQUESTS = 16;
+
+    private static final Rejection MALFORMED = new Rejection(
+            400,
+            "{\"error\":\"bad_request\",\"step\":\"PARSE\",\"peer\":\"caller\",\"message\":\"malformed HTTP\"}\n",
+            Map.of());
+    private static final Rejection OVERSIZED = new Rejection(
+            413,
+            "{\"error\":\"bad_request\",\"step\":\"PARSE\",\"peer\":\"caller\",\"message\":\"body too large\"}\n",
+            Map.of());
+    private static final Rejection CROWDED = new Rejection(
+            503,
+            "{\"error\":\"not_run\",\"step\":\"ADMIT\",\"peer\":\"self\",\"message\":\"too many connections\"}\n",
+            Map.of("Retry-After", "1"));
 
     private final HttpHandler handler;
     private final int maxConnections;
@@ -84,47 +108,106 @@
             connections.incrementAndGet();
             channel.closeFuture().addListener(closed -> connections.decrementAndGet());
             channels.add(channel);
+            RequestHandler requests = new RequestHandler();
             channel.pipeline()
                     .addLast(new IdleStateHandler(IDLE_TIMEOUT_SECONDS, 0, 0))
                     .addLast(new HttpServerCodec())
-                    .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
-                    .addLast(new RequestHandler());
+                    .addLast(new HttpObjectAggregator(MAX_BODY_BYTES) {
+                        @Override
+                        protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
+                            requests.rejectOversized(context, (HttpRequest) oversized);
+                        }
+                    })
+                    .addLast(requests);
         }
     }
 
+    /** A request that was read, or a reason to reject it. */
+    private record Received(HttpExchange exchange, Optional<Rejection> rejection) {}
+
+    private record Rejection(int status, String body, Map<String, String> headers) {}
+
+    /** Handles the requests of a connection one after the other, so that each is answered before the next one. */
     private final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
-        private HttpExchange current;
+        private final Deque<Received> pending = new ArrayDeque<>();
+        private Optional<HttpExchange> current = Optional.empty();
+        private boolean closing;
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-            if (current != null && !current.isFinished()) {
-                // Pipelining is not supported, since responses could be matched to the wrong request.
-                context.close();
+            add(context, request, request.decoderResult().isFailure() ? Optional.of(MALFORMED) : Optional.empty());
+        }
+
+        private void rejectOversized(ChannelHandlerContext context, HttpRequest request) {
+            var head = new DefaultFullHttpRequest(
+                    request.protocolVersion(),
+                    request.method(),
+                    request.uri(),
+                    Unpooled.EMPTY_BUFFER,
+                    request.headers(),
+                    DefaultHttpHeadersFactory.trailersFactory().newHeaders());
+            add(context, head, Optional.of(OVERSIZED));
+        }
+
+        private void add(ChannelHandlerContext context, FullHttpRequest request, Optional<Rejection> rejection) {
+            if (closing) {
                 return;
             }
-            current = new HttpExchange(context.channel(), request);
-            if (request.decoderResult().isFailure()) {
-                current.respond(
-                        400,
-                        "application/json",
-                        "{\"error\":\"bad_request\",\"step\":\"PARSE\",\"peer\":\"caller\",\"message\":\"malformed HTTP\"}\n",
-                        Map.of("Connection", "close"));
-                context.close();
-            } else if (connections.get() > maxConnections) {
-                current.respond(
-                        503,
-                        "application/json",
-                        "{\"error\":\"not_run\",\"step\":\"ADMIT\",\"peer\":\"self\",\"message\":\"too many connections\"}\n",
-                        Map.of("Retry-After", "1"));
-                context.close();
-            } else {
-                handler.handle(current);
+            pending.add(new Received(new HttpExchange(context.channel(), request), rejection));
+            if (pending.size() > MAX_PENDING_REQUESTS) {
+                context.channel().config().setAutoRead(false);
+            }
+            handleNext(context);
+        }
+
+        private void handleNext(ChannelHandlerContext context) {
+            if (closing || current.isPresent()) {
+                return;
+            }
+            if (pending.isEmpty()) {
+                context.channel().config().setAutoRead(true);
+                return;
+            }
+            Received next = pending.remove();
+            HttpExchange exchange = next.exchange();
+            current = Optional.of(exchange);
+            exchange.sent().addListener((ChannelFuture sent) -> handleSent(context, exchange, sent));
+            Optional<Rejection> rejection = next.rejection()
+                    .or(() -> connections.get() > maxConnections ? Optional.of(CROWDED) : Optional.empty());
+            rejection.ifPresentOrElse(reason -> reject(exchange, reason), () -> handle(context, exchange));
+        }
+
+        private void handle(ChannelHandlerContext context, HttpExchange exchange) {
+            try {
+                handler.handle(exchange);
+            } catch (RuntimeException fault) {
+                exceptionCaught(context, fault);
+            }
+        }
+
+        private void reject(HttpExchange exchange, Rejection reason) {
+            exchange.closeAfterResponse();
+            exchange.respond(reason.status(), "application/json", reason.body(), reason.headers());
+        }
+
+        private void handleSent(ChannelHandlerContext context, HttpExchange exchange, ChannelFuture sent) {
+            if (exchange.closesAfterResponse() || !sent.isSuccess()) {
+                closing = true;
+                pending.clear();
+                LingeringClose.closeAfter(sent);
+                return;
             }
+            // Scheduled instead of called: many buffered requests would otherwise recurse too deeply.
+            context.executor().execute(() -> {
+                current = Optional.empty();
+                handleNext(context);
+            });
         }
 
         @Override
         public void userEventTriggered(ChannelHandlerContext context, Object event) {
-            boolean awaitsResponse = current != null && !current.isFinished();
+            boolean awaitsResponse =
+                    current.filter(exchange -> !exchange.isFinished()).isPresent();
             if (event instanceof IdleStateEvent && !awaitsResponse) {
                 context.close();
             }
