CallerConnection closes by LingeringClose

One way to close a connection whose caller may still be sending, instead of two. The limit of a second is now a timer of the connection instead of a part of the check for idle connections.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/CallerConnection.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -34,6 +33,7 @@
 import org.parsleydrift.kernel.LogLine;
 import org.parsleydrift.kernel.RuntimeClock;
 import org.parsleydrift.registry.CallerLimits;
+import org.parsleydrift.wire.LingeringClose;
 
 /** One HTTP/1.1 connection of a caller. Pipelined requests are processed one at a time, in order. */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
@@ -42,8 +42,6 @@
     private static final int MAX_PENDING_PARTS = 64;
     /** Unsent response bytes above which a slow caller is disconnected. */
     private static final long MAX_UNSENT_BYTES = 1 << 20;
-    /** Time for which a connection is read after its last response, unless the caller closes it before. */
-    private static final Duration LINGER = Duration.ofSeconds(1);
 
     /** Time without a request after which a connection counts as idle while the node drains. */
     private static final Duration MIN_IDLE = Duration.ofMillis(250);
@@ -59,9 +57,6 @@
     private HttpRequest head;
     private Response current;
     private boolean closing;
-    /** Whether the last response is sent and the connection is only read until the caller closes it. */
-    private boolean lingering;
-
     private long idleSinceNanos;
     /** Number of unsent bytes at the latest check, which shows whether the caller reads. */
     private long lastUnsentBytes;
@@ -118,7 +113,7 @@
     /** Returns whether the connection has been idle, or a request incomplete, for longer than the limits allow. */
     boolean isTimedOut(CallerLimits limits) {
         boolean busy = current != null && !current.ended;
-        if (busy || (closing && !lingering && !isSending())) {
+        if (busy || (closing && !isSending())) {
             return false;
         }
         if (isSending() && unsentBytes() != lastUnsentBytes) {
@@ -127,7 +122,7 @@
         }
         Duration open =
                 head == null ? limits.idleTimeout() : limits.headerTimeout().plus(limits.idleTimeout());
-        return clock.nanos() - idleSinceNanos > (lingering ? LINGER : open).toNanos();
+        return clock.nanos() - idleSinceNanos > open.toNanos();
     }
 
     /** Returns whether no request is being received or processed and no response is being sent, and not only just now. */
@@ -172,24 +167,12 @@
         pending.clear();
     }
 
-    /**
-     * Closes the connection once its last response is sent. What the caller has sent beyond the request is read and
-     * discarded first: closing a connection with unread bytes resets it, and a reset can destroy the response on its way.
-     */
+    /** Closes the connection once its last response is sent; discards what the caller has sent beyond the request. */
     private void closeAfter(ChannelFuture sent) {
         closing = true;
         head = null;
         releasePending();
-        sent.addListener((ChannelFuture done) -> {
-            if (done.isSuccess() && channel instanceof DuplexChannel duplex) {
-                lingering = true;
-                idleSinceNanos = clock.nanos();
-                duplex.shutdownOutput();
-                channel.config().setAutoRead(true);
-            } else {
-                channel.close();
-            }
-        });
+        LingeringClose.closeAfter(sent);
     }
 
     private void processParts() {
