The daemon's listeners open after its signal handler is installed

The constructor of ParsleydriftDaemon opened the links and the server, and the handler of SIGTERM came after it. A SIGTERM in between ended the process at once: no hand-over of its programs, and requests that it had read got no response.

The constructor opens nothing now. The handler is installed next; start opens links, node and server in this order. A process that is ending does not start, and a signal that arrives during the start waits for it and drains.

--- a/parsleydrift-daemon/src/main/java/org/parsleydrift/daemon/MessagePackLinks.java
+++ b/parsleydrift-daemon/src/main/java/org/parsleydrift/daemon/MessagePackLinks.java
@@ -12,13 +12,18 @@
 final class MessagePackLinks implements PeerLinks, AutoCloseable {
     private final FrameLinks frames;
 
-    MessagePackLinks(NetworkThreads threads, String host, int port, EventLoop loop, Consumer<PeerEnvelope> receiver) {
-        frames = new FrameLinks(threads, host, port, bytes -> {
+    MessagePackLinks(NetworkThreads threads, EventLoop loop, Consumer<PeerEnvelope> receiver) {
+        frames = new FrameLinks(threads, bytes -> {
             PeerEnvelope envelope = MessagePackCodec.decode(bytes, PeerEnvelope.class, "peer");
             loop.execute(() -> receiver.accept(envelope));
         });
     }
 
+    /** Starts listening for connections of peers. */
+    void listen(String host, int port) {
+        frames.listen(host, port);
+    }
+
     @Override
     public void send(String address, PeerEnvelope envelope) {
         frames.send(address, MessagePackCodec.encode(envelope));
--- a/parsleydrift-daemon/src/main/java/org/parsleydrift/daemon/ParsleydriftDaemon.java
+++ b/parsleydrift-daemon/src/main/java/org/parsleydrift/daemon/ParsleydriftDaemon.java
@@ -5,6 +5,7 @@
 import java.lang.System.Logger;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
@@ -28,30 +29,61 @@
     private static final int USAGE_EXIT_CODE = 2;
     private static final int DRAIN_WAIT_FACTOR = 4;
 
-    private final DisruptorEventLoop loop;
+    private final DaemonSettings settings;
+    private final NodeSettings nodeSettings;
+    private final DisruptorEventLoop loop = new DisruptorEventLoop("node", new SystemClock());
     private final NetworkThreads threads;
+    private final PrometheusMeterRegistry meters = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final AtomicReference<Node> receiver = new AtomicReference<>();
     private final MessagePackLinks links;
-    private final HttpServer server;
-    private final Node node;
-    private final NodeSettings settings;
+    private Optional<Service> service = Optional.empty();
+    private boolean ending;
+
+    /** The parts that exist while the daemon accepts requests. */
+    private record Service(Node node, HttpServer server) {}
 
     /**
-     * Starts the node and its listeners.
+     * Creates a daemon that does not listen yet.
      *
      * @param settings the settings of this daemon
      */
     public ParsleydriftDaemon(DaemonSettings settings) {
-        this.settings = settings.nodeSettings();
-        this.loop = new DisruptorEventLoop("node", new SystemClock());
+        this.settings = settings;
+        this.nodeSettings = settings.nodeSettings();
         this.threads = new NetworkThreads("net", settings.networkThreads());
-        PrometheusMeterRegistry meters = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-        AtomicReference<Node> nodeReference = new AtomicReference<>();
-        this.links = new MessagePackLinks(threads, host(settings.link()), port(settings.link()), loop, envelope -> {
-            Node receiver = nodeReference.get();
-            if (receiver != null) {
-                receiver.receive(envelope);
+        this.links = new MessagePackLinks(threads, loop, envelope -> {
+            Node node = receiver.get();
+            if (node != null) {
+                node.receive(envelope);
             }
         });
+    }
+
+    /** Starts the node and its listeners, the one for callers last; does nothing if the daemon is ending. */
+    public synchronized void start() {
+        if (ending) {
+            return;
+        }
+        links.listen(host(settings.link()), port(settings.link()));
+        Node node = createNode();
+        HttpServer server = new HttpServer(
+                threads,
+                host(settings.http()),
+                port(settings.http()),
+                settings.maxConnections(),
+                new CallerApi(loop, node, meters));
+        service = Optional.of(new Service(node, server));
+        LOG.log(
+                Logger.Level.INFO,
+                LogLine.of("daemon_up")
+                        .with("vm", settings.vm())
+                        .with("zone", settings.zone())
+                        .with("http", settings.http())
+                        .with("link", settings.link())
+                        .toString());
+    }
+
+    private Node createNode() {
         ExternalSystemPlugin plugin = PluginRegistry.find(settings.plugin());
         PluginContext context =
                 new PluginContext(loop, settings.platform(), Map.of(HttpClient.class, new HttpClient(threads)));
@@ -65,27 +97,13 @@
                 meters);
         CountDownLatch nodeCreated = new CountDownLatch(1);
         loop.execute(() -> {
-            Node created = new Node(environment, this.settings);
+            Node created = new Node(environment, nodeSettings);
             created.setSeedPeers(settings.peers());
-            nodeReference.set(created);
+            receiver.set(created);
             nodeCreated.countDown();
         });
         await(nodeCreated);
-        this.node = nodeReference.get();
-        this.server = new HttpServer(
-                threads,
-                host(settings.http()),
-                port(settings.http()),
-                settings.maxConnections(),
-                new CallerApi(loop, node, meters));
-        LOG.log(
-                Logger.Level.INFO,
-                LogLine.of("daemon_up")
-                        .with("vm", settings.vm())
-                        .with("zone", settings.zone())
-                        .with("http", settings.http())
-                        .with("link", settings.link())
-                        .toString());
+        return receiver.get();
     }
 
     /**
@@ -102,6 +120,7 @@
         try {
             ParsleydriftDaemon daemon = new ParsleydriftDaemon(DaemonSettings.read(Path.of(arguments[0])));
             Runtime.getRuntime().addShutdownHook(new Thread(daemon::drain, "drain"));
+            daemon.start();
             new CountDownLatch(1).await();
         } catch (StepException fault) {
             System.err.println(LogLine.of("start_failed").failure(fault));
@@ -111,12 +130,24 @@
         }
     }
 
-    /** Hands over all programs and waits for pending callers, at most a multiple of the drain timeout. */
+    /**
+     * Hands over all programs and waits for pending callers, at most a multiple of the drain timeout. A daemon that is being
+     * started is drained once it has started; one that has not been started ends at once.
+     */
     public void drain() {
+        Optional<Service> running;
+        synchronized (this) {
+            ending = true;
+            running = service;
+        }
+        running.ifPresent(this::drain);
+    }
+
+    private void drain(Service running) {
         CountDownLatch drained = new CountDownLatch(1);
-        loop.execute(() -> node.drain().whenComplete((done, failure) -> drained.countDown()));
+        loop.execute(() -> running.node().drain().whenComplete((done, failure) -> drained.countDown()));
         try {
-            long limit = settings.timings().drainTimeout().toSeconds() * DRAIN_WAIT_FACTOR;
+            long limit = nodeSettings.timings().drainTimeout().toSeconds() * DRAIN_WAIT_FACTOR;
             if (!drained.await(limit, TimeUnit.SECONDS)) {
                 LOG.log(Logger.Level.WARNING, LogLine.of("drain_timeout").toString());
             }
@@ -126,8 +157,8 @@
     }
 
     @Override
-    public void close() {
-        server.close();
+    public synchronized void close() {
+        service.ifPresent(running -> running.server().close());
         links.close();
         threads.close();
         loop.close();
