A node that stood still does not replace its links

A node that had stood still, or whose processor was short, found the acknowledgements of all links overdue, as it had not read them.

An overdue acknowledgement is looked at again after the network thread has read what has arrived; only then the connection is replaced. FrameLinksTest.connectionOutlivesAStandstillOfItsSender: two connections before, one now.

--- a/parsleydrift-wire/src/main/java/org/parsleydrift/wire/FrameLinks.java
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/FrameLinks.java
@@ -171,14 +171,28 @@
         }
         AcknowledgementTracker tracker = channel.pipeline().get(AcknowledgementTracker.class);
         if (tracker != null && tracker.isOverdueOnWrite(channel)) {
+            afterRead(channel, () -> sendUnlessSilent(address, channel, tracker, frame));
+        } else {
+            channel.writeAndFlush(Unpooled.wrappedBuffer(frame));
+        }
+    }
+
+    /** Runs a task once the network thread has read what has arrived, which it may not have done for a while. */
+    private static void afterRead(Channel channel, Runnable task) {
+        channel.eventLoop()
+                .schedule(() -> channel.eventLoop().schedule(task, 0, TimeUnit.NANOSECONDS), 0, TimeUnit.NANOSECONDS);
+    }
+
+    /** Sends a frame, on a new connection if the acknowledgement of an earlier one is still overdue. */
+    private void sendUnlessSilent(String address, Channel channel, AcknowledgementTracker tracker, byte[] frame) {
+        ChannelFuture current = connections.get(address);
+        if (current != null && current.channel().equals(channel) && tracker.isOverdueOnWrite(channel)) {
             LOG.log(
                     Logger.Level.INFO,
                     () -> LogLine.of("link_silent").with("to", address).toString());
             reset(address);
-            send(address, frame);
-            return;
         }
-        channel.writeAndFlush(Unpooled.wrappedBuffer(frame));
+        send(address, frame);
     }
 
     /** Tracks the acknowledgements received on an outgoing connection. */
--- a/parsleydrift-wire/src/test/java/org/parsleydrift/wire/FrameLinksTest.java
+++ b/parsleydrift-wire/src/test/java/org/parsleydrift/wire/FrameLinksTest.java
@@ -12,25 +12,31 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.time.Duration;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
+import org.parsleydrift.kernel.SystemClock;
 import org.testng.annotations.Test;
 
 /** Tests frame connections that stall or are reset by the peer. */
 public class FrameLinksTest {
     private static final int TIMEOUT_SECONDS = 20;
     private static final int POLL_MILLIS = 100;
+    /** Longer than the time without an acknowledgement after which a connection is replaced. */
+    private static final Duration STANDSTILL = Duration.ofMillis(1500);
 
     /** A TCP proxy that can stall all connections accepted so far. Later connections work. */
     private static final class StallingProxy implements AutoCloseable {
         private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         private final int target;
         private final AtomicInteger generation = new AtomicInteger();
+        private final AtomicInteger accepted = new AtomicInteger();
 
         private StallingProxy(int target) throws IOException {
             this.target = target;
@@ -49,6 +55,7 @@
             try {
                 while (true) {
                     Socket in = listener.accept();
+                    accepted.incrementAndGet();
                     Socket out = new Socket(InetAddress.getLoopbackAddress(), target);
                     int connectionGeneration = generation.get();
                     start(() -> forward(in, out, connectionGeneration));
@@ -113,6 +120,33 @@
         }
     }
 
+    /** Guards against nodes that replace all connections after a standstill, in which they read no acknowledgements. */
+    @Test
+    public void connectionOutlivesAStandstillOfItsSender() throws Exception {
+        BlockingQueue<String> received = new LinkedBlockingQueue<>();
+        NetworkThreads threads = new NetworkThreads("receiver", 1);
+        NetworkThreads ownThreads = new NetworkThreads("sender", 1);
+        try (FrameLinks receiver =
+                        new FrameLinks(threads, "127.0.0.1", 0, frame -> received.add(new String(frame, UTF_8)));
+                FrameLinks sender = new FrameLinks(ownThreads, frame -> {});
+                StallingProxy proxy = new StallingProxy(receiver.port())) {
+            sender.send(proxy.address(), "first".getBytes(UTF_8));
+            assertEquals(received.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS), "first");
+            new NetworkLoop(ownThreads, new SystemClock()).execute(() -> {
+                long endNanos = System.nanoTime() + STANDSTILL.toNanos();
+                while (System.nanoTime() - endNanos < 0) {
+                    LockSupport.parkNanos(endNanos - System.nanoTime());
+                }
+                sender.send(proxy.address(), "next".getBytes(UTF_8));
+            });
+            assertEquals(received.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS), "next");
+            assertEquals(proxy.accepted.get(), 1);
+        } finally {
+            threads.close();
+            ownThreads.close();
+        }
+    }
+
     /**
      * Guards against an unhandled connection reset, for which Netty logs a warning with a stack trace.
      */
