Frames of one pass of the network thread are sent together

Each frame was flushed by itself, also all those that had waited for their connection.

Frames that the network thread itself sends are written at once and flushed when its pass is over; frames of other threads as before. FrameLinksTest.framesThatWaitForTheConnectionArriveInOrder (new); 38 tests of the wire module pass.

--- a/parsleydrift-wire/src/main/java/org/parsleydrift/wire/FrameLinks.java
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/FrameLinks.java
@@ -172,6 +172,9 @@
         AcknowledgementTracker tracker = channel.pipeline().get(AcknowledgementTracker.class);
         if (tracker != null && tracker.isOverdueOnWrite(channel)) {
             afterRead(channel, () -> sendUnlessSilent(address, channel, tracker, frame));
+        } else if (tracker != null && channel.eventLoop().inEventLoop()) {
+            channel.write(Unpooled.wrappedBuffer(frame));
+            flushLater(channel, tracker);
         } else {
             channel.writeAndFlush(Unpooled.wrappedBuffer(frame));
         }
@@ -195,10 +198,24 @@
         send(address, frame);
     }
 
+    /** Flushes once for all frames of one pass of the network thread, such as those that waited for the connection. */
+    private static void flushLater(Channel channel, AcknowledgementTracker tracker) {
+        if (!tracker.flushScheduled) {
+            tracker.flushScheduled = true;
+            channel.eventLoop().execute(() -> {
+                tracker.flushScheduled = false;
+                channel.flush();
+            });
+        }
+    }
+
     /** Tracks the acknowledgements received on an outgoing connection. */
     private static final class AcknowledgementTracker extends ChannelInboundHandlerAdapter {
         private static final long NONE = Long.MIN_VALUE;
 
+        /** Confined to the network thread. */
+        private boolean flushScheduled;
+
         private volatile long unacknowledgedSince = NONE;
 
         /** Records a write and returns whether the acknowledgement of an earlier write is overdue. */
--- a/parsleydrift-wire/src/test/java/org/parsleydrift/wire/FrameLinksTest.java
+++ b/parsleydrift-wire/src/test/java/org/parsleydrift/wire/FrameLinksTest.java
@@ -13,6 +13,7 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -21,6 +22,7 @@
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
+import java.util.stream.IntStream;
 import org.parsleydrift.kernel.SystemClock;
 import org.testng.annotations.Test;
 
@@ -120,6 +122,25 @@
         }
     }
 
+    /** Guards against frames that are lost or change their order as they wait for their connection together. */
+    @Test
+    public void framesThatWaitForTheConnectionArriveInOrder() throws Exception {
+        BlockingQueue<String> received = new LinkedBlockingQueue<>();
+        NetworkThreads threads = new NetworkThreads("links", 1);
+        try (FrameLinks receiver =
+                        new FrameLinks(threads, "127.0.0.1", 0, frame -> received.add(new String(frame, UTF_8)));
+                FrameLinks sender = new FrameLinks(threads, "127.0.0.1", 0, frame -> {})) {
+            List<String> frames =
+                    IntStream.range(0, 1000).mapToObj(Integer::toString).toList();
+            frames.forEach(each -> sender.send("127.0.0.1:" + receiver.port(), each.getBytes(UTF_8)));
+            for (String each : frames) {
+                assertEquals(received.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS), each);
+            }
+        } finally {
+            threads.close();
+        }
+    }
+
     /** Guards against nodes that replace all connections after a standstill, in which they read no acknowledgements. */
     @Test
     public void connectionOutlivesAStandstillOfItsSender() throws Exception {
