Relay: responses that tell of HTTP are refused only where a second head can be in them

Cause: a body with a status line and the id of its own request, which callers know and services may repeat, counted as a second response: the caller got 502 and the runner counted as broken. A header value such as "HTTP/1.1 200" made any response ambiguous.

Change, bodies: a success with the id of the body's own request counts only with a stamp, as without one it would not be accepted as a response. Failures with that id, ids of other requests of the connection, and own responses without a stamp count as before, and a body that ends within a head with its own id is refused, so that waiting for the stamp loses nothing there. Bodies that repeat a whole head with id and stamp, or a failure with the id, are still refused. Change, heads: a status line in a value is no second head if id and length precede it and no stamp or "not executed" follows, as a second head would repeat or add one of these. Elsewhere, and in the reason phrase, it stays ambiguous.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/ResponseHead.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/ResponseHead.java
@@ -1,13 +1,16 @@
 package org.parsleydrift.relay;
 
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.regex.Pattern;
-import java.util.stream.Stream;
+import java.util.stream.IntStream;
 
 /**
  * Checks the head of a runner's response for more than one reading. The head of a response that was cut short continues
@@ -49,7 +52,9 @@
         if (!hasPlainEncoding(headers.getAll(HttpHeaderNames.TRANSFER_ENCODING))) {
             return Optional.of("Transfer-Encoding other than chunked");
         }
-        return containsStatusLine(response) ? Optional.of("status line within the head") : Optional.empty();
+        boolean isContinued =
+                STATUS_LINE.matcher(response.status().reasonPhrase()).find() || mayBeContinued(headers, headerNames);
+        return isContinued ? Optional.of("status line within the head") : Optional.empty();
     }
 
     /**
@@ -73,9 +78,31 @@
                         && "chunked".equalsIgnoreCase(encodings.getFirst().trim()));
     }
 
-    private static boolean containsStatusLine(HttpResponse response) {
-        Stream<String> values = response.headers().entries().stream().map(each -> each.getValue());
-        return Stream.concat(Stream.of(response.status().reasonPhrase()), values)
-                .anyMatch(each -> STATUS_LINE.matcher(each).find());
+    /**
+     * Returns whether a second head may begin within a value. It does not if the id and the length precede the value, and no
+     * stamp or "not executed" follows it: a second head would repeat or add one of these.
+     */
+    private static boolean mayBeContinued(HttpHeaders headers, HeaderNames headerNames) {
+        List<Map.Entry<String, String>> fields = headers.entries();
+        OptionalInt first = IntStream.range(0, fields.size())
+                .filter(each -> STATUS_LINE.matcher(fields.get(each).getValue()).find())
+                .findFirst();
+        if (first.isEmpty()) {
+            return false;
+        }
+        HttpHeaders preceding = DefaultHttpHeadersFactory.headersFactory().newHeaders();
+        fields.subList(0, first.getAsInt()).forEach(each -> preceding.add(each.getKey(), each.getValue()));
+        return !preceding.contains(headerNames.requestId())
+                || !hasLength(preceding)
+                || isAdded(headerNames.stamp(), preceding, headers)
+                || isAdded(headerNames.notExecuted(), preceding, headers);
+    }
+
+    private static boolean hasLength(HttpHeaders headers) {
+        return headers.contains(HttpHeaderNames.CONTENT_LENGTH) || headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
+    }
+
+    private static boolean isAdded(String name, HttpHeaders before, HttpHeaders after) {
+        return after.contains(name) && !before.contains(name);
     }
 }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnection.java
@@ -220,7 +220,7 @@
             reject(IrregularResponse.AMBIGUOUS, fault.get());
             return;
         }
-        heads = new EmbeddedHeadDetector(headerNames.requestId(), servedIds::contains);
+        heads = new EmbeddedHeadDetector(headerNames, response.headers(), servedIds::contains);
         int status = response.status().code();
         skipping = status < 200 || !matchesRequest(response.headers());
         if (skipping) {
