Relay: the search for heads within bodies passes over other bytes at once

Cause: EmbeddedHeadDetector ran its state machine for each byte of a body.

Change: outside of a status line and a head, only its first byte is looked for; all other bytes left the state as it was.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/EmbeddedHeadDetector.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/EmbeddedHeadDetector.java
@@ -15,6 +15,9 @@
 final class EmbeddedHeadDetector {
     /** Begin of a status line; {@code #} stands for a digit. */
     private static final String STATUS_LINE = "HTTP/1.# ###";
+
+    private static final byte FIRST_BYTE = (byte) STATUS_LINE.charAt(0);
+
     /** Maximum length of a line of a head; the decoder of heads has the same limit. */
     private static final int MAX_LINE_BYTES = 8 << 10;
     /** First digit of the lowest status that is neither an interim response nor a success. */
@@ -60,7 +63,10 @@
     boolean detect(byte[] bytes) {
         boolean detected = false;
         for (byte each : bytes) {
-            detected |= read((char) (each & 0xff));
+            // Most bytes are not part of any head.
+            if (matched > 0 || inHead || each == FIRST_BYTE) {
+                detected |= read((char) (each & 0xff));
+            }
         }
         return detected;
     }
