Roles: the seed of a process has 64 bits of its VM, start and process id

Cause: ids of attempts in the ledgers of runner losses and of calls to the store VMs are random numbers from a seed made of the 32-bit hash of the VM's name and the time in ms. Names with one hash code, numbered names at starts 1000.003 s apart, and a successor at a clock that was set back had equal seeds, so a process could take the attempts of another one for its own.

Change: the seed is a 64-bit hash of the name, the time of the start to the clock's resolution and the process id. The ids keep their 64 bits, which the codec of calls requires.

--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/ProcessContext.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/ProcessContext.java
@@ -3,10 +3,12 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.Map;
 import java.util.ServiceLoader;
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
+import net.openhft.hashing.LongHashFunction;
 import org.parsleydrift.kernel.Step;
 import org.parsleydrift.kernel.StepException;
 import org.parsleydrift.kernel.SystemClock;
@@ -23,9 +25,6 @@
 final class ProcessContext {
     private static final int MAX_METRICS_CONNECTIONS = 16;
 
-    /** Multiplier that separates the seeds of VMs started in the same millisecond. */
-    private static final long SEED_MULTIPLIER = 1_000_003L;
-
     final RoleSettings settings;
     final NetworkThreads threads = new NetworkThreads("net", 1);
     final NetworkLoop loop = new NetworkLoop(threads, new SystemClock());
@@ -41,12 +40,20 @@
     ProcessContext(RoleSettings settings, DeploymentPlugin plugin) {
         this.settings = settings;
         this.plugin = plugin;
-        // Used for tie-breaking and jitter only; a secure generator would delay the start.
-        this.random = new SplittableRandom(settings.vm().hashCode() * SEED_MULTIPLIER
-                + loop.clock().instant().toEpochMilli());
+        // Nothing secret is derived from it; a secure generator would delay the start.
+        this.random = new SplittableRandom(seed(
+                settings.vm(), loop.clock().instant(), ProcessHandle.current().pid()));
         this.objects = new MeteredObjects(plugin.sharedObjects(new HttpClient(threads), settings.platform()), meters);
     }
 
+    /**
+     * Returns the seed of a process. The ids of its attempts and calls are random numbers, so seeds must differ between all
+     * processes of a fleet.
+     */
+    static long seed(String vm, Instant start, long pid) {
+        return LongHashFunction.xx().hashChars(String.join(" ", vm, start.toString(), Long.toString(pid)));
+    }
+
     private static DeploymentPlugin loadPlugin(RoleSettings settings) {
         return ServiceLoader.load(DeploymentPlugin.class).stream()
                 .map(ServiceLoader.Provider::get)
