Timers of the ring's loop run after the tasks submitted before they were due

Due timers run once the tasks are done that were in the ring when they were found due, and local tasks run before them. What network threads had not submitted yet, as the whole process stood still, is not covered; FailureDetector and PauseGuard detect pauses themselves.

--- a/parsleydrift-kernel/src/main/java/org/parsleydrift/kernel/DisruptorEventLoop.java
+++ b/parsleydrift-kernel/src/main/java/org/parsleydrift/kernel/DisruptorEventLoop.java
@@ -15,12 +15,17 @@
     private static final int RING_SIZE = 1 << 16;
     private static final long TIMER_RESOLUTION_MILLIS = 2;
     private static final long CLOSE_TIMEOUT_SECONDS = 2;
+    private static final long NONE = -1;
 
     private final RuntimeClock clock;
     private final Disruptor<Slot> disruptor;
     private final TimerQueue timers = new TimerQueue();
     private final ArrayDeque<Runnable> localTasks = new ArrayDeque<>();
     private volatile Thread consumer;
+    /** Time up to which the timers are due that run next. */
+    private long timersDueNanos;
+    /** Sequence of the last task submitted by that time, after which they run; NONE if no timers were found due. */
+    private long sequenceBeforeTimers = NONE;
 
     /**
      * Creates and starts an event loop.
@@ -96,11 +101,23 @@
         }
     }
 
-    private void runTimersAndLocalTasks() {
+    private void runTimersAndLocalTasks(long sequence) {
+        runLocalTasks();
         long now = clock.nanos();
-        for (var due = timers.poll(now); due != null; due = timers.poll(now)) {
-            runSafely(due::run);
+        if (sequenceBeforeTimers == NONE && timers.nextDueNanos() <= now) {
+            timersDueNanos = now;
+            sequenceBeforeTimers = disruptor.getCursor();
         }
+        if (sequenceBeforeTimers != NONE && sequence >= sequenceBeforeTimers) {
+            sequenceBeforeTimers = NONE;
+            for (var due = timers.poll(timersDueNanos); due != null; due = timers.poll(timersDueNanos)) {
+                runSafely(due::run);
+            }
+            runLocalTasks();
+        }
+    }
+
+    private void runLocalTasks() {
         for (Runnable task = localTasks.poll(); task != null; task = localTasks.poll()) {
             runSafely(task);
         }
@@ -121,12 +138,12 @@
             Runnable task = slot.task;
             slot.task = null;
             runSafely(task);
-            runTimersAndLocalTasks();
+            runTimersAndLocalTasks(sequence);
         }
 
         @Override
         public void onTimeout(long sequence) {
-            runTimersAndLocalTasks();
+            runTimersAndLocalTasks(sequence);
         }
     }
 }
--- a/parsleydrift-wire/src/test/java/org/parsleydrift/wire/EventLoopContractTest.java
+++ b/parsleydrift-wire/src/test/java/org/parsleydrift/wire/EventLoopContractTest.java
@@ -5,6 +5,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -36,6 +37,11 @@
         };
     }
 
+    @DataProvider
+    public Object[][] loopsWithThreads() {
+        return Arrays.copyOf(loops(), 2);
+    }
+
     @AfterClass(alwaysRun = true)
     public void close() {
         threads.close();
@@ -138,4 +144,38 @@
         await(done);
         assertEquals(order, List.of("scheduler", "timer"));
     }
+
+    /** Guards against timeouts that overtake the response that is waited for, as the thread of the loop stood still. */
+    @Test(dataProvider = "loopsWithThreads")
+    public void timerRunsAfterTasksSubmittedBeforeItWasDue(String name, EventLoop loop) throws InterruptedException {
+        List<String> order = Collections.synchronizedList(new ArrayList<>());
+        CountDownLatch blocked = new CountDownLatch(1);
+        CountDownLatch resumption = new CountDownLatch(1);
+        CountDownLatch done = new CountDownLatch(2);
+        loop.execute(() -> {
+            blocked.countDown();
+            awaitLatch(resumption);
+        });
+        assertTrue(blocked.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+        loop.schedule(Duration.ofMillis(50), () -> {
+            order.add("timer");
+            done.countDown();
+        });
+        loop.execute(() -> {
+            order.add("task");
+            done.countDown();
+        });
+        Thread.sleep(100);
+        resumption.countDown();
+        assertTrue(done.await(TIMEOUT_SECONDS, TimeUnit.SECONDS), "the tasks have not run");
+        assertEquals(order, List.of("task", "timer"));
+    }
+
+    private static void awaitLatch(CountDownLatch latch) {
+        try {
+            assertTrue(latch.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
 }
