HTTP calls do not time out before what has arrived is read

After a pause of the process HttpClient failed calls as silent, with an unknown outcome, although their response had arrived meanwhile. Its check of the idle timeout is a timer of Netty's, not of NetworkLoop. A call of a program that may not be repeated ends so.

A connection that looks idle is looked at again after the next read of its thread.

HttpClientTest.responseThatArrivesDuringAStandstillIsReturned fails before (silent) and passes now, with the six others.

--- a/parsleydrift-wire/src/main/java/org/parsleydrift/wire/HttpClient.java
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/HttpClient.java
@@ -243,12 +243,20 @@
 
         /** Fails the request on a stalled connection, which TCP would report only after many minutes. */
         private void checkIdleTimeout(ChannelHandlerContext context, Duration idleTimeout) {
-            if (context.executor().ticker().nanoTime() - lastByteNanos > idleTimeout.toNanos()) {
-                attempt.fail(true, "silent for " + idleTimeout.toMillis() + " ms");
-                context.close();
+            if (isIdleFor(context, idleTimeout)) {
+                NetworkLoop.runAfterRead(context.executor(), () -> {
+                    if (isIdleFor(context, idleTimeout)) {
+                        attempt.fail(true, "silent for " + idleTimeout.toMillis() + " ms");
+                        context.close();
+                    }
+                });
             }
         }
 
+        private boolean isIdleFor(ChannelHandlerContext context, Duration time) {
+            return context.executor().ticker().nanoTime() - lastByteNanos > time.toNanos();
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
             lastByteNanos = context.executor().ticker().nanoTime();
--- a/parsleydrift-wire/src/main/java/org/parsleydrift/wire/NetworkLoop.java
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/NetworkLoop.java
@@ -1,5 +1,6 @@
 package org.parsleydrift.wire;
 
+import io.netty.util.concurrent.EventExecutor;
 import java.lang.System.Logger;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
@@ -48,16 +49,24 @@
                 runSafely(task);
             }
         };
-        // Netty may run a due timer before it reads what has arrived meanwhile. A timer without a delay that the loop
-        // schedules itself runs after the next read.
-        var due = loop.schedule(
-                () -> loop.schedule(afterRead, 0, TimeUnit.NANOSECONDS), delay.toNanos(), TimeUnit.NANOSECONDS);
+        var due = loop.schedule(() -> runAfterRead(loop, afterRead), delay.toNanos(), TimeUnit.NANOSECONDS);
         return () -> {
             cancelled.set(true);
             due.cancel(false);
         };
     }
 
+    /**
+     * Runs a task after the next read of a network thread. Netty may run a due timer before it reads what has arrived
+     * meanwhile, but a timer without a delay that the thread schedules itself runs after the next read.
+     *
+     * @param executor the executor of the network thread, on which this method is called
+     * @param task the task
+     */
+    static void runAfterRead(EventExecutor executor, Runnable task) {
+        executor.schedule(task, 0, TimeUnit.NANOSECONDS);
+    }
+
     private static void runSafely(Runnable task) {
         try {
             task.run();
--- a/parsleydrift-wire/src/test/java/org/parsleydrift/wire/HttpClientTest.java
+++ b/parsleydrift-wire/src/test/java/org/parsleydrift/wire/HttpClientTest.java
@@ -5,9 +5,13 @@
 import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.time.Duration;
@@ -15,6 +19,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.IntFunction;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -141,4 +146,46 @@
     public static Object[][] bytesAfterResponse() {
         return new Object[][] {{respond("late")}, {"HTTP/1.1 200 OK\r\nDate: Mon"}};
     }
+
+    /** Guards against calls that fail although their response arrived while the network thread stood still. */
+    @Test
+    public void responseThatArrivesDuringAStandstillIsReturned() throws Exception {
+        CountDownLatch standing = new CountDownLatch(1);
+        serve(number -> {
+            awaitLatch(standing);
+            return respond("body");
+        });
+        Duration idleTimeout = Duration.ofSeconds(1);
+        String address = "127.0.0.1:" + server.getLocalPort();
+        var response = client.send(HttpRequestSpec.of(address, "GET", "/", idleTimeout));
+        while (requests.get() == 0) {
+            Thread.onSpinWait();
+        }
+        // Blocks the thread where it reads, so that the check of the timeout becomes due after its last read.
+        Channel listener = threads.serverBootstrap()
+                .childHandler(new ChannelInboundHandlerAdapter() {
+                    @Override
+                    public void channelActive(ChannelHandlerContext context) {
+                        standing.countDown();
+                        LockSupport.parkNanos(2 * idleTimeout.toNanos());
+                    }
+                })
+                .bind(InetAddress.getLoopbackAddress(), 0)
+                .syncUninterruptibly()
+                .channel();
+        int port = ((InetSocketAddress) listener.localAddress()).getPort();
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            assertEquals(text(response.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)), "200 body");
+            assertTrue(socket.isConnected());
+        }
+        listener.close();
+    }
+
+    private static void awaitLatch(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
 }
