A drain that ends after a standstill first reads the requests that have arrived

A process that was stopped in its drain and went on after 97% of its grace time ended at once: its last task was submitted by the thread that waits for the end, and could run before the sockets were read. Requests that had arrived on kept connections got no response or a reset.

The last task is a timer, which runs after what has arrived is read; such requests are then rejected as not run.

In the accept queue connections may still be closed without a response.

--- a/parsleydrift-bench/src/test/java/org/parsleydrift/bench/streams/RoleProcessTest.java
+++ b/parsleydrift-bench/src/test/java/org/parsleydrift/bench/streams/RoleProcessTest.java
@@ -47,6 +47,8 @@
     private static final Duration LONG_GRACE = Duration.ofSeconds(60);
 
     private static final Duration SHORT_GRACE = Duration.ofSeconds(2);
+    /** Time after which a connection that was made is accepted, and may be closed as idle. */
+    private static final Duration SETTLING = Duration.ofMillis(500);
     /** Ports below those that the system assigns to outgoing connections, which could take one before the process does. */
     private static final int FIRST_PORT = 10_000;
 
@@ -353,4 +355,22 @@
         awaitEnd(TIMEOUT);
         assertTrue(log().contains("event=settings_reloaded"), log());
     }
+
+    /** Guards against a process that is stopped in its drain and, as it goes on, ends before it reads what has arrived. */
+    @Test
+    public void requestDuringAStandstillUntilTheEndOfTheDrainIsAnswered() throws IOException, InterruptedException {
+        start(SHORT_GRACE);
+        awaitLog("event=role_started");
+        Socket kept = connect().orElseThrow();
+        LockSupport.parkNanos(SETTLING.toNanos());
+        signal("TERM");
+        awaitLog("event=drain_begun");
+        signal("STOP");
+        send(kept, "/streams/x");
+        LockSupport.parkNanos(SHORT_GRACE.toNanos());
+        signal("CONT");
+        String response = receive(kept);
+        assertTrue(response.startsWith("HTTP/1.1 503 ") && isWhole(response), response + log());
+        awaitEnd(TIMEOUT);
+    }
 }
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryDrain.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryDrain.java
@@ -69,7 +69,8 @@
         });
         boolean complete = drained.await(after(EXIT_FRACTION).toMillis(), TimeUnit.MILLISECONDS);
         CountDownLatch reported = new CountDownLatch(1);
-        loop.execute(() -> {
+        // As a timer it runs after the requests and responses are read that arrived while the process stood still.
+        loop.schedule(Duration.ZERO, () -> {
             if (!complete) {
                 // Not done yet if the process stood still from before the time for it until now.
                 answer();
