The daemon of system-driven programs exits only once its responses are sent

The drain ended when no request of a program was open, and with it the process, whatever its server held: responses that were written but not sent, requests that were not routed yet, bodies that were being read. Their callers saw the connection end or reset.

HttpServer.drain announces the close in each response. HttpServer.end, which the drain ends with, stops listening, rejects what is incomplete or new with 503 and Retry-After, and waits until all responses are sent and all connections closed, for 2 s at most; a connection counts as idle only after 250 ms without a request. owedResponses counts what was read and not wholly sent; drain_ended tells it and whether the drain was complete (drain_timeout is gone). The drain's limit is no longer cut to whole seconds, which made it zero for drain timeouts below a second.

--- a/parsleydrift-daemon/src/main/java/org/parsleydrift/daemon/ParsleydriftDaemon.java
+++ b/parsleydrift-daemon/src/main/java/org/parsleydrift/daemon/ParsleydriftDaemon.java
@@ -4,6 +4,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.lang.System.Logger;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
@@ -28,6 +29,8 @@
     private static final Logger LOG = System.getLogger(ParsleydriftDaemon.class.getName());
     private static final int USAGE_EXIT_CODE = 2;
     private static final int DRAIN_WAIT_FACTOR = 4;
+    /** Time after the drain of the node in which the last responses are sent. */
+    private static final Duration SEND_LIMIT = Duration.ofSeconds(2);
 
     private final DaemonSettings settings;
     private final NodeSettings nodeSettings;
@@ -131,7 +134,7 @@
     }
 
     /**
-     * Hands over all programs and waits for pending callers, at most a multiple of the drain timeout. A daemon that is being
+     * Hands over all programs and answers all callers, within a multiple of the drain timeout. A daemon that is being
      * started is drained once it has started; one that has not been started ends at once.
      */
     public void drain() {
@@ -144,13 +147,19 @@
     }
 
     private void drain(Service running) {
+        running.server().drain();
         CountDownLatch drained = new CountDownLatch(1);
         loop.execute(() -> running.node().drain().whenComplete((done, failure) -> drained.countDown()));
         try {
-            long limit = nodeSettings.timings().drainTimeout().toSeconds() * DRAIN_WAIT_FACTOR;
-            if (!drained.await(limit, TimeUnit.SECONDS)) {
-                LOG.log(Logger.Level.WARNING, LogLine.of("drain_timeout").toString());
-            }
+            Duration limit = nodeSettings.timings().drainTimeout().multipliedBy(DRAIN_WAIT_FACTOR);
+            boolean complete = drained.await(limit.toMillis(), TimeUnit.MILLISECONDS);
+            boolean answered = running.server().end(SEND_LIMIT);
+            LOG.log(
+                    complete && answered ? Logger.Level.INFO : Logger.Level.WARNING,
+                    LogLine.of("drain_ended")
+                            .with("complete", complete)
+                            .with("owed", running.server().owedResponses())
+                            .toString());
         } catch (InterruptedException ended) {
             Thread.currentThread().interrupt();
         }
--- a/parsleydrift-daemon/src/test/java/org/parsleydrift/daemon/DaemonProcessTest.java
+++ b/parsleydrift-daemon/src/test/java/org/parsleydrift/daemon/DaemonProcessTest.java
@@ -9,9 +9,13 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import org.testng.annotations.AfterMethod;
@@ -108,6 +112,31 @@
         socket.getOutputStream().write(request.getBytes(ISO_8859_1));
     }
 
+    /** Reads until the end of the connection; what came before a reset counts. */
+    private static String receive(Socket socket) throws IOException {
+        StringBuilder response = new StringBuilder();
+        try (socket) {
+            for (int next = socket.getInputStream().read();
+                    next >= 0;
+                    next = socket.getInputStream().read()) {
+                response.append((char) next);
+            }
+        } catch (SocketException reset) {
+            response.append("<reset>");
+        }
+        return response.toString();
+    }
+
+    private static boolean isWhole(String response) {
+        int bodyStart = response.indexOf("\r\n\r\n") + 4;
+        if (!response.startsWith("HTTP/1.1 ") || bodyStart < 4) {
+            return false;
+        }
+        String head = response.substring(0, bodyStart).toLowerCase(Locale.ROOT);
+        int length = head.indexOf("content-length: ") + "content-length: ".length();
+        return response.length() - bodyStart == Integer.parseInt(head.substring(length, head.indexOf('\r', length)));
+    }
+
     /** Guards against a process that ends without a drain, as SIGTERM arrives before its handler is installed. */
     @Test
     public void signalOfTheFirstMomentDrains() throws IOException, InterruptedException {
@@ -121,4 +150,19 @@
             assertTrue(log().contains("event=drain_begin"), log());
         }
     }
+
+    /** Guards against a response that is not sent, as the process ends before. */
+    @Test
+    public void requestJustBeforeTheExitIsAnswered() throws IOException, InterruptedException {
+        List<String> responses = new ArrayList<>();
+        for (int i = 0; i < SIGNALLED_STARTS; i++) {
+            start(Duration.ofSeconds(1));
+            Socket socket = connect();
+            send(socket, "GET", "/health", "");
+            process.destroy();
+            responses.add(receive(socket));
+            awaitEnd();
+        }
+        assertTrue(responses.stream().allMatch(DaemonProcessTest::isWhole), responses + log());
+    }
 }
--- a/parsleydrift-wire/src/main/java/org/parsleydrift/wire/HttpExchange.java
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/HttpExchange.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 
 /** An HTTP request received by the server, and its response. Thread-safe. */
 public final class HttpExchange {
@@ -31,16 +32,18 @@
     private final QueryStringDecoder target;
     private final byte[] body;
     private final HttpHeaders headers;
+    private final BooleanSupplier announcesClose;
     private final ChannelPromise sent;
     private volatile boolean closesAfterResponse;
     private final AtomicBoolean ended = new AtomicBoolean();
 
-    HttpExchange(Channel channel, FullHttpRequest request) {
+    HttpExchange(Channel channel, FullHttpRequest request, BooleanSupplier announcesClose) {
         this.channel = channel;
         this.method = request.method().name();
         this.target = new QueryStringDecoder(request.uri());
         this.body = ByteBufUtil.getBytes(request.content());
         this.headers = request.headers();
+        this.announcesClose = announcesClose;
         this.sent = channel.newPromise();
         this.closesAfterResponse = !HttpUtil.isKeepAlive(request);
     }
@@ -143,9 +146,7 @@
                 .set(HttpHeaderNames.CONTENT_TYPE, contentType)
                 .setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
         headers.forEach((name, value) -> response.headers().set(name, value));
-        if (closesAfterResponse) {
-            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        }
+        announceClose(response.headers());
         channel.writeAndFlush(response, sent);
     }
 
@@ -171,9 +172,19 @@
                 .set(HttpHeaderNames.CACHE_CONTROL, HttpHeaderValues.NO_CACHE)
                 .set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         additionalHeaders.forEach((name, value) -> response.headers().set(name, value));
+        announceClose(response.headers());
         channel.writeAndFlush(response);
     }
 
+    private void announceClose(HttpHeaders responseHeaders) {
+        if (announcesClose.getAsBoolean()) {
+            closesAfterResponse = true;
+        }
+        if (closesAfterResponse) {
+            responseHeaders.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+    }
+
     /**
      * Sends a chunk of a streamed response. The connection of a slow reader is closed to bound the memory used for
      * unsent data. Ignored if the response has ended.
--- a/parsleydrift-wire/src/main/java/org/parsleydrift/wire/HttpServer.java
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/HttpServer.java
@@ -12,18 +12,23 @@
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.lang.System.Logger;
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.parsleydrift.kernel.LogLine;
 
@@ -35,6 +40,9 @@
     /** Number of requests sent ahead above which a connection is not read. */
     private static final int MAX_PENDING_REQUESTS = 16;
 
+    /** Time without a request after which a connection counts as idle at the end of the server. */
+    private static final int MIN_IDLE_MILLIS = 250;
+
     private static final Rejection MALFORMED = new Rejection(
             400,
             "{\"error\":\"bad_request\",\"step\":\"PARSE\",\"peer\":\"caller\",\"message\":\"malformed HTTP\"}\n",
@@ -43,16 +51,24 @@
             413,
             "{\"error\":\"bad_request\",\"step\":\"PARSE\",\"peer\":\"caller\",\"message\":\"body too large\"}\n",
             Map.of());
+    private static final Rejection ENDING = new Rejection(
+            503,
+            "{\"error\":\"not_run\",\"step\":\"ADMIT\",\"peer\":\"self\",\"message\":\"process ends\"}\n",
+            Map.of("Retry-After", "1"));
     private static final Rejection CROWDED = new Rejection(
             503,
             "{\"error\":\"not_run\",\"step\":\"ADMIT\",\"peer\":\"self\",\"message\":\"too many connections\"}\n",
             Map.of("Retry-After", "1"));
 
+    private final NetworkThreads threads;
     private final HttpHandler handler;
     private final int maxConnections;
     private final AtomicInteger connections = new AtomicInteger();
     private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final Channel listener;
+    private final AtomicInteger owed = new AtomicInteger();
+    private volatile boolean draining;
+    private volatile boolean ending;
 
     /**
      * Starts a server.
@@ -64,6 +80,7 @@
      * @param handler handles the requests
      */
     public HttpServer(NetworkThreads threads, String host, int port, int maxConnections, HttpHandler handler) {
+        this.threads = threads;
         this.handler = handler;
         this.maxConnections = maxConnections;
         this.listener = threads.serverBootstrap()
@@ -96,6 +113,42 @@
         listener.close().syncUninterruptibly();
     }
 
+    /** Announces the close of each connection in its next response, so that callers do not begin further requests on it. */
+    public void drain() {
+        draining = true;
+    }
+
+    /**
+     * Stops listening, rejects requests that are incomplete, and waits until all other requests are answered and their
+     * connections closed.
+     *
+     * @param limit the longest time to wait
+     * @return whether all connections were closed within that time
+     */
+    public boolean end(Duration limit) {
+        drain();
+        ending = true;
+        close();
+        // Connections that were accepted last are registered behind this.
+        threads.group().forEach(loop -> loop.submit(() -> {}).awaitUninterruptibly(limit.toMillis()));
+        channels.forEach(channel -> channel.eventLoop().execute(() -> {
+            RequestHandler requests = channel.pipeline().get(RequestHandler.class);
+            if (requests != null) {
+                requests.end();
+            }
+        }));
+        return channels.newCloseFuture().awaitUninterruptibly(limit.toMillis());
+    }
+
+    /**
+     * Returns the number of requests whose response is not wholly sent.
+     *
+     * @return the number of requests that were read, on connections that are open
+     */
+    public int owedResponses() {
+        return owed.get();
+    }
+
     /** Stops listening and closes all connections, whether requests are open or not. */
     public void abort() {
         close();
@@ -115,7 +168,19 @@
                     .addLast(new HttpObjectAggregator(MAX_BODY_BYTES) {
                         @Override
                         protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
-                            requests.rejectOversized(context, (HttpRequest) oversized);
+                            requests.rejectIncomplete((HttpRequest) oversized, OVERSIZED);
+                        }
+
+                        @Override
+                        protected void decode(ChannelHandlerContext context, HttpObject part, List<Object> out)
+                                throws Exception {
+                            if (part instanceof HttpRequest head) {
+                                requests.receiving = Optional.of(head);
+                            }
+                            if (part instanceof LastHttpContent) {
+                                requests.receiving = Optional.empty();
+                            }
+                            super.decode(context, part, out);
                         }
                     })
                     .addLast(requests);
@@ -129,16 +194,35 @@
 
     /** Handles the requests of a connection one after the other, so that each is answered before the next one. */
     private final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
-        private final Deque<Received> pending = new ArrayDeque<>();
+        private final Queue<Received> pending = new ConcurrentLinkedQueue<>();
+        private Optional<HttpRequest> receiving = Optional.empty();
         private Optional<HttpExchange> current = Optional.empty();
+        private ChannelHandlerContext context;
+        private int owedHere;
         private boolean closing;
 
         @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-            add(context, request, request.decoderResult().isFailure() ? Optional.of(MALFORMED) : Optional.empty());
+        public void handlerAdded(ChannelHandlerContext added) {
+            context = added;
+            if (ending) {
+                end();
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext inactive) {
+            closing = true;
+            forget(owedHere);
+            inactive.fireChannelInactive();
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext any, FullHttpRequest request) {
+            add(request, request.decoderResult().isFailure() ? Optional.of(MALFORMED) : Optional.empty());
         }
 
-        private void rejectOversized(ChannelHandlerContext context, HttpRequest request) {
+        private void rejectIncomplete(HttpRequest request, Rejection reason) {
+            receiving = Optional.empty();
             var head = new DefaultFullHttpRequest(
                     request.protocolVersion(),
                     request.method(),
@@ -146,38 +230,58 @@
                     Unpooled.EMPTY_BUFFER,
                     request.headers(),
                     DefaultHttpHeadersFactory.trailersFactory().newHeaders());
-            add(context, head, Optional.of(OVERSIZED));
+            add(head, Optional.of(reason));
         }
 
-        private void add(ChannelHandlerContext context, FullHttpRequest request, Optional<Rejection> rejection) {
+        private void add(FullHttpRequest request, Optional<Rejection> rejection) {
             if (closing) {
                 return;
             }
-            pending.add(new Received(new HttpExchange(context.channel(), request), rejection));
+            owed.incrementAndGet();
+            owedHere++;
+            // Requests that the caller has sent ahead are answered before the close.
+            var exchange = new HttpExchange(context.channel(), request, () -> draining && pending.isEmpty());
+            pending.add(new Received(exchange, rejection));
             if (pending.size() > MAX_PENDING_REQUESTS) {
                 context.channel().config().setAutoRead(false);
             }
-            handleNext(context);
+            handleNext();
         }
 
-        private void handleNext(ChannelHandlerContext context) {
+        private void forget(int responses) {
+            int forgotten = Math.min(responses, owedHere);
+            owedHere -= forgotten;
+            owed.addAndGet(-forgotten);
+        }
+
+        private void handleNext() {
             if (closing || current.isPresent()) {
                 return;
             }
             if (pending.isEmpty()) {
                 context.channel().config().setAutoRead(true);
+                if (ending) {
+                    end();
+                }
                 return;
             }
             Received next = pending.remove();
             HttpExchange exchange = next.exchange();
             current = Optional.of(exchange);
-            exchange.sent().addListener((ChannelFuture sent) -> handleSent(context, exchange, sent));
-            Optional<Rejection> rejection = next.rejection()
-                    .or(() -> connections.get() > maxConnections ? Optional.of(CROWDED) : Optional.empty());
-            rejection.ifPresentOrElse(reason -> reject(exchange, reason), () -> handle(context, exchange));
+            exchange.sent().addListener((ChannelFuture sent) -> handleSent(exchange, sent));
+            next.rejection()
+                    .or(this::rejection)
+                    .ifPresentOrElse(reason -> reject(exchange, reason), () -> handle(exchange));
         }
 
-        private void handle(ChannelHandlerContext context, HttpExchange exchange) {
+        private Optional<Rejection> rejection() {
+            if (ending) {
+                return Optional.of(ENDING);
+            }
+            return connections.get() > maxConnections ? Optional.of(CROWDED) : Optional.empty();
+        }
+
+        private void handle(HttpExchange exchange) {
             try {
                 handler.handle(exchange);
             } catch (RuntimeException fault) {
@@ -190,20 +294,39 @@
             exchange.respond(reason.status(), "application/json", reason.body(), reason.headers());
         }
 
-        private void handleSent(ChannelHandlerContext context, HttpExchange exchange, ChannelFuture sent) {
+        private void handleSent(HttpExchange exchange, ChannelFuture sent) {
+            forget(1);
             if (exchange.closesAfterResponse() || !sent.isSuccess()) {
-                closing = true;
-                pending.clear();
-                LingeringClose.closeAfter(sent);
+                closeAfter(sent);
                 return;
             }
             // Scheduled instead of called: many buffered requests would otherwise recurse too deeply.
             context.executor().execute(() -> {
                 current = Optional.empty();
-                handleNext(context);
+                handleNext();
             });
         }
 
+        private void closeAfter(ChannelFuture sent) {
+            closing = true;
+            pending.clear();
+            forget(owedHere);
+            LingeringClose.closeAfter(sent);
+        }
+
+        /** Closes the connection unless a request is open or on its way, in which case its response closes it. */
+        private void end() {
+            receiving.ifPresent(head -> rejectIncomplete(head, ENDING));
+            context.executor().schedule(this::closeIfIdle, MIN_IDLE_MILLIS, TimeUnit.MILLISECONDS);
+        }
+
+        private void closeIfIdle() {
+            receiving.ifPresent(head -> rejectIncomplete(head, ENDING));
+            if (!closing && current.isEmpty()) {
+                closeAfter(context.writeAndFlush(Unpooled.EMPTY_BUFFER));
+            }
+        }
+
         @Override
         public void userEventTriggered(ChannelHandlerContext context, Object event) {
             boolean awaitsResponse =
