A draining daemon answers each open request by the end of its drain

Callers of system-driven programs that waited for an owner, a service or the platform as the drain ended saw their connections closed without a response. Repeatable calls and submitted manifests were not waited for at all, and until its exit the node accepted what it could not answer.

NodeDrain holds the end of the drain, three drain timeouts after its beginning, however long the hand-over takes. A request that may take longer than what is left (finding an owner, or the time limit of the service) is refused at once. At the end each open request is answered by its kind: not run (503) where nothing can have happened, which the interface says only of first attempts that reached no owner, and of reading; otherwise outcome unknown (504); both with Retry-After. Manifests end as outcome unknown, repeatable calls too.

--- a/parsleydrift-daemon/src/main/java/org/parsleydrift/daemon/CallerApi.java
+++ b/parsleydrift-daemon/src/main/java/org/parsleydrift/daemon/CallerApi.java
@@ -116,8 +116,11 @@
         OperationSpec spec = node.manifest().manifest().services().get(service);
         if (spec != null && spec.repeatable()) {
             node.callRepeatable(service, body.path("body").toString())
-                    .thenAccept(end ->
-                            HttpReplyWriter.writeFinal(exchange, new CallerReply.Answer(end.outcome(), end.answer())));
+                    .whenComplete((end, failure) -> HttpReplyWriter.writeFinal(
+                            exchange,
+                            failure == null
+                                    ? new CallerReply.Answer(end.outcome(), end.answer())
+                                    : notRun(failure.getMessage())));
             return;
         }
         single(
@@ -139,9 +142,7 @@
         node.assignEntryNode(exchange.queryParameter("team", "any"))
                 .ifPresentOrElse(
                         assignment -> exchange.respond(200, JSON, HttpReplyWriter.toJson(assignment), Map.of()),
-                        () -> HttpReplyWriter.refuse(
-                                exchange,
-                                new CallerReply.Refused(RefusalKind.NOT_RUN, Step.ADMIT, "self", "not ready", 1000)));
+                        () -> HttpReplyWriter.refuse(exchange, notRun("not ready")));
     }
 
     private void showManifest(HttpExchange exchange) {
@@ -160,6 +161,10 @@
                 return;
             }
             Throwable cause = StepException.unwrap(failure);
+            if (cause instanceof StepException known && known.step() == Step.ADMIT) {
+                HttpReplyWriter.refuse(exchange, notRun(known.getMessage()));
+                return;
+            }
             int status = cause instanceof StoreException ? 503 : 409;
             exchange.respond(status, JSON, HttpReplyWriter.toJson(manifestError(cause)), Map.of());
         });
@@ -199,6 +204,10 @@
         return value.asText();
     }
 
+    private static CallerReply.Refused notRun(String reason) {
+        return new CallerReply.Refused(RefusalKind.NOT_RUN, Step.ADMIT, "self", reason, 1000);
+    }
+
     private static CallerReply.Refused badRequest(String reason) {
         return new CallerReply.Refused(RefusalKind.BAD_REQUEST, Step.PARSE, "caller", reason, 0);
     }
--- a/parsleydrift-daemon/src/test/java/org/parsleydrift/daemon/DaemonProcessTest.java
+++ b/parsleydrift-daemon/src/test/java/org/parsleydrift/daemon/DaemonProcessTest.java
@@ -18,8 +18,11 @@
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import org.parsleydrift.kernel.RuntimeClock;
+import org.parsleydrift.kernel.SystemClock;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Signals to a daemon process whose platform does not answer, so that requests wait for an owner. */
@@ -32,6 +35,7 @@
 
     private static final int PORTS = 2_000;
 
+    private final RuntimeClock clock = new SystemClock();
     private Path folder;
     private Process process;
     private int port;
@@ -88,6 +92,14 @@
         return Files.readString(folder.resolve("log"));
     }
 
+    private void awaitLog(String text) throws IOException {
+        long start = clock.nanos();
+        while (!log().contains(text)) {
+            assertTrue(process.isAlive() && clock.nanos() - start < TIMEOUT.toNanos(), "no '" + text + "' in " + log());
+            LockSupport.parkNanos(POLL.toNanos());
+        }
+    }
+
     private void awaitEnd() throws IOException, InterruptedException {
         assertTrue(process.waitFor(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS), "the process has not ended; " + log());
     }
@@ -165,4 +177,73 @@
         }
         assertTrue(responses.stream().allMatch(DaemonProcessTest::isWhole), responses + log());
     }
+
+    /** Requests that wait for an owner, and the status that the end of the drain permits. */
+    @DataProvider
+    public static Object[][] waitingRequests() {
+        String start = "{\"ticket\":\"n1~1\",\"team\":\"t\",\"key\":\"k\",\"agent\":\"a\",\"prompt\":\"p\"%s}";
+        return new Object[][] {
+            {"POST", "/v1/programs", start.formatted(",\"first\":true"), 503},
+            {"POST", "/v1/programs", start.formatted(""), 504},
+            {"GET", "/v1/programs/n1~1~t~k/answer", "", 503},
+            {"DELETE", "/v1/programs/n1~1~t~k", "", 504},
+        };
+    }
+
+    /** Guards against callers that wait for an owner until the process ends, and get no response. */
+    @Test(dataProvider = "waitingRequests")
+    public void waitingCallerIsAnsweredBeforeTheExit(String method, String target, String body, int status)
+            throws IOException, InterruptedException {
+        start(Duration.ofMillis(300));
+        Socket waiting = connect();
+        send(waiting, method, target, body);
+        try (Socket incomplete = connect()) {
+            incomplete
+                    .getOutputStream()
+                    .write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n{".getBytes(ISO_8859_1));
+            awaitRead();
+            process.destroy();
+            assertRefused(receive(waiting), status);
+            assertRefused(receive(incomplete), 503);
+        }
+        awaitEnd();
+    }
+
+    /** Waits until what was sent before is read: a later request is answered on each of the two network threads. */
+    private void awaitRead() throws IOException {
+        for (int i = 0; i < 2; i++) {
+            try (Socket later = connect()) {
+                send(later, "GET", "/health", "");
+                assertTrue(later.getInputStream().read() >= 0, log());
+            }
+        }
+    }
+
+    private void assertRefused(String response, int status) throws IOException {
+        assertTrue(response.startsWith("HTTP/1.1 " + status + " ") && isWhole(response), response + log());
+        assertTrue(response.toLowerCase(Locale.ROOT).contains("retry-after: 1\r\n"), response);
+    }
+
+    /** Guards against requests that are accepted late in the drain, although the process ends before their answer. */
+    @Test
+    public void requestThatCannotBeAnsweredByTheEndIsRejectedAtOnce() throws Exception {
+        start(Duration.ofSeconds(2));
+        Socket waiting = connect();
+        send(waiting, "GET", "/v1/programs/n1~1~t~early/answer", "");
+        awaitRead();
+        process.destroy();
+        awaitLog("event=drain_begin");
+        long begin = clock.nanos();
+        // Of the 6 s that the callers have, less than the 2 s that finding an owner may take are left.
+        TimeUnit.MILLISECONDS.sleep(4200);
+        Socket late = connect();
+        send(late, "GET", "/v1/programs/n1~1~t~late/answer", "");
+        assertRefused(receive(late), 503);
+        Duration rejected = Duration.ofNanos(clock.nanos() - begin);
+        assertTrue(rejected.compareTo(Duration.ofMillis(5500)) < 0, rejected + log());
+        assertRefused(receive(waiting), 503);
+        Duration answered = Duration.ofNanos(clock.nanos() - begin);
+        assertTrue(answered.compareTo(Duration.ofMillis(5900)) > 0, answered + log());
+        awaitEnd();
+    }
 }
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/Node.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/Node.java
@@ -14,6 +14,8 @@
 import org.parsleydrift.kernel.LogLine;
 import org.parsleydrift.kernel.Step;
 import org.parsleydrift.kernel.StepException;
+import org.parsleydrift.kernel.platform.StoreException;
+import org.parsleydrift.kernel.platform.StoreFailure;
 import org.parsleydrift.kernel.platform.VmEntry;
 import org.parsleydrift.kernel.upstream.CallRequest;
 import org.parsleydrift.manifest.Manifest;
@@ -31,6 +33,7 @@
 import org.parsleydrift.node.peer.PeerEnvelope;
 import org.parsleydrift.node.peer.PeerMessage;
 import org.parsleydrift.node.placement.RunnerPool;
+import org.parsleydrift.program.CallOutcome;
 import org.parsleydrift.program.ProgramId;
 import org.parsleydrift.program.ProgramState;
 
@@ -43,7 +46,6 @@
     private static final Duration VM_POLL_INTERVAL = Duration.ofMillis(500);
     private static final Duration MANIFEST_POLL_INTERVAL = Duration.ofSeconds(3);
     private static final Duration WATCH_RETRY_DELAY = Duration.ofSeconds(1);
-    private static final Duration DRAIN_CHECK_INTERVAL = Duration.ofMillis(100);
     private static final int ENTRY_TTL_SECONDS = 30;
     private static final int MAX_ALTERNATES = 4;
 
@@ -54,10 +56,10 @@
     private final RunnerPool runners;
     private final CallExecutor calls;
     private final CallerGateway gateway;
+    private final NodeDrain drain;
     private final Set<String> leavingAddresses = new HashSet<>();
     private List<String> seedPeers = List.of();
     private Incarnation incarnation;
-    private boolean draining;
     private long watchedVersion;
 
     /**
@@ -80,6 +82,7 @@
                 () -> incarnation != null && incarnation.isActive()
                         ? Optional.of(incarnation.routes())
                         : Optional.empty());
+        this.drain = new NodeDrain(loop, settings.timings(), gateway);
         startIncarnation();
         pollManifest();
         watchManifest();
@@ -97,13 +100,20 @@
     }
 
     /**
-     * Routes a caller's request to the owner of its program.
+     * Routes a caller's request to the owner of its program. A draining node refuses what may take longer than it has left.
      *
      * @param request the request
      * @param sink receives the replies on the event loop
      * @return cancels the delivery of further replies
      */
     public Runnable open(CallerRequest request, ReplySink sink) {
+        OperationSpec service = request instanceof CallerRequest.CallService call
+                ? manifest.manifest().services().get(call.service())
+                : null;
+        if (!drain.permitsLookup() || (service != null && !drain.permits(service.timeout()))) {
+            sink.reply(CallerGateway.refusalAtEnd(request, false));
+            return () -> {};
+        }
         return gateway.open(request, sink);
     }
 
@@ -112,7 +122,8 @@
      *
      * @param service the service's name in the manifest
      * @param body the request body
-     * @return the result; fails with a {@link StepException} if the manifest has no repeatable service of that name
+     * @return the result; fails with a {@link StepException} if the manifest has no repeatable service of that name, or if
+     *     this node drains and the call may take longer than it has left. Unknown if the node's drain ends before.
      */
     public CompletableFuture<CallResult> callRepeatable(String service, String body) {
         OperationSpec spec = manifest.manifest().services().get(service);
@@ -122,8 +133,17 @@
                     "caller",
                     "no repeatable service " + service + " in manifest generation " + manifest.generation()));
         }
+        if (!drain.permits(spec.timeout())) {
+            return CompletableFuture.failedFuture(processEnds());
+        }
         String callId = "plain/" + Long.toHexString(environment.random().nextLong());
-        return calls.execute(spec, new CallRequest(callId, service, body), EffectGate.ALWAYS_PERMITTED);
+        return drain.bound(
+                calls.execute(spec, new CallRequest(callId, service, body), EffectGate.ALWAYS_PERMITTED),
+                result -> result.complete(new CallResult(CallOutcome.OUTCOME_UNKNOWN, "process ends")));
+    }
+
+    private static StepException processEnds() {
+        return new StepException(Step.ADMIT, "self", "process ends");
     }
 
     /**
@@ -140,10 +160,16 @@
      *
      * @param text the manifest
      * @param expected the generation that it replaces, or -1 for any
-     * @return the stored version; fails with a {@link StepException} if the generation differs from the expected one
+     * @return the stored version; fails with a {@link StepException} if the generation differs from the expected one, or if
+     *     this node drains and has no time left, and with a {@link StoreException} if its drain ends before
      */
     public CompletableFuture<ManifestVersion> submitManifest(String text, long expected) {
-        return manifest.submit(text, expected);
+        if (!drain.permits(settings.timings().platformTimeout())) {
+            return CompletableFuture.failedFuture(processEnds());
+        }
+        return drain.bound(
+                manifest.submit(text, expected),
+                result -> result.completeExceptionally(new StoreException(StoreFailure.UNKNOWN, ManifestManager.KEY)));
     }
 
     /**
@@ -152,7 +178,7 @@
      * @return true if it is registered, has a manifest, and is not draining
      */
     public boolean isReady() {
-        return incarnation.isActive() && manifest.version() != null && !draining;
+        return incarnation.isActive() && manifest.version() != null && !drain.hasBegun();
     }
 
     /**
@@ -210,7 +236,7 @@
                 incarnation.name(),
                 settings.zone(),
                 isReady(),
-                draining,
+                drain.hasBegun(),
                 manifest.generation(),
                 states.size() - ended,
                 ended,
@@ -285,12 +311,13 @@
     }
 
     /**
-     * Hands all programs over to other nodes and waits until no caller request is open.
+     * Hands all programs over to other nodes and waits until no caller request is open. Requests that are open after three
+     * drain timeouts are answered then.
      *
-     * @return completes when the process may exit
+     * @return completes when the process may exit; all replies have been given to their sinks
      */
     public CompletableFuture<Void> drain() {
-        draining = true;
+        drain.begin();
         LOG.log(
                 Logger.Level.INFO,
                 LogLine.of("drain_begin")
@@ -298,14 +325,7 @@
                         .with("programs", incarnation.host().states().size())
                         .toString());
         CompletableFuture<Void> done = new CompletableFuture<>();
-        incarnation
-                .drain()
-                .whenCompleteAsync(
-                        (handedOver, failure) -> completeWhenNoOpenRequests(
-                                loop.clock().nanos()
-                                        + settings.timings().drainTimeout().toNanos() * 2,
-                                done),
-                        loop);
+        incarnation.drain().whenCompleteAsync((handedOver, failure) -> drain.completeWhenAnswered(done), loop);
         return done;
     }
 
@@ -313,19 +333,6 @@
         return incarnation.isActive() && incarnation.isResponsibleFor(subject);
     }
 
-    private void completeWhenNoOpenRequests(long limitNanos, CompletableFuture<Void> done) {
-        if (gateway.openRequestCount() == 0 || loop.clock().nanos() > limitNanos) {
-            LOG.log(
-                    Logger.Level.INFO,
-                    LogLine.of("drain_done")
-                            .with("waiting", gateway.openRequestCount())
-                            .toString());
-            done.complete(null);
-            return;
-        }
-        loop.schedule(DRAIN_CHECK_INTERVAL, () -> completeWhenNoOpenRequests(limitNanos, done));
-    }
-
     private void startIncarnation() {
         String name =
                 settings.vm() + "-" + Long.toHexString(environment.random().nextLong());
--- a/parsleydrift-node/src/main/java/org/parsleydrift/node/caller/CallerGateway.java
+++ b/parsleydrift-node/src/main/java/org/parsleydrift/node/caller/CallerGateway.java
@@ -25,6 +25,8 @@
     private static final Duration PROGRESS_INTERVAL = Duration.ofMillis(500);
     private static final Duration REPLY_TIMEOUT = Duration.ofSeconds(2);
     private static final long RETRY_AFTER_MILLIS = 2000;
+    /** Delay of a retry after the end of this process; other nodes can serve the caller. */
+    private static final long END_RETRY_AFTER_MILLIS = 100;
 
     private final EventLoop loop;
     private final NodeSettings.Timings timings;
@@ -71,6 +73,35 @@
         return openRequests.size();
     }
 
+    /**
+     * Returns the reply to a request that this process will not answer otherwise, as it ends.
+     *
+     * @param request the request
+     * @param attempted whether an owner may have received it from this node
+     * @return a refusal that permits a retry: not run only if no attempt can have reached an owner, also none before
+     */
+    public static CallerReply.Refused refusalAtEnd(CallerRequest request, boolean attempted) {
+        boolean notRun = switch (request) {
+            case CallerRequest.Start start -> start.first() && !attempted;
+            case CallerRequest.CallService call -> call.first() && !attempted;
+            case CallerRequest.Attach ignored -> true;
+            case CallerRequest.Explain ignored -> true;
+            case CallerRequest.Send ignored -> false;
+            case CallerRequest.Cancel ignored -> false;
+        };
+        return new CallerReply.Refused(
+                notRun ? RefusalKind.NOT_RUN : RefusalKind.OUTCOME_UNKNOWN,
+                Step.ADMIT,
+                "self",
+                "process ends",
+                END_RETRY_AFTER_MILLIS);
+    }
+
+    /** Replies to all open requests of callers connected to this node, as its process ends. */
+    public void endOpenRequests() {
+        List.copyOf(openRequests).forEach(OpenRequest::endNow);
+    }
+
     /**
      * Handles a request forwarded by a peer. Replies {@link CallerReply.Moved} if this node does not own the program.
      *
@@ -379,6 +410,21 @@
             cancelLocal = () -> {};
         }
 
+        private void endNow() {
+            try {
+                detach();
+                deliver(refusalAtEnd(request, attempted));
+            } catch (RuntimeException fault) {
+                // The others must be answered nevertheless.
+                LOG.log(
+                        Logger.Level.ERROR,
+                        LogLine.of("response_failed")
+                                .with("program", request.id())
+                                .failure(fault)
+                                .toString());
+            }
+        }
+
         private void finish() {
             closed = true;
             outboundForwards.remove(forwardNumber);
