DaemonProcessTest: ports that test runs beside it do not use, and a log that lasts until the exit

signalOfTheFirstMomentDrains failed twice on the merged code beside another run of it, each time with an empty log. Both runs searched their ports from 12000 on, so the caller reached the process of the other run and the signal came before this one had begun; supposed from the ports, not traced. The platform closes the handlers of the log at the begin of a shutdown, so lines of the drain may be missing as well.

The search begins at a port that depends on the process id of the test run, and the log manager keeps its handlers. The checks are unchanged.

--- a/parsleydrift-daemon/src/test/java/org/parsleydrift/daemon/DaemonProcessTest.java
+++ b/parsleydrift-daemon/src/test/java/org/parsleydrift/daemon/DaemonProcessTest.java
@@ -53,8 +53,11 @@
         }
     }
 
+    /** Returns a free port; test runs beside this one begin their search at other ports. */
     private static int freePort() throws IOException {
-        for (int port = FIRST_PORT; port < FIRST_PORT + PORTS; port++) {
+        int first = (int) (ProcessHandle.current().pid() % PORTS);
+        for (int i = 0; i < PORTS; i++) {
+            int port = FIRST_PORT + (first + i) % PORTS;
             try (ServerSocket free = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
                 return free.getLocalPort();
             } catch (BindException taken) {
@@ -77,6 +80,7 @@
                         "-XX:+UseSerialGC",
                         "-XX:TieredStopAtLevel=1",
                         "-Xmx110m",
+                        "-Djava.util.logging.manager=" + LastingLogManager.class.getName(),
                         "--sun-misc-unsafe-memory-access=allow",
                         "--enable-native-access=ALL-UNNAMED",
                         "-cp",
