A periodic task that throws runs again after its period

EventLoop.scheduleWithFixedDelay scheduled the next run after a run that had ended without an exception only. One exception in a node's status messages, for example, would have left it silent for good.

The next run is scheduled in either case; the exception is handled by the loop like that of any other task (logged; thrown to the test by the loop on virtual time).

--- a/parsleydrift-kernel/src/main/java/org/parsleydrift/kernel/EventLoop.java
+++ b/parsleydrift-kernel/src/main/java/org/parsleydrift/kernel/EventLoop.java
@@ -30,16 +30,19 @@
     Cancellable schedule(Duration delay, Runnable task);
 
     /**
-     * Runs a task periodically. Each run starts one period after the end of the previous one; a run that throws an
-     * exception is the last one.
+     * Runs a task periodically. Each run starts one period after the end of the previous one, also if that has thrown an
+     * exception, which is handled like that of any other task.
      *
      * @param period the time between the end of a run and the start of the next one
      * @param task the task to run
      */
     default void scheduleWithFixedDelay(Duration period, Runnable task) {
         schedule(period, () -> {
-            task.run();
-            scheduleWithFixedDelay(period, task);
+            try {
+                task.run();
+            } finally {
+                scheduleWithFixedDelay(period, task);
+            }
         });
     }
 }
--- a/parsleydrift-wire/src/test/java/org/parsleydrift/wire/EventLoopContractTest.java
+++ b/parsleydrift-wire/src/test/java/org/parsleydrift/wire/EventLoopContractTest.java
@@ -123,6 +123,20 @@
         await(done);
     }
 
+    /** Guards against a periodic task that never runs again after it has thrown once, such as a node's status messages. */
+    @Test(dataProvider = "loops")
+    public void periodicTaskThatThrowsRunsAgain(String name, EventLoop loop) throws InterruptedException {
+        CountDownLatch done = new CountDownLatch(3);
+        loop.scheduleWithFixedDelay(Duration.ofMillis(1), () -> {
+            boolean fails = done.getCount() > 1;
+            done.countDown();
+            if (fails) {
+                throw new IllegalStateException("by a task");
+            }
+        });
+        await(done);
+    }
+
     /** Guards against a timer without a delay that runs within the call that schedules it. */
     @Test(dataProvider = "loops")
     public void timerWithoutDelayDoesNotRunWithinTheCall(String name, EventLoop loop) throws InterruptedException {
