--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/StreamFleet.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/StreamFleet.java
@@ -15,7 +15,6 @@
 import java.net.Socket;
 import java.time.Duration;
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -42,23 +41,19 @@
 import org.parsleydrift.kernel.SystemClock;
 import org.parsleydrift.placement.QuotaPolicy;
 import org.parsleydrift.placement.QuotaTracker;
-import org.parsleydrift.registry.CallKind;
 import org.parsleydrift.registry.CallerLimits;
 import org.parsleydrift.registry.Destination;
 import org.parsleydrift.registry.ObjectDecoder;
 import org.parsleydrift.registry.Registry;
-import org.parsleydrift.registry.Route;
 import org.parsleydrift.registry.RoutingManifest;
 import org.parsleydrift.registry.Runner;
 import org.parsleydrift.registry.SharedObject;
-import org.parsleydrift.registry.UpstreamService;
 import org.parsleydrift.wire.NetworkLoop;
 import org.parsleydrift.wire.NetworkThreads;
 
 /** Entry nodes, three store VMs and scripted runners, over real connections and with partitions between nodes and stores. */
 final class StreamFleet implements AutoCloseable {
     private static final int TIMEOUT_MILLIS = 20_000;
-    private static final int EVENTS = 4;
     /** Slots of each runner. */
     static final int SLOTS = 8;
 
@@ -126,7 +121,7 @@
     private final class Decoder implements ObjectDecoder {
         @Override
         public RoutingManifest decodeManifest(byte[] content) {
-            return manifest();
+            return FleetManifest.create(1 + manifestVersion, destinations);
         }
 
         @Override
@@ -335,7 +330,11 @@
 
     /** Starts a runner that streams four events, or those after the last one that the request names. */
     void addRunner(String id, String service, String version) throws IOException {
-        addRunner(id, service, version, request -> rejecting.contains(id) ? reject(request) : stream(request));
+        addRunner(
+                id,
+                service,
+                version,
+                request -> rejecting.contains(id) ? ScriptedStream.reject(request) : ScriptedStream.reply(request));
     }
 
     /** Starts a runner that replies in a given way to requests with a target that contains the text. */
@@ -525,75 +524,4 @@
         });
         done.join();
     }
-
-    private RoutingManifest manifest() {
-        Set<String> services = new HashSet<>();
-        destinations.forEach(each -> services.add(each.service()));
-        return new RoutingManifest(
-                1 + manifestVersion,
-                List.of(
-                        route("/events/", true, false, Duration.ofSeconds(5)),
-                        route("/brief/", true, false, Duration.ofMillis(300)),
-                        route("/stored/", false, true, Duration.ofSeconds(5)),
-                        calls("/calls/", CallKind.IDEMPOTENT, Duration.ZERO),
-                        calls("/orders/", CallKind.NON_IDEMPOTENT, Duration.ofMillis(100)),
-                        calls("/slow-orders/", CallKind.NON_IDEMPOTENT, Duration.ofSeconds(1))),
-                services.stream()
-                        .map(each -> new UpstreamService(each, 100, true, 10, "/health"))
-                        .toList(),
-                CallerLimits.defaults());
-    }
-
-    private Route route(String prefix, boolean resumable, boolean stateful, Duration timeout) {
-        return new Route(
-                prefix,
-                "h",
-                prefix,
-                CallKind.STREAMING,
-                timeout,
-                Duration.ofMillis(100),
-                1,
-                0,
-                resumable,
-                stateful,
-                Duration.ofSeconds(60),
-                false,
-                destinations);
-    }
-
-    /** Returns a route of calls, each of which may reach three runners if it is idempotent. */
-    private Route calls(String prefix, CallKind kind, Duration targetLatency) {
-        return new Route(
-                prefix,
-                "h",
-                prefix,
-                kind,
-                Duration.ofSeconds(5),
-                targetLatency,
-                3,
-                0,
-                false,
-                false,
-                Duration.ZERO,
-                false,
-                destinations);
-    }
-
-    /** A new stream stops after its second event without an end; a resumed one is complete. */
-    private static String stream(String request) {
-        String after = ScriptedRunner.header(request, "Last-Event-Id");
-        int first = after.isEmpty() ? 1 : Integer.parseInt(after) + 1;
-        int last = after.isEmpty() ? 2 : EVENTS;
-        StringBuilder body = new StringBuilder();
-        for (int event = first; event <= last; event++) {
-            body.append("id: ").append(event).append("\ndata: e").append(event).append("\n\n");
-        }
-        int missing = after.isEmpty() ? 40 : 0;
-        return "HTTP/1.1 200 OK\r\nParsleydrift-Request: " + ScriptedRunner.header(request, "Parsleydrift-Request")
-                + "\r\nParsleydrift-Stamp: s\r\nContent-Length: " + (body.length() + missing) + "\r\n\r\n" + body;
-    }
-
-    private static String reject(String request) {
-        return ScriptedRunner.response("503 Full", request, "Parsleydrift-Not-Executed: 1\r\n", "");
-    }
 }
