DaemonProcessTest uses ports of its own

signalOfTheFirstMomentDrains failed in one of its four runs on the mended code: the log of the daemon was empty, as if the test had been connected to another process and had ended its own one before it began. Its ports (12000 and up) were those of SoakFleet, which may have run beside it on this shared machine.

The ports now lie below those of RoleProcessTest, and a run begins at one that depends on its process id.

--- a/parsleydrift-daemon/src/test/java/org/parsleydrift/daemon/DaemonProcessTest.java
+++ b/parsleydrift-daemon/src/test/java/org/parsleydrift/daemon/DaemonProcessTest.java
@@ -31,9 +31,9 @@
     private static final Duration TIMEOUT = Duration.ofSeconds(30);
     private static final Duration POLL = Duration.ofMillis(1);
     /** Ports below those that the system assigns to outgoing connections, which could take one before the process does. */
-    private static final int FIRST_PORT = 12_000;
+    private static final int FIRST_PORT = 8_500;
 
-    private static final int PORTS = 2_000;
+    private static final int PORTS = 1_400;
 
     private final RuntimeClock clock = new SystemClock();
     private Path folder;
@@ -53,8 +53,10 @@
         }
     }
 
+    /** Returns a port that is free, beginning where other test runs on this machine are unlikely to begin. */
     private static int freePort() throws IOException {
-        for (int port = FIRST_PORT; port < FIRST_PORT + PORTS; port++) {
+        int first = FIRST_PORT + (int) (ProcessHandle.current().pid() * 10 % PORTS);
+        for (int port = first; port < FIRST_PORT + PORTS; port++) {
             try (ServerSocket free = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
                 return free.getLocalPort();
             } catch (BindException taken) {
