--- a/parsleydrift-daemon/src/test/java/org/parsleydrift/daemon/DaemonProcessTest.java
+++ b/parsleydrift-daemon/src/test/java/org/parsleydrift/daemon/DaemonProcessTest.java
@@ -31,9 +31,9 @@
     private static final Duration TIMEOUT = Duration.ofSeconds(30);
     private static final Duration POLL = Duration.ofMillis(1);
     /** Ports below those that the system assigns to outgoing connections, which could take one before the process does. */
-    private static final int FIRST_PORT = 12_000;
+    private static final int FIRST_PORT = 8_500;
 
-    private static final int PORTS = 2_000;
+    private static final int PORTS = 1_400;
 
     private final RuntimeClock clock = new SystemClock();
     private Path folder;
@@ -55,7 +55,7 @@
 
     /** Returns a free port; test runs beside this one begin their search at other ports. */
     private static int freePort() throws IOException {
-        int first = (int) (ProcessHandle.current().pid() % PORTS);
+        int first = (int) (ProcessHandle.current().pid() * 10 % PORTS);
         for (int i = 0; i < PORTS; i++) {
             int port = FIRST_PORT + (first + i) % PORTS;
             try (ServerSocket free = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
