Nodes that start together do not echo each other's reports of lost runners

A node that does not know its peers' losses yet answers a query with a report, also an empty one, and each receiver of a report passed it on to all nodes that had asked it. Nodes that start together ask each other, so each report multiplied with each hop for as long as they asked; what stalled in the storm asked anew.

What was sent to the askers is not passed on to them again for a second, and a node without losses sends no report.

RunnerLossExchangeTest.nodesThatAskEachOtherDoNotEchoReports: 1,554 frames within 2 ms before, passes now; startingNodeWithoutLossesReportsNone failed before, too.

--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RunnerLossExchange.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RunnerLossExchange.java
@@ -31,6 +31,8 @@
     private static final int QUERIED_PEERS = 3;
     /** Time for which reports are sent to a node that has asked, as not all nodes may know it yet. */
     private static final Duration REPORTED_TO_ASKER = Duration.ofSeconds(2);
+    /** Time in which what was sent to the askers is not passed on to them again. */
+    private static final Duration ECHO_TIME = Duration.ofSeconds(1);
 
     private final EventLoop loop;
     private final FrameSender frames;
@@ -44,6 +46,8 @@
     private final Counter received;
     /** Times of the latest queries, ns, by link address. */
     private final Map<String, Long> askers = new HashMap<>();
+    /** Times at which losses were sent to the askers, ns. */
+    private final Map<Passed, Long> passed = new HashMap<>();
 
     private final RunnerLossSync sync;
     private OptionalLong lastReceivedNanos = OptionalLong.empty();
@@ -55,6 +59,9 @@
         RunnerLossFrame create(RunnerLossFrame.Scope scope, List<RunnerLoss> losses);
     }
 
+    /** A loss that was sent to the askers in a frame of a type. */
+    private record Passed(byte type, RunnerLoss loss) {}
+
     /**
      * Creates the exchange.
      *
@@ -145,12 +152,15 @@
                 accept(report.losses(), report.connectionLost());
                 Frames kind = reports(report.connectionLost());
                 forward(kind, report.scope(), report.losses());
-                sendToAskers(kind, report.losses());
+                byte type = report.connectionLost() ? RunnerLossFrame.REPORT : RunnerLossFrame.UNFINISHED;
+                sendToAskers(kind, withoutEchoes(type, report.losses()));
             }
             case RunnerLossFrame.Retraction retraction -> {
                 receiver.recordRetracted(retraction.losses());
                 forward(RunnerLossFrame.Retraction::new, retraction.scope(), retraction.losses());
-                sendToAskers(RunnerLossFrame.Retraction::new, retraction.losses());
+                sendToAskers(
+                        RunnerLossFrame.Retraction::new,
+                        withoutEchoes(RunnerLossFrame.RETRACTION, retraction.losses()));
             }
             case RunnerLossFrame.Query asked -> answer(asked.link());
             case RunnerLossFrame.Answer answer -> {
@@ -181,10 +191,23 @@
     private void answer(String asker) {
         askers.put(asker, loop.clock().nanos());
         List<RunnerLoss> losses = latest.apply(RunnerLossFrame.MAX_LOSSES);
-        RunnerLossFrame frame = sync.isCurrent()
-                ? new RunnerLossFrame.Answer(losses)
-                : new RunnerLossFrame.Report(RunnerLossFrame.Scope.RECEIVER, true, losses);
-        frames.send(asker, frame.encode());
+        if (sync.isCurrent()) {
+            frames.send(asker, new RunnerLossFrame.Answer(losses).encode());
+        } else if (!losses.isEmpty()) {
+            frames.send(asker, new RunnerLossFrame.Report(RunnerLossFrame.Scope.RECEIVER, true, losses).encode());
+        }
+    }
+
+    /**
+     * Returns the losses that have not been passed on just now. Nodes that start together ask each other, and would pass on
+     * each other's reports without end.
+     */
+    private List<RunnerLoss> withoutEchoes(byte type, List<RunnerLoss> losses) {
+        long now = loop.clock().nanos();
+        passed.values().removeIf(each -> now - each > ECHO_TIME.toNanos());
+        return losses.stream()
+                .filter(each -> passed.putIfAbsent(new Passed(type, each), now) == null)
+                .toList();
     }
 
     private static Frames reports(boolean connectionLost) {
@@ -240,17 +263,6 @@
         }
     }
 
-    private void sendToAskers(Frames kind, List<RunnerLoss> losses) {
-        long now = loop.clock().nanos();
-        askers.values().removeIf(each -> now - each > REPORTED_TO_ASKER.toNanos());
-        List<String> receivers = links(plan.get().stateReceivers());
-        send(
-                askers.keySet().stream()
-                        .filter(each -> !receivers.contains(each))
-                        .toList(),
-                kind.create(RunnerLossFrame.Scope.RECEIVER, losses));
-    }
-
     /** Forwards losses to the nodes that have yet to receive them, if this node is a hub. */
     private void forward(Frames kind, RunnerLossFrame.Scope scope, List<RunnerLoss> losses) {
         MeshPlan current = plan.get();
@@ -263,6 +275,20 @@
         }
     }
 
+    private void sendToAskers(Frames kind, List<RunnerLoss> losses) {
+        long now = loop.clock().nanos();
+        askers.values().removeIf(each -> now - each > REPORTED_TO_ASKER.toNanos());
+        if (losses.isEmpty() || askers.isEmpty()) {
+            return;
+        }
+        List<String> receivers = links(plan.get().stateReceivers());
+        send(
+                askers.keySet().stream()
+                        .filter(each -> !receivers.contains(each))
+                        .toList(),
+                kind.create(RunnerLossFrame.Scope.RECEIVER, losses));
+    }
+
     private void send(List<String> links, RunnerLossFrame frame) {
         byte[] encoded = frame.encode();
         links.forEach(each -> frames.send(each, encoded));
--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/RunnerLossExchangeTest.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/RunnerLossExchangeTest.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 import java.util.stream.LongStream;
 import org.parsleydrift.placement.RunnerLoss;
 import org.parsleydrift.placement.RunnerLossTracker;
@@ -40,13 +41,17 @@
     }
 
     private void connect(MeshMember member) {
+        connect(member, member.mesh::plan);
+    }
+
+    private void connect(MeshMember member, Supplier<MeshPlan> plan) {
         String name = member.identity.name();
         RunnerLossTracker tracker = new RunnerLossTracker();
         RunnerLossExchange exchange = new RunnerLossExchange(
                 member.loop,
                 member.frames,
                 member.identity.link(),
-                member.mesh::plan,
+                plan,
                 receiver(tracker),
                 tracker::latest,
                 () -> {},
@@ -134,6 +139,45 @@
         assertEquals(fleet.members.get("n00").sentFrames - sentBefore, 6, "frames sent within the call");
     }
 
+    /** Guards against nodes that start together, ask each other, and pass on each other's reports without end. */
+    @Test
+    public void nodesThatAskEachOtherDoNotEchoReports() {
+        trackers.clear();
+        MeshFleet fleet = new MeshFleet(3, 7);
+        MeshMember withoutPeers = new MeshFleet(1, 1).members.get("n00");
+        fleet.members.values().forEach(each -> connect(each, withoutPeers.mesh::plan));
+        exchanges.forEach((name, exchange) -> fleet.members.values().stream()
+                .filter(each -> !each.identity.name().equals(name))
+                .forEach(each -> exchange.receive(new RunnerLossFrame.Query(each.identity.link()).encode())));
+        int before = sentFrames(fleet);
+        publish("n00", 10);
+        for (int millis = 0; millis < 500; millis++) {
+            fleet.time.advance(Duration.ofMillis(1));
+            int sent = sentFrames(fleet) - before;
+            assertTrue(sent < 1000, sent + " frames within " + millis + " ms");
+        }
+        assertEquals(lostRunners(), List.of(1));
+    }
+
+    /** Guards against empty reports, which nodes that start together would pass on without end as well. */
+    @Test
+    public void startingNodeWithoutLossesReportsNone() {
+        MeshFleet fleet = connectedFleet(7);
+        exchanges.get("n00").start();
+        assertFalse(exchanges.get("n00").isCurrent());
+        int before = fleet.members.get("n00").sentFrames;
+        exchanges
+                .get("n00")
+                .receive(new RunnerLossFrame.Query(
+                                fleet.members.get("n01").identity.link())
+                        .encode());
+        assertEquals(fleet.members.get("n00").sentFrames, before);
+    }
+
+    private static int sentFrames(MeshFleet fleet) {
+        return fleet.members.values().stream().mapToInt(each -> each.sentFrames).sum();
+    }
+
     /** Guards against a node that stops asking for earlier losses, as it takes the report of a new one for an answer. */
     @Test
     public void reportIsNoAnswerToAStartingNode() {
