--- a/parsleydrift-bench/src/test/java/org/parsleydrift/bench/streams/RoleProcessTest.java
+++ b/parsleydrift-bench/src/test/java/org/parsleydrift/bench/streams/RoleProcessTest.java
@@ -135,7 +135,10 @@
 
     private void start(Path settings) throws IOException {
         String classPath = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+        // A process that inherits an ignored SIGHUP, as below nohup, would not reload its settings.
         process = new ProcessBuilder(
+                        "env",
+                        "--default-signal=HUP",
                         Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                         "-XX:+UseSerialGC",
                         "-XX:TieredStopAtLevel=1",
