--- a/parsleydrift-placement/src/test/java/org/parsleydrift/placement/QuotaFleet.java
+++ b/parsleydrift-placement/src/test/java/org/parsleydrift/placement/QuotaFleet.java
@@ -31,6 +31,7 @@
     private static final int REQUESTS_PER_PROGRAM = 10;
     private static final int REQUEST_INTERVAL_MILLIS = 150;
     private static final int MAX_RETRIES = 2;
+    private static final int SINGLE_REQUEST_STEP = -1;
 
     final Team team;
     private final Random random;
@@ -49,7 +50,12 @@
     int programsStarted;
     int programsCompleted;
 
-    private record Request(long atMillis, int step, int retries) {}
+    /** A request of a program; one outside any program has a negative step. */
+    private record Request(long atMillis, int step, int retries) {
+        private boolean isInProgram() {
+            return step >= 0;
+        }
+    }
 
     private record SentReport(long arrivalMillis, int reporter, UsageReport report) {}
 
@@ -104,6 +110,12 @@
         }
     }
 
+    /** Lets callers send single requests at the same moment; each comes back once when rejected. */
+    void surge(int callers) {
+        IntStream.range(0, callers)
+                .forEach(each -> scheduled.add(new Request(nowMillis, SINGLE_REQUEST_STEP, MAX_RETRIES - 1)));
+    }
+
     /** Restarts a share of the nodes, which lose their counts. */
     void restart(double share, int downMillis) {
         IntStream.range(0, (int) Math.round(share * nodes.length))
@@ -132,7 +144,7 @@
         }
         Node node = up.get(random.nextInt(up.size()));
         attempts++;
-        switch (node.quotas.acquire(team, request.step > 0, true)) {
+        switch (node.quotas.acquire(team, request.step > 0, request.isInProgram())) {
             case QuotaDecision.Allowed ignored -> recordSent(request);
             case QuotaDecision.Exceeded exceeded -> {
                 rejected++;
@@ -152,7 +164,7 @@
         dropExpired(sentTimes);
         dropExpired(startTimes);
         double limit = team.quota().maxRequests(WINDOW.toMillis() / 1000.0);
-        boolean programs = request.step > 0 || (startTimes.size() + 1) * REQUESTS_PER_PROGRAM <= limit;
+        boolean programs = request.step != 0 || (startTimes.size() + 1) * REQUESTS_PER_PROGRAM <= limit;
         return programs && sentTimes.size() + 1 <= limit;
     }
 
@@ -170,6 +182,9 @@
             programsStarted++;
             startTimes.add(nowMillis);
         }
+        if (!request.isInProgram()) {
+            return;
+        }
         if (request.step + 1 < REQUESTS_PER_PROGRAM) {
             scheduled.add(new Request(nowMillis + REQUEST_INTERVAL_MILLIS, request.step + 1, 0));
         } else {
--- a/parsleydrift-placement/src/test/java/org/parsleydrift/placement/QuotaTrackerTest.java
+++ b/parsleydrift-placement/src/test/java/org/parsleydrift/placement/QuotaTrackerTest.java
@@ -76,6 +76,17 @@
         assertTrue(completed >= 0.85 * started, completed + " of " + started);
     }
 
+    /** Guards against nodes that each admit a part of a sudden demand before any of them has reported its own. */
+    @Test(dataProvider = "fleets")
+    public void suddenDemandStaysWithinQuota(int nodes, double rate) {
+        IntStream.range(0, SEEDS).forEach(seed -> {
+            QuotaFleet fleet = new QuotaFleet(nodes, rate, seed);
+            fleet.surge((int) (2 * fleet.maxRequests()));
+            fleet.run(6_000, 0);
+            assertWithinQuota(fleet, "seed " + seed);
+        });
+    }
+
     /** Nodes that restart under overload have lost their counts and must not grant the quota a second time. */
     @Test(dataProvider = "fleets")
     public void restartedNodesDoNotGrantQuotaTwice(int nodes, double rate) {
