Soak: callers of teams with quotas, counted at the runners

A team whose 200 callers begin together and one that asks for half of its quota. A run is a violation if a window holds more requests than the rule allows, by either reading (sent and run within it; run within it), or if the calm team gets 429 at an undisturbed node while its window has room.

--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/ResponseRunner.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/ResponseRunner.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.ObjLongConsumer;
 import org.parsleydrift.kernel.RuntimeClock;
 
 /**
@@ -37,16 +38,24 @@
     private final AttemptRecords records;
     private final StreamSoakReport report;
     private final RuntimeClock clock;
+    private final ObjLongConsumer<String> runListener;
     private final ServerSocket listener;
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
 
-    ResponseRunner(String id, boolean irregular, AttemptRecords records, StreamSoakReport report, RuntimeClock clock)
+    ResponseRunner(
+            String id,
+            boolean irregular,
+            AttemptRecords records,
+            StreamSoakReport report,
+            RuntimeClock clock,
+            ObjLongConsumer<String> runListener)
             throws IOException {
         this.id = id;
         this.irregular = irregular;
         this.records = records;
         this.report = report;
         this.clock = clock;
+        this.runListener = runListener;
         this.listener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
         Thread.startVirtualThread(this::accept);
     }
@@ -125,6 +134,7 @@
 
     private void recordRun(RawHttp.Head head, RunnerAnswer answer) {
         String attempt = head.header("X-Attempt-Id");
+        runListener.accept(attempt, clock.nanos());
         int runs = records.recordRun(attempt, event("runs " + answer), answer.isBrokenOff());
         if (head.part(1).startsWith(CallerAttempt.ONCE) && (runs > 1 || records.isRefused(attempt))) {
             report.violation(
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/SoakFleet.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/SoakFleet.java
@@ -55,6 +55,12 @@
     private final Path folder;
     private final Duration grace;
     private final AttemptRecords attempts;
+    private final boolean hasTeams;
+    private final Map<SoakManifest.SoakTeam, QuotaRecords> quotaRecords = Map.of(
+            SoakManifest.SoakTeam.CALM,
+            SoakManifest.SoakTeam.CALM.newRecords(),
+            SoakManifest.SoakTeam.SURGING,
+            SoakManifest.SoakTeam.SURGING.newRecords());
     private final List<ResponseRunner> responseRunners = new ArrayList<>();
     private final RuntimeClock clock = new SystemClock();
     private final DisruptorEventLoop platformLoop = new DisruptorEventLoop("soak-platform", clock);
@@ -119,6 +125,7 @@
     SoakFleet(Path folder, StreamSoakOptions options) throws IOException {
         this.folder = folder;
         this.grace = options.responses().grace();
+        this.hasTeams = options.quotas().callers() > 0;
         this.attempts = new AttemptRecords(options.seed(), options.responses().has(ResponseTrouble.RUNNERS));
         this.platform = new HttpServer(
                 threads, "127.0.0.1", 0, MAX_CONNECTIONS, new SharedObjectsServer(objects, platformLoop));
@@ -182,14 +189,26 @@
         return attempts;
     }
 
+    QuotaRecords quotaRecords(SoakManifest.SoakTeam team) {
+        return quotaRecords.get(team);
+    }
+
+    /** Records that a runner begins a request. */
+    void recordRun(String request, long nanos) {
+        quotaRecords.values().forEach(each -> each.recordRun(request, nanos));
+    }
+
     void writeManifest(int version, boolean isReduced) {
-        write(ObjectKind.MANIFEST, "main", SoakManifest.text(version, isReduced));
+        write(
+                ObjectKind.MANIFEST,
+                "main",
+                hasTeams ? SoakManifest.textWithTeams(version) : SoakManifest.text(version, isReduced));
     }
 
     /** Starts runners of plain calls. */
     void addResponseRunners(int count, boolean irregular, StreamSoakReport report) throws IOException {
         for (int i = 1; i <= count; i++) {
-            ResponseRunner runner = new ResponseRunner("a" + i, irregular, attempts, report, clock);
+            ResponseRunner runner = new ResponseRunner("a" + i, irregular, attempts, report, clock, this::recordRun);
             responseRunners.add(runner);
             write(ObjectKind.RUNNERS, runner.id(), runner.entry());
         }
@@ -387,8 +406,15 @@
         return """
                 {"role": "entry", "outside": "platform", "vm": "%s", "zone": "a", "link": "%s", "callers": "%s",
                  "readiness": "127.0.0.1:0", "directory": "127.0.0.1:0", "metrics": "127.0.0.1:0", "platform": "%s",
-                 "first_start": true, "grace_s": %d}
-                """.formatted(name, address(), callers, platformAddress(), grace.toSeconds());
+                 "first_start": true, "grace_s": %d, "allotment_window_s": %d, "allotment_slack": %d}
+                """.formatted(
+                        name,
+                        address(),
+                        callers,
+                        platformAddress(),
+                        grace.toSeconds(),
+                        QuotaRecords.WINDOW.toSeconds(),
+                        QuotaRecords.SLACK);
     }
 
     private static ServerSocket reservePortRange() throws IOException {
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/SoakManifest.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/SoakManifest.java
@@ -1,6 +1,9 @@
 package org.parsleydrift.bench.streams;
 
 import java.time.Duration;
+import java.util.regex.Matcher;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /** The manifests of a run. */
 final class SoakManifest {
@@ -13,8 +16,44 @@
               {"name": "%s", "host": "127.0.0.1", "path_prefix": "%s", "type": "%s",
                "service": "clerk", "timeout_ms": 6000, "target_latency_ms": 2000, "max_attempts": 3}""";
 
+    private static final double RATE_PER_SECOND = 16;
+    private static final double BURST = 22;
+
     private SoakManifest() {}
 
+    /**
+     * A team of the manifest.
+     *
+     * @param name its name
+     * @param isCalm whether its callers ask for less than its quota
+     */
+    record SoakTeam(String name, boolean isCalm) {
+        static final SoakTeam CALM = new SoakTeam("calm", true);
+        static final SoakTeam SURGING = new SoakTeam("surging", false);
+
+        String key() {
+            return "key-of-" + name;
+        }
+
+        QuotaRecords newRecords() {
+            return new QuotaRecords(RATE_PER_SECOND, BURST);
+        }
+
+        private String json() {
+            return """
+                    {"name": "%s", "api_keys": ["%s"], "rate_per_s": %s, "burst": %s}
+                    """.formatted(name, key(), RATE_PER_SECOND, BURST);
+        }
+    }
+
+    /** Returns a manifest whose callers belong to teams with quotas. */
+    static String textWithTeams(int version) {
+        String plain = text(version, false);
+        String teams =
+                Stream.of(SoakTeam.CALM, SoakTeam.SURGING).map(SoakTeam::json).collect(Collectors.joining(", "));
+        return plain.replaceFirst("\\{", Matcher.quoteReplacement("{\"tenants\": [" + teams + "], "));
+    }
+
     /**
      * Returns a manifest.
      *
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoak.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoak.java
@@ -13,6 +13,11 @@
 /** One randomised run: callers stream through a fleet of processes that is disturbed meanwhile. */
 final class StreamSoak {
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+    /** Time before the callers of teams with quotas begin; longer than a window. */
+    private static final Duration QUOTA_BEGIN = Duration.ofSeconds(9);
+
+    private static final int CALM_CALLERS = 8;
+    private static final Duration CALM_PAUSE = Duration.ofSeconds(1);
 
     private final StreamSoakOptions options;
 
@@ -30,7 +35,7 @@
                 fleet.addRunner("v1");
             }
             ResponseOptions responses = options.responses();
-            if (responses.callers() > 0) {
+            if (responses.callers() > 0 || options.quotas().callers() > 0) {
                 fleet.addResponseRunners(options.runners(), responses.has(ResponseTrouble.RUNNERS), report);
             }
             fleet.start();
@@ -53,6 +58,10 @@
                 stream(fleet, random, report);
             }
             fleet.endingWorks().report(report);
+            if (options.quotas().callers() > 0) {
+                judgeQuota(fleet, SoakManifest.SoakTeam.CALM, report);
+                judgeQuota(fleet, SoakManifest.SoakTeam.SURGING, report);
+            }
         }
         return report;
     }
@@ -77,6 +86,7 @@
                 ChainCaller caller = new ChainCaller("h" + i, fleet, client, random.split(), report);
                 submit(callers, () -> caller.run(endNanos), report);
             }
+            startQuotaCallers(fleet, random, report, callers);
             for (int i = 1; i <= options.responses().callers(); i++) {
                 WholeResponseCaller caller =
                         new WholeResponseCaller("w" + i, fleet, random.split(), report, options.responses());
@@ -85,6 +95,34 @@
         }
     }
 
+    private void startQuotaCallers(
+            SoakFleet fleet, SplittableRandom random, StreamSoakReport report, ExecutorService callers) {
+        long beginNanos = fleet.clock().nanos() + QUOTA_BEGIN.toNanos();
+        long endNanos = beginNanos + options.time().toNanos();
+        QuotaOptions quotas = options.quotas();
+        for (int i = 1; i <= (quotas.callers() > 0 ? CALM_CALLERS : 0); i++) {
+            QuotaCaller caller =
+                    new QuotaCaller("q" + i, SoakManifest.SoakTeam.CALM, CALM_PAUSE, fleet, random.split(), report);
+            submit(callers, () -> caller.run(beginNanos, endNanos), report);
+        }
+        for (int i = 1; i <= quotas.callers(); i++) {
+            QuotaCaller caller = new QuotaCaller(
+                    "s" + i, SoakManifest.SoakTeam.SURGING, Duration.ZERO, fleet, random.split(), report);
+            long delayNanos = quotas.spread().toNanos() * (i - 1) / quotas.callers();
+            submit(callers, () -> caller.run(beginNanos + delayNanos, endNanos), report);
+        }
+    }
+
+    private static void judgeQuota(SoakFleet fleet, SoakManifest.SoakTeam team, StreamSoakReport report) {
+        QuotaRecords records = fleet.quotaRecords(team);
+        String counts = "team=" + team.name() + " sent_and_run=" + records.mostSentAndRun() + " run="
+                + records.mostRun() + " allowed=" + records.maxRequests();
+        report.note("most in a window: " + counts);
+        if (records.mostSentAndRun() > records.maxRequests() || records.mostRun() > records.maxRequests()) {
+            report.violation("QUOTA " + counts);
+        }
+    }
+
     private static void submit(ExecutorService callers, CallerTask task, StreamSoakReport report) {
         callers.submit(() -> {
             try {
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakOptions.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakOptions.java
@@ -21,6 +21,7 @@
  * @param formerClassPath class path of an earlier version, as which the processes start; they are upgraded in turn, unless
  *     there are callers that compare responses
  * @param responses callers that compare each response with what its runner sent
+ * @param quotas callers of teams with quotas; the only callers of a run, as all others have no key
  */
 public record StreamSoakOptions(
         long seed,
@@ -35,7 +36,8 @@
         boolean rejoining,
         Duration time,
         Optional<String> formerClassPath,
-        ResponseOptions responses) {
+        ResponseOptions responses,
+        QuotaOptions quotas) {
     /** Copies the list. */
     public StreamSoakOptions {
         runnerEnds = List.copyOf(runnerEnds);
@@ -68,13 +70,46 @@
                 rejoining,
                 time,
                 formerClassPath,
-                ResponseOptions.none());
+                ResponseOptions.none(),
+                QuotaOptions.none());
     }
 
     /** Returns the options of a run whose only callers are those that compare responses. */
     static StreamSoakOptions ofResponses(
             long seed, int entries, int runners, Duration time, ResponseOptions responses) {
         return new StreamSoakOptions(
-                seed, entries, runners, 0, 0, List.of(), 0, false, false, false, time, Optional.empty(), responses);
+                seed,
+                entries,
+                runners,
+                0,
+                0,
+                List.of(),
+                0,
+                false,
+                false,
+                false,
+                time,
+                Optional.empty(),
+                responses,
+                QuotaOptions.none());
+    }
+
+    /** Returns the options of a run whose only callers are those of teams with quotas. */
+    static StreamSoakOptions ofQuotas(long seed, int entries, int runners, Duration time, QuotaOptions quotas) {
+        return new StreamSoakOptions(
+                seed,
+                entries,
+                runners,
+                0,
+                0,
+                List.of(),
+                0,
+                false,
+                false,
+                false,
+                time,
+                Optional.empty(),
+                ResponseOptions.none(),
+                quotas);
     }
 }
--- a/parsleydrift-bench/src/test/java/org/parsleydrift/bench/streams/StreamSoakTest.java
+++ b/parsleydrift-bench/src/test/java/org/parsleydrift/bench/streams/StreamSoakTest.java
@@ -151,6 +151,17 @@
         assertTrue(report.toString().contains("terminations="), report.toString());
     }
 
+    /** Guards against a quota exceeded by callers that begin together at many nodes, before these hear of each other. */
+    @Test
+    public void suddenDemandStaysWithinQuota() throws IOException {
+        Path folder = Files.createTempDirectory(Files.createDirectories(Path.of("target", "stream-soak")), "quota");
+        QuotaOptions quotas = new QuotaOptions(200, Duration.ZERO);
+        StreamSoakReport report = new StreamSoak(StreamSoakOptions.ofQuotas(SEED, 12, 6, Duration.ofSeconds(8), quotas))
+                .run(folder.toAbsolutePath());
+        assertEquals(report.violations(), List.of(), report.toString());
+        assertTrue(report.toString().contains("quota_surging_429"), report.toString());
+    }
+
     private static StreamSoakReport compareResponses(
             String name, int entries, Duration time, ResponseTrouble... troubles) throws IOException {
         Path folder = Files.createTempDirectory(Files.createDirectories(Path.of("target", "stream-soak")), name);
