Log lines of quota decisions, and of usage known to be over the limit

A 429 said only that the quota was exhausted, and nothing told of a window over the limit, so that late reports and lost reports could not be told apart. quota_exceeded and quota_overdrawn hold what the node believed: own usage, that of its peers, the age of their reports, limit and demand. No logic is changed.

--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/QuotaTracker.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/QuotaTracker.java
@@ -1,5 +1,6 @@
 package org.parsleydrift.placement;
 
+import java.lang.System.Logger;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
@@ -9,6 +10,7 @@
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
+import org.parsleydrift.kernel.LogLine;
 import org.parsleydrift.registry.Team;
 
 /**
@@ -23,6 +25,7 @@
  * <p>Not thread-safe; confined to one event loop.
  */
 public final class QuotaTracker {
+    private static final Logger LOG = System.getLogger(QuotaTracker.class.getName());
     /** Time over which the remaining quota is granted under excess demand, s; several times the reporting delay. */
     private static final double GRANT_SPREAD_SECONDS = 1.2;
     /** Share of the demand window whose demand at peers is not reported yet. */
@@ -43,6 +46,7 @@
     private final long startNanos;
     private final Map<String, TeamCounters> ownCounters = new HashMap<>();
     private final PeerUsage peers;
+    private long updateNanos;
     private final ProgramSizeEstimate programSize = new ProgramSizeEstimate();
 
     /**
@@ -60,6 +64,7 @@
         this.policy = policy;
         this.peerUsageKnown = peerUsageKnown;
         this.startNanos = nanos.getAsLong();
+        this.updateNanos = startNanos;
         this.peers = new PeerUsage(policy.window());
     }
 
@@ -69,7 +74,8 @@
      * @param reports latest reports by node or zone; a report with 0 nodes for a reporter that is gone
      */
     public void updatePeers(Map<String, UsageReport> reports) {
-        peers.update(reports, nanos.getAsLong());
+        updateNanos = nanos.getAsLong();
+        peers.update(reports, updateNanos);
     }
 
     /**
@@ -145,6 +151,7 @@
         }
         boolean admitted = !isExhausted(team) && (inProgress ? canContinue(team) : canStart(team));
         if (!admitted) {
+            LOG.log(Logger.Level.INFO, () -> describe("quota_exceeded", team).toString());
             return new QuotaDecision.Exceeded(retryAfter(team));
         }
         programSize.recordRequest(startsProgram);
@@ -153,6 +160,9 @@
         }
         long now = nanos.getAsLong();
         counters.addSent(now, 1);
+        if (remaining(team, usage(team).sent()) < 0) {
+            LOG.log(Logger.Level.INFO, () -> describe("quota_overdrawn", team).toString());
+        }
         return new QuotaDecision.Allowed(Optional.of(new QuotaCharge(counters, now)));
     }
 
@@ -193,6 +203,22 @@
                 || random.nextDouble() * perSecond(demand) < remaining / GRANT_SPREAD_SECONDS + expiringPerSecond;
     }
 
+    /** Returns a log line with all that a decision depends on. */
+    private LogLine describe(String event, Team team) {
+        TeamUsage all = usage(team);
+        TeamUsage reported = peerUsage(team);
+        return LogLine.of(event)
+                .with("team", team.name())
+                .with("sent", all.sent().total())
+                .with("sent_by_peers", reported.sent().total())
+                .with("planned", all.planned().total())
+                .with("limit", (long) policy.windowLimit(team.quota(), unobservedShare()))
+                .with("demand", all.newDemand() + all.inProgressDemand())
+                .with("peers", peers.total().nodes())
+                .with("peers_age_ms", (nanos.getAsLong() - updateNanos) / NANOS_PER_MILLI)
+                .with("unobserved_ms", unobservedMillis());
+    }
+
     private static double perSecond(int requests) {
         return requests * 1000.0 / TeamCounters.DEMAND_WINDOW.toMillis();
     }
