One node at a time decides on the quota of a team

Callers of a team that began together at many nodes got more than its quota: each node admitted by itself what fitted by the reports of its peers, which arrive 80 to 500 ms later, so the bound of the fleet was n times what one node sees.

Now the requests of a team are decided on by its coordinator, the live node with the highest hash (QuotaCoordinators), which the others ask (QuotaExchange); it counts what it grants, so nothing is admitted that the decider does not know of. Its counts go to the others with the status exchange, as before. A node that has just become the coordinator, or is asked because the coordinator does not answer, admits no more than the tolerance that the limit leaves unused (QuotaAuthority) until it has heard all; one that was started within the window declines while others know more. No election, no stored state, no second service.

Also: a refund of a request that was not run gives back the requests that its program was expected to need, which stayed charged; and demand that was met no longer counts against the remaining quota.

QuotaTrackerTest.suddenDemandStaysWithinQuota failed on its four fleets before (145 of 72.8 requests) and passes; the model's other cases, with restarts and partitions, pass as before.

--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/QuotaDecision.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/QuotaDecision.java
@@ -22,6 +22,6 @@
      */
     record Exceeded(Duration retryAfter) implements QuotaDecision {}
 
-    /** This node has no usage reports from its peers, so it cannot decide. */
+    /** No node that knows the usage of the team could decide. */
     record Undetermined() implements QuotaDecision {}
 }
--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/QuotaPolicy.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/QuotaPolicy.java
@@ -9,8 +9,9 @@
  *
  * @param window length of the sliding window
  * @param tolerance requests above the quota that are tolerated in one window
+ * @param overage share of the quota that is tolerated above it as well
  */
-public record QuotaPolicy(Duration window, double tolerance) {
+public record QuotaPolicy(Duration window, double tolerance, double overage) {
     /**
      * Share of the tolerance added to the limit, so that unreported requests do not cost a small team part of its
      * quota.
@@ -48,6 +49,14 @@
         return UNREPORTED_TOLERANCE_SHARE * tolerance * observedFactor(unobserved);
     }
 
+    /**
+     * Returns how many requests a node may admit in a window while another one may have used up the quota unknown to it:
+     * the tolerance that {@link #windowLimit} does not use.
+     */
+    double provisionalLimit(Quota quota) {
+        return quota.maxRequests(windowSeconds()) * overage + (1 - GRANTED_TOLERANCE_SHARE) * tolerance;
+    }
+
     /** Returns whether enough of the window is observed to admit requests without random selection. */
     static boolean isWellObserved(double unobserved) {
         return observedFactor(unobserved) > 0;
--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/QuotaTracker.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/QuotaTracker.java
@@ -7,6 +7,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
@@ -14,17 +16,18 @@
 import org.parsleydrift.registry.Team;
 
 /**
- * Enforces the quotas of teams over all nodes without a central coordinator. Each node adds the requests that it has
- * admitted to the usage that its peers have last reported.
+ * Enforces the quotas of teams. One node at a time decides on the requests of a team, its coordinator
+ * ({@link QuotaCoordinators}); it adds the requests that it has admitted to the usage that other nodes have reported,
+ * which have decided before it or decide at the same time while nodes disagree on the coordinator.
  *
  * <p>An incomplete program wastes the capacity that it has used. Requests of programs in progress are therefore
  * admitted up to the limit, while a new program is admitted only if its expected number of requests fits. If demand
- * exceeds the remaining quota, requests are selected at random, so that nodes with outdated reports do not all claim
- * the same capacity.
+ * exceeds the remaining quota, requests are selected at random, so that those of programs in progress find room
+ * through the whole window.
  *
  * <p>Not thread-safe; confined to one event loop.
  */
-public final class QuotaTracker {
+public final class QuotaTracker implements QuotaGate {
     private static final Logger LOG = System.getLogger(QuotaTracker.class.getName());
     /** Time over which the remaining quota is granted under excess demand, s; several times the reporting delay. */
     private static final double GRANT_SPREAD_SECONDS = 1.2;
@@ -37,6 +40,9 @@
     /** Upper bound of the retry delay; callers ignore a delay that takes much of their remaining time. */
     private static final Duration MAX_RETRY_DELAY = Duration.ofSeconds(1);
 
+    /** Mean unobserved time of the peers, as a share of that of this node, from which on most nodes count as restarted. */
+    private static final double RESTARTED_PEERS_SHARE = 0.75;
+
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final LongSupplier nanos;
@@ -124,46 +130,97 @@
         return Duration.ofMillis(Math.min(MAX_RETRY_DELAY.toMillis(), millis));
     }
 
+    @Override
+    public Optional<Duration> retryDelay(Team team) {
+        return isExhausted(team) ? Optional.of(retryAfter(team)) : Optional.empty();
+    }
+
+    /** Decides as the only node. */
+    @Override
+    public void acquire(Team team, QuotaRequest request, Consumer<QuotaDecision> listener) {
+        listener.accept(acquire(team, request, QuotaAuthority.SETTLED));
+    }
+
+    /**
+     * Returns whether this node has observed the window, or as much of it as most of its peers. Otherwise they may know
+     * of requests that it has admitted before its start.
+     *
+     * @return true if no other node is likely to know more
+     */
+    public boolean hasObservedWindow() {
+        UsageReport others = peers.total();
+        return unobservedMillis() == 0
+                || others.unobservedMillis() >= RESTARTED_PEERS_SHARE * others.nodes() * unobservedMillis();
+    }
+
     /**
      * Checks a request against the quota of its team and charges the quota if the request is admitted.
      *
      * @param team the team of the request
-     * @param inProgress whether the request's program has already used runner time
-     * @param inProgram whether the request belongs to a program, which needs further requests
+     * @param request the request
+     * @param authority how complete the usage of the team is that this node knows
      * @return the decision
      */
-    public QuotaDecision acquire(Team team, boolean inProgress, boolean inProgram) {
-        boolean startsProgram = !inProgress && inProgram;
+    public QuotaDecision acquire(Team team, QuotaRequest request, QuotaAuthority authority) {
         if (!team.quota().isLimited()) {
-            programSize.recordRequest(startsProgram);
+            programSize.recordRequest(request.startsProgram());
             return QuotaDecision.UNLIMITED;
         }
         if (!peerUsageKnown.getAsBoolean()) {
             return new QuotaDecision.Undetermined();
         }
-        TeamCounters counters =
-                ownCounters.computeIfAbsent(team.name(), any -> new TeamCounters(nanos, policy.window()));
-        int expectedRequests = startsProgram ? programSize.requestsPerProgram() : 1;
-        if (inProgress) {
-            counters.addInProgressDemand();
-        } else {
-            counters.addNewDemand(expectedRequests);
-        }
-        boolean admitted = !isExhausted(team) && (inProgress ? canContinue(team) : canStart(team));
-        if (!admitted) {
-            LOG.log(Logger.Level.INFO, () -> describe("quota_exceeded", team).toString());
+        TeamCounters counters = counters(team);
+        int expectedRequests = request.startsProgram() ? programSize.requestsPerProgram() : 1;
+        Demand demand = request.inProgress() ? counters.inProgressDemand() : counters.newDemand();
+        demand.add(nanos.getAsLong(), expectedRequests);
+        boolean fits = !isExhausted(team) && (request.inProgress() ? canContinue(team) : canStart(team));
+        if (!fits || !isAuthorized(team, counters, authority)) {
+            LOG.log(
+                    Logger.Level.INFO,
+                    () -> describe("quota_exceeded", team)
+                            .with("authority", authority)
+                            .toString());
             return new QuotaDecision.Exceeded(retryAfter(team));
         }
-        programSize.recordRequest(startsProgram);
-        if (!inProgress) {
-            counters.addPlanned(expectedRequests);
-        }
+        programSize.recordRequest(request.startsProgram());
         long now = nanos.getAsLong();
-        counters.addSent(now, 1);
+        demand.addMet(now, expectedRequests);
+        if (authority == QuotaAuthority.PROVISIONAL) {
+            counters.addProvisional(now);
+        }
+        return new QuotaDecision.Allowed(
+                Optional.of(charge(team, counters, request.inProgress() ? 0 : expectedRequests)));
+    }
+
+    /**
+     * Charges a request to the quota of its team without a check, as it may run in any case.
+     *
+     * @param team the team of the request
+     */
+    public void charge(Team team) {
+        if (team.quota().isLimited()) {
+            charge(team, counters(team), 0);
+        }
+    }
+
+    private QuotaCharge charge(Team team, TeamCounters counters, int plannedRequests) {
+        QuotaCharge charge = new CountedCharge(counters, plannedRequests);
         if (remaining(team, usage(team).sent()) < 0) {
             LOG.log(Logger.Level.INFO, () -> describe("quota_overdrawn", team).toString());
         }
-        return new QuotaDecision.Allowed(Optional.of(new QuotaCharge(counters, now)));
+        return charge;
+    }
+
+    private TeamCounters counters(Team team) {
+        return ownCounters.computeIfAbsent(team.name(), any -> new TeamCounters(nanos, policy.window()));
+    }
+
+    /** Bounds what this node admits while another one may have admitted requests that it does not know of. */
+    private boolean isAuthorized(Team team, TeamCounters counters, QuotaAuthority authority) {
+        return switch (authority) {
+            case SETTLED -> true;
+            case PROVISIONAL -> counters.provisional(nanos.getAsLong()) < policy.provisionalLimit(team.quota());
+        };
     }
 
     private boolean canContinue(Team team) {
@@ -171,7 +228,7 @@
         return isSelected(
                 remaining(team, usage.sent()),
                 usage.sent(),
-                usage.inProgressDemand(),
+                unmetDemand(team, TeamCounters::inProgressDemand),
                 peerUsage(team).inProgressDemand());
     }
 
@@ -183,14 +240,20 @@
                 && isSelected(
                         remaining,
                         usage.planned(),
-                        usage.newDemand(),
+                        unmetDemand(team, TeamCounters::newDemand),
                         peerUsage(team).newDemand());
     }
 
+    private int unmetDemand(Team team, Function<TeamCounters, Demand> kind) {
+        TeamCounters counters = ownCounters.get(team.name());
+        return counters == null ? 0 : kind.apply(counters).unmet(nanos.getAsLong());
+    }
+
     /**
-     * Selects requests at random if demand exceeds the remaining quota, each with the same probability at every node;
-     * all nodes see the same remaining quota and would otherwise claim it at the same time. Demand that peers have not
-     * reported yet is estimated from their last reports.
+     * Selects requests at random if the unmet demand exceeds the remaining quota, which is thereby granted over some
+     * time. The demand at other nodes is that of a coordinator before or beside this one.
+     *
+     * @param demand recent demand at this node that was not met, including the present request
      */
     private boolean isSelected(double remaining, WindowCounts used, int demand, int peerDemand) {
         double expiringPerSecond = EXPIRING_GRANT_SHARE
@@ -238,7 +301,11 @@
         return Math.min(recent, total);
     }
 
+    /** Share of the window whose usage is unknown; a node that has run for longer knows also that of former nodes. */
     private double unobservedShare() {
+        if (unobservedMillis() == 0) {
+            return 0;
+        }
         int unobserved = peers.total().unobservedMillis() + unobservedMillis();
         double spanMillis = (double) policy.window().toMillis() * (peers.total().nodes() + 1);
         return Math.min(1, unobserved / spanMillis);
--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/TeamCounters.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/TeamCounters.java
@@ -14,13 +14,15 @@
     private final LongSupplier nanos;
     private final SlidingWindowCounter sent;
     private final SlidingWindowCounter planned;
-    private final SlidingWindowCounter newDemand = new SlidingWindowCounter(DEMAND_WINDOW);
-    private final SlidingWindowCounter inProgressDemand = new SlidingWindowCounter(DEMAND_WINDOW);
+    private final SlidingWindowCounter provisional;
+    private final Demand newDemand = new Demand(DEMAND_WINDOW);
+    private final Demand inProgressDemand = new Demand(DEMAND_WINDOW);
 
     TeamCounters(LongSupplier nanos, Duration window) {
         this.nanos = nanos;
         sent = new SlidingWindowCounter(window);
         planned = new SlidingWindowCounter(window);
+        provisional = new SlidingWindowCounter(window);
     }
 
     long now() {
@@ -31,21 +33,30 @@
         sent.add(atNanos, count);
     }
 
-    void addPlanned(int requests) {
-        planned.add(now(), requests);
+    void addPlanned(long atNanos, int requests) {
+        planned.add(atNanos, requests);
     }
 
-    void addNewDemand(int requests) {
-        newDemand.add(now(), requests);
+    /** Records a request that was admitted while the usage of the team was incomplete. */
+    void addProvisional(long atNanos) {
+        provisional.add(atNanos, 1);
     }
 
-    void addInProgressDemand() {
-        inProgressDemand.add(now(), 1);
+    int provisional(long nowNanos) {
+        return provisional.sum(nowNanos);
+    }
+
+    Demand newDemand() {
+        return newDemand;
+    }
+
+    Demand inProgressDemand() {
+        return inProgressDemand;
     }
 
     TeamUsage usage() {
         long now = now();
         return new TeamUsage(
-                sent.windowCounts(now), planned.windowCounts(now), newDemand.sum(now), inProgressDemand.sum(now));
+                sent.windowCounts(now), planned.windowCounts(now), newDemand.total(now), inProgressDemand.total(now));
     }
 }
--- a/parsleydrift-placement/src/test/java/org/parsleydrift/placement/QuotaFleet.java
+++ b/parsleydrift-placement/src/test/java/org/parsleydrift/placement/QuotaFleet.java
@@ -5,22 +5,25 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 import java.util.stream.IntStream;
 import org.parsleydrift.registry.Quota;
 import org.parsleydrift.registry.Team;
 
 /**
- * Simulation of entry nodes that share one team's quota, on virtual time. Nodes exchange usage reports with a delay;
- * programs send their requests to random nodes and retry after a rejection.
+ * Simulation of entry nodes that share one team's quota, on virtual time. Nodes exchange usage reports with a delay, and
+ * know as live the nodes whose reports arrive; programs send their requests to random nodes, which ask the team's
+ * coordinator, and retry after a rejection.
  */
 final class QuotaFleet {
     static final Duration WINDOW = Duration.ofSeconds(5);
-    static final QuotaPolicy POLICY = new QuotaPolicy(WINDOW, 20);
+    static final QuotaPolicy POLICY = new QuotaPolicy(WINDOW, 20, 0.1);
     private static final long MILLI = 1_000_000;
     private static final int REPORT_INTERVAL_MILLIS = 160;
 
@@ -61,20 +64,48 @@
 
     /** One node of the fleet. */
     private final class Node {
+        private final int number;
         private QuotaTracker quotas;
+        private QuotaCoordinators coordinators;
         private long upMillis;
         private boolean partitioned;
         private final Map<Integer, Long> lastReports = new HashMap<>();
 
-        private Node(long upMillis) {
+        private Node(int number, long upMillis) {
+            this.number = number;
             restart(upMillis);
         }
 
         private void restart(long at) {
             upMillis = at;
             lastReports.clear();
-            quotas = new QuotaTracker(
-                    () -> nowMillis * MILLI, random, POLICY, () -> !partitioned && !lastReports.isEmpty());
+            quotas = new QuotaTracker(() -> nowMillis * MILLI, random, POLICY, this::knowsPeerUsage);
+            coordinators = new QuotaCoordinators(name(number));
+        }
+
+        private boolean knowsPeerUsage() {
+            return !partitioned && !lastReports.isEmpty();
+        }
+
+        /** Asks the candidates in turn, as {@code QuotaExchange} does; those that are down do not answer. */
+        private QuotaDecision acquire(QuotaRequest request) {
+            if (!knowsPeerUsage()) {
+                return new QuotaDecision.Undetermined();
+            }
+            List<Node> answering = coordinators.candidates(team.name()).stream()
+                    .map(each -> nodes[Integer.parseInt(each)])
+                    .filter(each -> each.isUp() && each.knowsPeerUsage())
+                    .toList();
+            return answering.stream()
+                    .filter(each -> each.quotas.hasObservedWindow())
+                    .findFirst()
+                    .or(() -> answering.stream().findFirst())
+                    .map(each -> each.decide(request))
+                    .orElseGet(QuotaDecision.Undetermined::new);
+        }
+
+        private QuotaDecision decide(QuotaRequest request) {
+            return quotas.acquire(team, request, coordinators.decide(team.name(), nowMillis * MILLI));
         }
 
         private boolean isUp() {
@@ -88,7 +119,7 @@
         nodes = new Node[nodeCount];
         // Runs for longer than the window, so that no part of it is unobserved when the traffic starts.
         nowMillis = 0;
-        IntStream.range(0, nodeCount).forEach(each -> nodes[each] = new Node(0));
+        IntStream.range(0, nodeCount).forEach(each -> nodes[each] = new Node(each, 0));
         run(10_000, 0);
     }
 
@@ -144,7 +175,7 @@
         }
         Node node = up.get(random.nextInt(up.size()));
         attempts++;
-        switch (node.quotas.acquire(team, request.step > 0, request.isInProgram())) {
+        switch (node.acquire(new QuotaRequest(request.step > 0, request.isInProgram()))) {
             case QuotaDecision.Allowed ignored -> recordSent(request);
             case QuotaDecision.Exceeded exceeded -> {
                 rejected++;
@@ -226,16 +257,23 @@
         arrived.forEach((reporter, report) -> {
             if (reporter != self) {
                 node.lastReports.put(reporter, nowMillis);
-                reports.put("n" + reporter, report);
+                reports.put(name(reporter), report);
             }
         });
         node.lastReports.entrySet().removeIf(each -> {
             boolean expired = nowMillis - each.getValue() > REPORT_EXPIRY_MILLIS;
             if (expired) {
-                reports.put("n" + each.getKey(), UsageReport.NONE);
+                reports.put(name(each.getKey()), UsageReport.NONE);
             }
             return expired;
         });
         node.quotas.updatePeers(reports);
+        Set<String> live = new HashSet<>(Set.of(name(self)));
+        node.lastReports.keySet().forEach(each -> live.add(name(each)));
+        node.coordinators.update(live, nowMillis * MILLI);
+    }
+
+    private static String name(int node) {
+        return String.valueOf(node);
     }
 }
--- a/parsleydrift-placement/src/test/java/org/parsleydrift/placement/QuotaTrackerTest.java
+++ b/parsleydrift-placement/src/test/java/org/parsleydrift/placement/QuotaTrackerTest.java
@@ -16,6 +16,7 @@
 
 /** Enforcement of a team's quota by a simulated fleet of nodes, checked over every window. */
 public class QuotaTrackerTest {
+    private static final QuotaRequest IN_PROGRESS = new QuotaRequest(true, true);
     private static final int SEEDS = 10;
     /** Normal demand as a share of the quota's rate. */
     private static final double NORMAL_DEMAND = 0.6;
@@ -143,20 +144,20 @@
         Team before = new Team("t", OptionalInt.empty(), new Quota(100, 0));
         IntStream.range(0, 40).forEach(each -> acquire(quotas, before));
         Team lowered = new Team("t", OptionalInt.empty(), new Quota(5, 0));
-        assertTrue(quotas.acquire(lowered, true, true) instanceof QuotaDecision.Exceeded);
+        assertTrue(quotas.acquire(lowered, IN_PROGRESS, QuotaAuthority.SETTLED) instanceof QuotaDecision.Exceeded);
         now.addAndGet(Duration.ofSeconds(6).toNanos());
-        assertTrue(quotas.acquire(lowered, true, true) instanceof QuotaDecision.Allowed);
+        assertTrue(quotas.acquire(lowered, IN_PROGRESS, QuotaAuthority.SETTLED) instanceof QuotaDecision.Allowed);
     }
 
     private static QuotaTracker trackerAfterStart(AtomicLong now) {
         QuotaTracker quotas =
-                new QuotaTracker(now::get, new Random(1), new QuotaPolicy(QuotaFleet.WINDOW, 0), () -> true);
+                new QuotaTracker(now::get, new Random(1), new QuotaPolicy(QuotaFleet.WINDOW, 0, 0), () -> true);
         now.addAndGet(Duration.ofSeconds(10).toNanos());
         return quotas;
     }
 
     private static QuotaCharge acquire(QuotaTracker quotas, Team team) {
-        return switch (quotas.acquire(team, true, true)) {
+        return switch (quotas.acquire(team, IN_PROGRESS, QuotaAuthority.SETTLED)) {
             case QuotaDecision.Allowed allowed -> allowed.charge().orElseThrow();
             case QuotaDecision.Exceeded exceeded -> throw new AssertionError(exceeded);
             case QuotaDecision.Undetermined undetermined -> throw new AssertionError(undetermined);
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Relay.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/Relay.java
@@ -13,7 +13,7 @@
 import org.parsleydrift.conversation.Conversations;
 import org.parsleydrift.kernel.EventLoop;
 import org.parsleydrift.placement.ContentionSettings;
-import org.parsleydrift.placement.QuotaTracker;
+import org.parsleydrift.placement.QuotaGate;
 import org.parsleydrift.registry.Registry;
 import org.parsleydrift.registry.Route;
 import org.parsleydrift.registry.Runner;
@@ -27,7 +27,7 @@
     private final Registry registry;
     private final Dispatcher dispatcher;
     private final Conversations conversations;
-    private final QuotaTracker quotas;
+    private final QuotaGate quotas;
     private final RunnerConnectionPool connections;
     private final HeaderNames headerNames;
     private final RandomGenerator random;
@@ -51,7 +51,7 @@
      * @param registry source of the manifest and the runners
      * @param dispatcher assigns requests to runners
      * @param conversations client of the store VMs, which hold turns and token budgets
-     * @param quotas enforces the quotas of teams
+     * @param quotas checks requests against the quotas of teams
      * @param headerNames names of the headers
      * @param random source of randomness for weighted destinations and jitter
      * @param meters registry for the relay's metrics
@@ -62,7 +62,7 @@
             Registry registry,
             Dispatcher dispatcher,
             Conversations conversations,
-            QuotaTracker quotas,
+            QuotaGate quotas,
             HeaderNames headerNames,
             RandomGenerator random,
             MeterRegistry meters) {
@@ -237,7 +237,7 @@
         return conversations;
     }
 
-    QuotaTracker quotas() {
+    QuotaGate quotas() {
         return quotas;
     }
 
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayLimits.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayLimits.java
@@ -65,7 +65,7 @@
     /** Retry delay if the process ends: another node serves at once, and callers that come back here need not be many. */
     static final Duration RETRY_DELAY_PROCESS_ENDS = Duration.ofMillis(50);
 
-    /** Retry delay if the node has no usage reports from peers. */
+    /** Retry delay if no node could decide on the quota of the team. */
     static final Duration RETRY_DELAY_NO_PEERS = Duration.ofMillis(300);
 
     /**
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -12,6 +12,7 @@
 import org.parsleydrift.placement.CachedPart;
 import org.parsleydrift.placement.Candidate;
 import org.parsleydrift.placement.PromptPart;
+import org.parsleydrift.placement.QuotaRequest;
 import org.parsleydrift.registry.Route;
 import org.parsleydrift.registry.RoutingManifest;
 import org.parsleydrift.registry.Runner;
@@ -119,8 +120,9 @@
             case RequestAction.BeginTurn ignored -> beginTurn();
             case RequestAction.AdoptHistory history -> adoptHistory(history.granted());
             case RequestAction.AcquireQuota ignored ->
-                apply(new RequestEvent.QuotaDecided(
-                        team.acquireQuota(isInProgress(), !params.program().isEmpty())));
+                team.acquireQuota(
+                        new QuotaRequest(isInProgress(), !params.program().isEmpty()),
+                        decision -> apply(new RequestEvent.QuotaDecided(decision)));
             case RequestAction.Queue ignored -> enqueue();
             case RequestAction.Withdraw ignored -> relay.dispatcher().withdraw(this);
             case RequestAction.CancelAttempt ignored -> exchange.cancel();
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestLifecycle.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestLifecycle.java
@@ -129,6 +129,7 @@
             stage = RequestStage.BEGINNING;
             return List.of(new RequestAction.BeginTurn());
         }
+        stage = RequestStage.ACQUIRING_QUOTA;
         return List.of(new RequestAction.AcquireQuota());
     }
 
@@ -137,8 +138,10 @@
             return List.of(new RequestAction.ReleaseReservation());
         }
         return switch (result) {
-            case BeginResult.Granted granted ->
-                List.of(new RequestAction.AdoptHistory(granted), new RequestAction.AcquireQuota());
+            case BeginResult.Granted granted -> {
+                stage = RequestStage.ACQUIRING_QUOTA;
+                yield List.of(new RequestAction.AdoptHistory(granted), new RequestAction.AcquireQuota());
+            }
             case BeginResult.BudgetSpent ignored -> respond(402, DENIED, "budget_spent");
             case BeginResult.NoSuchTurn ignored -> respond(404, DENIED, "no_such_turn");
             case BeginResult.Unavailable unavailable ->
@@ -146,12 +149,16 @@
         };
     }
 
+    /** A charge that is granted after the request has ended is reverted. */
     private List<RequestAction> handleQuota(QuotaDecision decision) {
+        if (stage != RequestStage.ACQUIRING_QUOTA) {
+            return List.of(new RequestAction.RefundQuota());
+        }
         return switch (decision) {
             case QuotaDecision.Allowed ignored -> List.of(new RequestAction.Queue());
             case QuotaDecision.Exceeded exceeded -> refuse(429, QUOTA_EXHAUSTED, exceeded.retryAfter(), true);
             case QuotaDecision.Undetermined ignored ->
-                refuse("no usage reports from peers", RelayLimits.RETRY_DELAY_NO_PEERS);
+                refuse("no node could decide on the team's quota", RelayLimits.RETRY_DELAY_NO_PEERS);
         };
     }
 
@@ -265,6 +272,8 @@
         return switch (stage) {
             case ENDED, AWAITING_PREPARATION, MATCHING -> List.of();
             case BEGINNING -> refuse("deadline passed before the turn began", RelayLimits.RETRY_DELAY_NO_STORES);
+            case ACQUIRING_QUOTA ->
+                refuse("deadline passed before the quota was decided", RelayLimits.RETRY_DELAY_NO_PEERS);
             case QUEUED ->
                 after(
                         new RequestAction.Withdraw(),
@@ -285,7 +294,7 @@
     private List<RequestAction> handleProcessEnding() {
         return switch (stage) {
             case ENDED, COMMITTING -> List.of();
-            case AWAITING_PREPARATION, MATCHING, BEGINNING ->
+            case AWAITING_PREPARATION, MATCHING, BEGINNING, ACQUIRING_QUOTA ->
                 refuse(PROCESS_ENDS, RelayLimits.RETRY_DELAY_PROCESS_ENDS);
             case QUEUED -> after(new RequestAction.Withdraw(), endUnsent());
             case ASSIGNED ->
@@ -322,7 +331,7 @@
                         "after_offer",
                         new RequestAction.CancelAttempt(),
                         new RequestAction.ReportAttemptEnd(AttemptEnd.INCOMPLETE));
-            case AWAITING_PREPARATION, MATCHING, BEGINNING, QUEUED -> handleDisconnectWhileWaiting();
+            case AWAITING_PREPARATION, MATCHING, BEGINNING, ACQUIRING_QUOTA, QUEUED -> handleDisconnectWhileWaiting();
         };
     }
 
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestTeam.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestTeam.java
@@ -3,9 +3,11 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.function.Consumer;
 import org.parsleydrift.placement.QuotaCharge;
 import org.parsleydrift.placement.QuotaDecision;
-import org.parsleydrift.placement.QuotaTracker;
+import org.parsleydrift.placement.QuotaGate;
+import org.parsleydrift.placement.QuotaRequest;
 import org.parsleydrift.registry.Registry;
 import org.parsleydrift.registry.Route;
 import org.parsleydrift.registry.Team;
@@ -13,7 +15,7 @@
 /** The team of a request and the charge against its quota. Requests without a team are not limited. */
 final class RequestTeam {
     private final Registry registry;
-    private final QuotaTracker quotas;
+    private final QuotaGate quotas;
     private final CallerRequest request;
     private final HeaderNames headerNames;
     private final Optional<Team> team;
@@ -54,24 +56,26 @@
 
     /** Returns the retry delay if the team's quota is exhausted, else empty. Does not charge the quota. */
     Optional<Duration> quotaRetryDelay() {
-        return team.filter(quotas::isExhausted).map(quotas::retryAfter);
+        return team.flatMap(quotas::retryDelay);
     }
 
     /**
      * Charges the request to the team's quota. To be called once per request.
      *
-     * @param inProgress whether the request's program has already used runner time
-     * @param inProgram whether the request belongs to a program, which needs further requests
+     * @param request what the decision depends on
+     * @param listener receives the decision, possibly from within this call
      */
-    QuotaDecision acquireQuota(boolean inProgress, boolean inProgram) {
+    void acquireQuota(QuotaRequest request, Consumer<QuotaDecision> listener) {
         if (team.isEmpty()) {
-            return QuotaDecision.UNLIMITED;
+            listener.accept(QuotaDecision.UNLIMITED);
+            return;
         }
-        QuotaDecision decision = quotas.acquire(team.get(), inProgress, inProgram);
-        if (decision instanceof QuotaDecision.Allowed allowed) {
-            charge = allowed.charge();
-        }
-        return decision;
+        quotas.acquire(team.get(), request, decision -> {
+            if (decision instanceof QuotaDecision.Allowed allowed) {
+                charge = allowed.charge();
+            }
+            listener.accept(decision);
+        });
     }
 
     /** Charges the quota again for a retry; the first attempt may have run as well. */
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/ResponseStage.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/ResponseStage.java
@@ -15,7 +15,7 @@
 
     static ResponseStage of(RequestStage stage) {
         return switch (stage) {
-            case AWAITING_PREPARATION, MATCHING, BEGINNING, QUEUED -> BEFORE_RUNNER;
+            case AWAITING_PREPARATION, MATCHING, BEGINNING, ACQUIRING_QUOTA, QUEUED -> BEFORE_RUNNER;
             case ASSIGNED -> AT_RUNNER;
             case COMMITTING -> COMMITTING;
             case ENDED -> SENDING;
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/AbortedTurnTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/AbortedTurnTest.java
@@ -98,7 +98,7 @@
                 new Dispatcher(registry, new Random(1), "z", loop.clock()::nanos),
                 new Conversations(client),
                 new QuotaTracker(
-                        loop.clock()::nanos, new Random(3), new QuotaPolicy(Duration.ofSeconds(5), 20), () -> true),
+                        loop.clock()::nanos, new Random(3), new QuotaPolicy(Duration.ofSeconds(5), 20, 0), () -> true),
                 HeaderNames.defaults(),
                 new Random(2),
                 new SimpleMeterRegistry());
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RelayTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RelayTest.java
@@ -107,7 +107,7 @@
                 dispatcher,
                 new Conversations(new ConversationClient(loop, calls)),
                 new QuotaTracker(
-                        loop.clock()::nanos, new Random(3), new QuotaPolicy(Duration.ofSeconds(5), 20), () -> true),
+                        loop.clock()::nanos, new Random(3), new QuotaPolicy(Duration.ofSeconds(5), 20, 0), () -> true),
                 HeaderNames.defaults(),
                 new Random(2),
                 new SimpleMeterRegistry());
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/StreamFleet.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/StreamFleet.java
@@ -97,7 +97,10 @@
                     dispatcher,
                     new Conversations(client),
                     new QuotaTracker(
-                            loop.clock()::nanos, new Random(3), new QuotaPolicy(Duration.ofSeconds(5), 20), () -> true),
+                            loop.clock()::nanos,
+                            new Random(3),
+                            new QuotaPolicy(Duration.ofSeconds(5), 20, 0),
+                            () -> true),
                     HeaderNames.defaults(),
                     new Random(name.hashCode()),
                     new SimpleMeterRegistry());
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/EntryRole.java
@@ -69,6 +69,7 @@
     private final ConversationClient stores;
     private final ReplicaCalls calls;
     private final QuotaTracker quotas;
+    private final QuotaExchange quotaExchange;
     private final SlotLeaseExchange leases;
     private final Dispatcher dispatcher;
     private final Relay relay;
@@ -99,6 +100,7 @@
         stores = new ConversationClient(context.loop, calls);
         quotas = new QuotaTracker(
                 context.loop.clock()::nanos, context.random, settings.quotaPolicy(), this::hasFleetUsage);
+        quotaExchange = createQuotaExchange(frames);
         leases = createLeases(frames);
         dispatcher = new Dispatcher(
                 registry, context.random, settings.zone(), context.loop.clock()::nanos, leases, createSpeeds());
@@ -108,7 +110,7 @@
                 registry,
                 dispatcher,
                 new Conversations(stores),
-                quotas,
+                quotaExchange,
                 context.plugin.headerNames(),
                 context.random,
                 context.meters);
@@ -156,6 +158,7 @@
             storeSets.start();
             nodes.start();
             mesh.start();
+            quotaExchange.start();
             lossExchange.start();
             relay.losses().start(relay::resumeWaiting);
             if (contentionControl) {
@@ -239,6 +242,7 @@
 
     private void receive(byte[] frame) {
         boolean handled = leases.receive(frame)
+                || quotaExchange.receive(frame)
                 || lossExchange.receive(frame)
                 || introductions.receive(frame)
                 || mesh.receive(frame);
@@ -289,6 +293,19 @@
                 context.meters);
     }
 
+    private QuotaExchange createQuotaExchange(TcpFrameSender frames) {
+        return new QuotaExchange(
+                context.loop,
+                frames,
+                self,
+                context.random.nextLong(),
+                quotas,
+                context.settings.quotaPolicy().window(),
+                () -> mesh.readyNodes(),
+                this::hasFleetUsage,
+                context.meters);
+    }
+
     private SlotLeaseExchange createLeases(TcpFrameSender frames) {
         return new SlotLeaseExchange(
                 context.loop, frames, self, context.random.nextLong(), leaseFleet(), LeaseLimit.USUAL, context.meters);
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RoleSettingsReader.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/RoleSettingsReader.java
@@ -110,7 +110,10 @@
         if (window == 0) {
             errors.add("/allotment_window_s must be greater than 0");
         }
-        return new QuotaPolicy(Duration.ofMillis((long) (window * 1000)), nonNegative("allotment_slack", 0));
+        return new QuotaPolicy(
+                Duration.ofMillis((long) (window * 1000)),
+                nonNegative("allotment_slack", 0),
+                nonNegative("allotment_overage", 0));
     }
 
     private Optional<ContentionSettings> contention() {
--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/MeshMember.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/MeshMember.java
@@ -95,7 +95,7 @@
             }
         });
         Dispatcher dispatcher = new Dispatcher(registry, new Random(1), "z", time::nanos);
-        quotas = new QuotaTracker(time::nanos, random, new QuotaPolicy(Duration.ofSeconds(5), 20), () -> true);
+        quotas = new QuotaTracker(time::nanos, random, new QuotaPolicy(Duration.ofSeconds(5), 20, 0.1), () -> true);
         mesh = new NodeMesh(
                 loop,
                 frames,
