The charge of a request is dated at its send

Now the charge is moved to the time of the send; the coordinator is told if that is 100 ms or more after it was asked.

The soak counts the sends of the nodes from their logs and judges them beside the rule's reading.

--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/QuotaRecords.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/QuotaRecords.java
@@ -74,26 +74,32 @@
 
     /** Returns the most requests that have begun to run in any window. */
     long mostRun() {
-        return most(false);
+        return most(runs().stream().map(Run::begunNanos).toList());
     }
 
     /** Returns the most requests that were sent and have begun to run in the same window. */
     long mostSentAndRun() {
-        return most(true);
-    }
-
-    private long most(boolean sentInWindow) {
         List<Run> all = runs();
         return all.stream()
                 .mapToLong(last -> all.stream()
-                        .filter(each -> isBetween(each.begunNanos, last.begunNanos)
-                                && (!sentInWindow || isBetween(each.sentNanos, last.begunNanos)))
+                        .filter(each ->
+                                isWithin(each.begunNanos, last.begunNanos) && isWithin(each.sentNanos, last.begunNanos))
                         .count())
                 .max()
                 .orElse(0);
     }
 
-    private static boolean isBetween(long nanos, long endNanos) {
+    /** Returns the most of some points in time, ns, that lie in the same window. */
+    static long most(List<Long> times) {
+        return times.stream()
+                .mapToLong(last ->
+                        times.stream().filter(each -> isWithin(each, last)).count())
+                .max()
+                .orElse(0);
+    }
+
+    /** Returns whether a time lies in the window that ends at another. */
+    private static boolean isWithin(long nanos, long endNanos) {
         return nanos - endNanos <= 0 && endNanos - nanos < WINDOW.toNanos();
     }
 
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/RoleProcess.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/RoleProcess.java
@@ -3,12 +3,15 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /** An entry or store process of the system, started, stopped and sent signals by the run that created it. Thread-safe. */
 final class RoleProcess {
@@ -21,6 +24,7 @@
             "-Djava.util.logging.manager=" + LastingLogManager.class.getName(),
             "--sun-misc-unsafe-memory-access=allow",
             "--enable-native-access=ALL-UNNAMED");
+    private static final String TIME = "time=";
     private static final String MAIN = "org.parsleydrift.roles.RoleMain";
 
     private final String name;
@@ -130,6 +134,23 @@
         return Files.exists(log) && Files.readString(log).contains(text);
     }
 
+    /**
+     * Returns the times of the log lines that contain a text, ns since the epoch.
+     *
+     * @param text text such as that of an event
+     */
+    List<Long> timesOf(String text) throws IOException {
+        if (!Files.exists(log)) {
+            return List.of();
+        }
+        try (Stream<String> lines = Files.lines(log)) {
+            return lines.filter(each -> each.startsWith(TIME) && each.contains(text))
+                    .map(each -> Instant.parse(each.substring(TIME.length(), each.indexOf(' '))))
+                    .map(each -> ChronoUnit.NANOS.between(Instant.EPOCH, each))
+                    .toList();
+        }
+    }
+
     /** Ends the process and waits until it is gone. */
     void close() {
         current().ifPresent(Process::destroyForcibly);
--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/CountedCharge.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/CountedCharge.java
@@ -23,6 +23,14 @@
         counters.addPlanned(plannedNanos, plannedRequests);
     }
 
+    @Override
+    public void recordSend() {
+        long now = counters.now();
+        counters.addSent(chargedNanos, -1);
+        counters.addSent(now, 1);
+        chargedNanos = now;
+    }
+
     @Override
     public void chargeAgain() {
         chargedNanos = counters.now();
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -264,6 +264,7 @@
         Runner runner = chosen.runner();
         queueWait.cancel();
         apply(new RequestEvent.Assigned());
+        team.recordSend();
         int attempt = lifecycle.attempts().count();
         log.placed(chosen, params.promptTokens(), attempt);
         relay.metrics().recordPhase("wait", elapsed());
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestTeam.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RequestTeam.java
@@ -78,6 +78,11 @@
         });
     }
 
+    /** Records that the request is being sent to a runner. */
+    void recordSend() {
+        charge.ifPresent(QuotaCharge::recordSend);
+    }
+
     /** Charges the quota again for a retry; the first attempt may have run as well. */
     void chargeQuotaAgain() {
         charge.ifPresent(QuotaCharge::chargeAgain);
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/QuotaExchange.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/QuotaExchange.java
@@ -38,6 +38,8 @@
     static final Duration AVOIDANCE = Duration.ofSeconds(1);
 
     private static final Duration CHECK_PERIOD = Duration.ofMillis(100);
+    /** Time from asking for a charge to sending the request from which on the coordinator is told of the latter. */
+    private static final Duration MIN_SEND_DELAY = Duration.ofMillis(100);
 
     private final EventLoop loop;
     private final FrameSender frames;
@@ -134,6 +136,11 @@
                     }
                 }
                 case QuotaFrame.Charge charge -> tracker.charge(charge.team());
+                case QuotaFrame.Sent sent ->
+                    granted.computeIfPresent(sent.id(), (id, each) -> {
+                        each.charge().recordSend();
+                        return new Granted(each.charge(), nowNanos());
+                    });
             }
         } catch (StepException fault) {
             LOG.log(
@@ -210,6 +217,7 @@
         private Optional<String> declined = Optional.empty();
         private boolean forced;
         private String present = "";
+        private long askedNanos;
         private Cancellable timer = () -> {};
 
         private Ask(Team team, QuotaRequest request, Consumer<QuotaDecision> listener) {
@@ -240,6 +248,7 @@
                 handleDecision(decide(team, request, forced));
                 return;
             }
+            askedNanos = nowNanos();
             long number = ++lastNumber;
             asks.put(number, this);
             timer = loop.schedule(ANSWER_TIMEOUT, () -> handleTimeout(number));
@@ -252,8 +261,8 @@
             handleDecision(
                     switch (reply.outcome()) {
                         case GRANTED ->
-                            new QuotaDecision.Allowed(Optional.of(
-                                    new RemoteCharge(team, reply.number(), links.getOrDefault(present, ""))));
+                            new QuotaDecision.Allowed(Optional.of(new RemoteCharge(
+                                    team, reply.number(), links.getOrDefault(present, ""), askedNanos)));
                         case EXCEEDED -> new QuotaDecision.Exceeded(reply.retryAfter());
                         case DECLINED -> new QuotaDecision.Undetermined();
                     });
@@ -310,14 +319,23 @@
         private final Team team;
         private final long number;
         private final String link;
+        private final long askedNanos;
         private boolean charged = true;
 
-        private RemoteCharge(Team team, long number, String link) {
+        private RemoteCharge(Team team, long number, String link, long askedNanos) {
+            this.askedNanos = askedNanos;
             this.team = team;
             this.number = number;
             this.link = link;
         }
 
+        @Override
+        public void recordSend() {
+            if (nowNanos() - askedNanos >= MIN_SEND_DELAY.toNanos()) {
+                frames.send(link, new QuotaFrame.Sent(id(number)).encode());
+            }
+        }
+
         /** Charges at the present coordinator, as the one that has granted the first attempt may be gone. */
         @Override
         public void chargeAgain() {
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/QuotaFrame.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/QuotaFrame.java
@@ -23,10 +23,12 @@
     byte REFUND = 33;
     /** Type of {@link Charge}. */
     byte CHARGE = 34;
+    /** Type of {@link Sent}. */
+    byte SENT = 35;
 
     /** Returns whether a frame has one of the types, which follow MessagePack's encoding of small integers. */
     static boolean isQuotaFrame(byte[] frame) {
-        return frame.length > 0 && frame[0] >= ACQUIRE && frame[0] <= CHARGE;
+        return frame.length > 0 && frame[0] >= ACQUIRE && frame[0] <= SENT;
     }
 
     /** Reads a frame with one of the types; throws a {@link org.parsleydrift.kernel.StepException} if malformed. */
@@ -35,7 +37,8 @@
             case ACQUIRE -> Acquire.read(in);
             case REPLY -> Reply.read(in);
             case REFUND -> new Refund(ChargeId.read(in));
-            default -> new Charge(readTeam(in));
+            case CHARGE -> new Charge(readTeam(in));
+            default -> new Sent(ChargeId.read(in));
         });
     }
 
@@ -159,6 +162,19 @@
         }
     }
 
+    /**
+     * Tells that a request, which has waited since it was admitted, is being sent to a runner.
+     *
+     * @param id identifies the request for its charge
+     */
+    record Sent(ChargeId id) implements QuotaFrame {
+        @Override
+        public void write(MessagePacker out) throws IOException {
+            out.packByte(SENT);
+            id.write(out);
+        }
+    }
+
     private static void writeTeam(MessagePacker out, Team team) throws IOException {
         out.packString(team.name());
         out.packDouble(team.quota().ratePerSecond()).packDouble(team.quota().burst());
