--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/QuotaExchange.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/QuotaExchange.java
@@ -217,6 +217,7 @@
         private Optional<String> declined = Optional.empty();
         private boolean forced;
         private String present = "";
+        private String presentLink = "";
         private long askedNanos;
         private Cancellable timer = () -> {};
 
@@ -243,6 +244,7 @@
 
         private void ask(String node) {
             present = node;
+            presentLink = links.getOrDefault(node, self.link());
             asked.add(node);
             if (node.equals(self.name())) {
                 handleDecision(decide(team, request, forced));
@@ -253,7 +255,7 @@
             asks.put(number, this);
             timer = loop.schedule(ANSWER_TIMEOUT, () -> handleTimeout(number));
             frames.send(
-                    links.get(node), new QuotaFrame.Acquire(id(number), self.link(), team, request, forced).encode());
+                    presentLink, new QuotaFrame.Acquire(id(number), self.link(), team, request, forced).encode());
         }
 
         private void handleReply(QuotaFrame.Reply reply) {
@@ -261,8 +263,8 @@
             handleDecision(
                     switch (reply.outcome()) {
                         case GRANTED ->
-                            new QuotaDecision.Allowed(Optional.of(new RemoteCharge(
-                                    team, reply.number(), links.getOrDefault(present, ""), askedNanos)));
+                            new QuotaDecision.Allowed(
+                                    Optional.of(new RemoteCharge(team, reply.number(), presentLink, askedNanos)));
                         case EXCEEDED -> new QuotaDecision.Exceeded(reply.retryAfter());
                         case DECLINED -> new QuotaDecision.Undetermined();
                     });
@@ -288,7 +290,7 @@
                             .with("coordinator", present)
                             .with("team", team.name())
                             .toString());
-            abandoned.put(number, new Abandoned(links.getOrDefault(present, ""), nowNanos()));
+            abandoned.put(number, new Abandoned(presentLink, nowNanos()));
             avoidedUntilNanos.put(present, nowNanos() + AVOIDANCE.toNanos());
             askNext();
         }
