The successor of a coordinator that declines decides in full

Now the request says that all candidates before have declined, and the successor is settled after it has decided for 1 s; the restarted node is provisional for 1 s after its last decline, as others have decided until then.

QuotaExchangeTest.successorOfDecliningCoordinatorGrantsTheQuota; not run without the change.

--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/QuotaCoordinators.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/QuotaCoordinators.java
@@ -22,7 +22,7 @@
      * Time after which the admissions of a former coordinator have been reported, and all nodes know the present one;
      * several times the reporting delay.
      */
-    static final Duration HANDOVER = Duration.ofSeconds(1);
+    public static final Duration HANDOVER = Duration.ofSeconds(1);
 
     private final String self;
     private Set<String> live = Set.of();
@@ -77,10 +77,11 @@
      * Records that this node decides for a team.
      *
      * @param team name of the team
+     * @param precedingDeclined whether all candidates before this node have declined, so that it is the coordinator
      * @param nowNanos monotonic time, ns
      * @return how far it may decide
      */
-    public QuotaAuthority decide(String team, long nowNanos) {
+    public QuotaAuthority decide(String team, boolean precedingDeclined, long nowNanos) {
         Decisions series = decisions.merge(
                 team,
                 new Decisions(nowNanos, nowNanos),
@@ -88,10 +89,9 @@
                         ? present
                         : new Decisions(former.firstNanos, nowNanos));
         boolean hasDecided = nowNanos - series.firstNanos >= HANDOVER.toNanos();
-        boolean isCoordinator = isFirst(candidates(team));
-        return isCoordinator && (hasDecided || hasBeenCoordinator(team))
-                ? QuotaAuthority.SETTLED
-                : QuotaAuthority.PROVISIONAL;
+        boolean isFirst = isFirst(candidates(team));
+        boolean isSettled = ((isFirst || precedingDeclined) && hasDecided) || (isFirst && hasBeenCoordinator(team));
+        return isSettled ? QuotaAuthority.SETTLED : QuotaAuthority.PROVISIONAL;
     }
 
     private boolean hasBeenCoordinator(String team) {
--- a/parsleydrift-placement/src/test/java/org/parsleydrift/placement/QuotaFleet.java
+++ b/parsleydrift-placement/src/test/java/org/parsleydrift/placement/QuotaFleet.java
@@ -96,16 +96,19 @@
                     .map(each -> nodes[Integer.parseInt(each)])
                     .filter(each -> each.isUp() && each.knowsPeerUsage())
                     .toList();
+            boolean allAnswer =
+                    answering.size() == coordinators.candidates(team.name()).size();
             return answering.stream()
                     .filter(each -> each.quotas.hasObservedWindow())
                     .findFirst()
                     .or(() -> answering.stream().findFirst())
-                    .map(each -> each.decide(request))
+                    .map(each -> each.decide(request, allAnswer && each != answering.getFirst()))
                     .orElseGet(QuotaDecision.Undetermined::new);
         }
 
-        private QuotaDecision decide(QuotaRequest request) {
-            return quotas.acquire(team, request, coordinators.decide(team.name(), nowMillis * MILLI));
+        private QuotaDecision decide(QuotaRequest request, boolean precedingDeclined) {
+            return quotas.acquire(
+                    team, request, coordinators.decide(team.name(), precedingDeclined, nowMillis * MILLI));
         }
 
         private boolean isUp() {
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/QuotaExchange.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/QuotaExchange.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -18,6 +19,7 @@
 import org.parsleydrift.kernel.EventLoop;
 import org.parsleydrift.kernel.LogLine;
 import org.parsleydrift.kernel.StepException;
+import org.parsleydrift.placement.QuotaAuthority;
 import org.parsleydrift.placement.QuotaCharge;
 import org.parsleydrift.placement.QuotaCoordinators;
 import org.parsleydrift.placement.QuotaDecision;
@@ -58,6 +60,7 @@
     private final Map<QuotaFrame.ChargeId, Granted> granted = new HashMap<>();
     private final Map<String, Long> avoidedUntilNanos = new HashMap<>();
     private Map<String, String> links = Map.of();
+    private OptionalLong lastDeclineNanos = OptionalLong.empty();
     private long lastNumber;
 
     private record Abandoned(String link, long nanos) {}
@@ -151,7 +154,8 @@
     }
 
     private void answer(QuotaFrame.Acquire acquire) {
-        QuotaDecision decision = decide(acquire.team(), acquire.request(), acquire.forced());
+        QuotaDecision decision =
+                decide(acquire.team(), acquire.request(), acquire.precedingDeclined(), acquire.forced());
         QuotaFrame.Outcome outcome = switch (decision) {
             case QuotaDecision.Allowed allowed -> {
                 allowed.charge().ifPresent(each -> granted.put(acquire.id(), new Granted(each, nowNanos())));
@@ -167,10 +171,17 @@
         frames.send(acquire.link(), reply.encode());
     }
 
-    private QuotaDecision decide(Team team, QuotaRequest request, boolean forced) {
-        return forced || tracker.hasObservedWindow()
-                ? tracker.acquire(team, request, coordinators.decide(team.name(), nowNanos()))
-                : new QuotaDecision.Undetermined();
+    private QuotaDecision decide(Team team, QuotaRequest request, boolean precedingDeclined, boolean forced) {
+        long now = nowNanos();
+        if (!forced && !tracker.hasObservedWindow()) {
+            lastDeclineNanos = OptionalLong.of(now);
+            return new QuotaDecision.Undetermined();
+        }
+        QuotaAuthority authority = coordinators.decide(team.name(), precedingDeclined, now);
+        // Others have decided for this node until now.
+        boolean hasDeclined = lastDeclineNanos.isPresent()
+                && now - lastDeclineNanos.getAsLong() < QuotaCoordinators.HANDOVER.toNanos();
+        return tracker.acquire(team, request, hasDeclined ? QuotaAuthority.PROVISIONAL : authority);
     }
 
     private void handleReply(QuotaFrame.Reply reply) {
@@ -215,6 +226,7 @@
         private final Consumer<QuotaDecision> listener;
         private final Set<String> asked = new HashSet<>();
         private Optional<String> declined = Optional.empty();
+        private boolean precedingDeclined = true;
         private boolean forced;
         private String present = "";
         private String presentLink = "";
@@ -232,12 +244,17 @@
             if (links.isEmpty()) {
                 check();
             }
-            Optional<String> next = coordinators.candidates(team.name()).stream()
+            List<String> candidates = coordinators.candidates(team.name());
+            Optional<String> next = candidates.stream()
                     .filter(each -> !asked.contains(each) && !avoidedUntilNanos.containsKey(each))
                     .findFirst();
+            precedingDeclined &= candidates.stream()
+                    .takeWhile(each -> !next.equals(Optional.of(each)))
+                    .allMatch(asked::contains);
             if (next.isEmpty() && !forced) {
                 forced = true;
-                next = declined;
+                declined.ifPresentOrElse(this::ask, () -> end(new QuotaDecision.Undetermined()));
+                return;
             }
             next.ifPresentOrElse(this::ask, () -> end(new QuotaDecision.Undetermined()));
         }
@@ -247,7 +264,7 @@
             presentLink = links.getOrDefault(node, self.link());
             asked.add(node);
             if (node.equals(self.name())) {
-                handleDecision(decide(team, request, forced));
+                handleDecision(decide(team, request, isAfterDeclines(), forced));
                 return;
             }
             askedNanos = nowNanos();
@@ -255,7 +272,13 @@
             asks.put(number, this);
             timer = loop.schedule(ANSWER_TIMEOUT, () -> handleTimeout(number));
             frames.send(
-                    presentLink, new QuotaFrame.Acquire(id(number), self.link(), team, request, forced).encode());
+                    presentLink,
+                    new QuotaFrame.Acquire(id(number), self.link(), team, request, isAfterDeclines(), forced).encode());
+        }
+
+        /** Whether there are candidates before the present one, all of which have declined. */
+        private boolean isAfterDeclines() {
+            return precedingDeclined && asked.size() > 1;
         }
 
         private void handleReply(QuotaFrame.Reply reply) {
@@ -291,6 +314,7 @@
                             .with("team", team.name())
                             .toString());
             abandoned.put(number, new Abandoned(presentLink, nowNanos()));
+            precedingDeclined = false;
             avoidedUntilNanos.put(present, nowNanos() + AVOIDANCE.toNanos());
             askNext();
         }
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/QuotaFrame.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/QuotaFrame.java
@@ -82,15 +82,18 @@
      * @param link link address of the requesting node, to which the reply is sent; the node may be unknown to the receiver
      * @param team name and quota of the team, by the manifest of the requesting node
      * @param request what the decision depends on
+     * @param precedingDeclined whether all candidates before the receiver have declined
      * @param forced whether to decide even if other nodes may know more
      */
-    record Acquire(ChargeId id, String link, Team team, QuotaRequest request, boolean forced) implements QuotaFrame {
+    record Acquire(ChargeId id, String link, Team team, QuotaRequest request, boolean precedingDeclined, boolean forced)
+            implements QuotaFrame {
         private static Acquire read(MessageUnpacker in) throws IOException {
             return new Acquire(
                     ChargeId.read(in),
                     in.unpackString(),
                     readTeam(in),
                     new QuotaRequest(in.unpackBoolean(), in.unpackBoolean()),
+                    in.unpackBoolean(),
                     in.unpackBoolean());
         }
 
@@ -101,7 +104,7 @@
             out.packString(link);
             writeTeam(out, team);
             out.packBoolean(request.inProgress()).packBoolean(request.inProgram());
-            out.packBoolean(forced);
+            out.packBoolean(precedingDeclined).packBoolean(forced);
         }
     }
 
--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/QuotaExchangeTest.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/QuotaExchangeTest.java
@@ -193,6 +193,23 @@
         assertEquals(ranked().get(1).counted(), 1);
     }
 
+    /** Guards against requests rejected below the quota for as long as a restarted coordinator leaves the decision to others. */
+    @Test
+    public void successorOfDecliningCoordinatorGrantsTheQuota() {
+        Member coordinator = ranked().getFirst();
+        coordinator.restart();
+        Map<String, UsageReport> reports = new TreeMap<>();
+        members.forEach((name, each) -> reports.put(name, each.tracker.report()));
+        reports.remove(coordinator.identity.name());
+        coordinator.tracker.updatePeers(reports);
+        requester().request();
+        advance(1000);
+        IntStream.range(0, 2 * PROVISIONAL_LIMIT).forEach(any -> requester().request());
+        advance(20);
+        assertEquals(requester().charges().size(), 1 + 2 * PROVISIONAL_LIMIT);
+        assertEquals(coordinator.counted(), 0);
+    }
+
     /** Guards against teams that nobody decides on because all candidates were restarted. */
     @Test
     public void firstCandidateDecidesIfAllDecline() {
