The provisional limit is shared by the two successors of a coordinator

If the coordinator of a team and its first successor fall silent one after the other, two nodes decided provisionally in one window, each up to the whole tolerance that the limit leaves unused: by arithmetic 152 of 132 for a team of 16 requests a second (seen in the soak's logs as a chain of three deciders, within the bound there, as its settings had no overage). Each now gets half. The soak's settings get the overage of the deployment.

--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/QuotaRecords.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/QuotaRecords.java
@@ -13,7 +13,8 @@
     /** Requests above the quota that are tolerated in a window. */
     static final int SLACK = 20;
 
-    private static final double OVERAGE = 0.1;
+    /** Share of the quota that is tolerated above it as well. */
+    static final double OVERAGE = 0.1;
 
     private final double ratePerSecond;
     private final double burst;
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/SoakFleet.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/SoakFleet.java
@@ -406,7 +406,8 @@
         return """
                 {"role": "entry", "outside": "platform", "vm": "%s", "zone": "a", "link": "%s", "callers": "%s",
                  "readiness": "127.0.0.1:0", "directory": "127.0.0.1:0", "metrics": "127.0.0.1:0", "platform": "%s",
-                 "first_start": true, "grace_s": %d, "allotment_window_s": %d, "allotment_slack": %d}
+                 "first_start": true, "grace_s": %d, "allotment_window_s": %d, "allotment_slack": %d,
+                 "allotment_overage": %s}
                 """.formatted(
                         name,
                         address(),
@@ -414,7 +415,8 @@
                         platformAddress(),
                         grace.toSeconds(),
                         QuotaRecords.WINDOW.toSeconds(),
-                        QuotaRecords.SLACK);
+                        QuotaRecords.SLACK,
+                        QuotaRecords.OVERAGE);
     }
 
     private static ServerSocket reservePortRange() throws IOException {
--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/QuotaPolicy.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/QuotaPolicy.java
@@ -50,11 +50,12 @@
     }
 
     /**
-     * Returns how many requests a node may admit in a window while another one may have used up the quota unknown to it:
-     * the tolerance that {@link #windowLimit} does not use.
+     * Returns how many requests a node may admit in a window while others may have used up the quota unknown to it: the
+     * tolerance that {@link #windowLimit} does not use, shared by the nodes that can decide in place of the coordinator.
      */
     double provisionalLimit(Quota quota) {
-        return quota.maxRequests(windowSeconds()) * overage + (1 - GRANTED_TOLERANCE_SHARE) * tolerance;
+        double unused = quota.maxRequests(windowSeconds()) * overage + (1 - GRANTED_TOLERANCE_SHARE) * tolerance;
+        return unused / (QuotaCoordinators.CANDIDATES - 1);
     }
 
     /** Returns whether enough of the window is observed to admit requests without random selection. */
--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/QuotaTracker.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/QuotaTracker.java
@@ -219,7 +219,7 @@
     private boolean isAuthorized(Team team, TeamCounters counters, QuotaAuthority authority) {
         return switch (authority) {
             case SETTLED -> true;
-            case PROVISIONAL -> counters.provisional(nanos.getAsLong()) < policy.provisionalLimit(team.quota());
+            case PROVISIONAL -> counters.provisional(nanos.getAsLong()) + 1 <= policy.provisionalLimit(team.quota());
         };
     }
 
--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/QuotaExchangeTest.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/QuotaExchangeTest.java
@@ -36,8 +36,8 @@
     private static final QuotaRequest REQUEST = new QuotaRequest(true, true);
     /** Limit of the recent half of the window: half of the rate, the burst and the tolerance. */
     private static final int LIMIT = 55;
-    /** A tenth of the 70 requests of the quota, and half of the tolerance. */
-    private static final int PROVISIONAL_LIMIT = 12;
+    /** A tenth of the 70 requests of the quota, and half of the tolerance, for each of two successors. */
+    private static final int PROVISIONAL_LIMIT = 6;
 
     private final Map<String, Member> members = new TreeMap<>();
     private ManualScheduler time;
@@ -155,6 +155,21 @@
         assertEquals(requester().charges().size(), LIMIT + PROVISIONAL_LIMIT);
     }
 
+    /** Guards against a window over the tolerance if the coordinator and its successor fall silent one after the other. */
+    @Test
+    public void successorsTogetherAdmitWithinTheTolerance() {
+        IntStream.range(0, LIMIT).forEach(any -> requester().request());
+        advance(20);
+        ranked().getFirst().loop.pause();
+        IntStream.range(0, LIMIT).forEach(any -> requester().request());
+        advance(320);
+        ranked().get(1).loop.pause();
+        IntStream.range(0, LIMIT).forEach(any -> requester().request());
+        advance(640);
+        assertEquals(requester().decisions.size(), 3 * LIMIT);
+        assertEquals(requester().charges().size(), LIMIT + 2 * PROVISIONAL_LIMIT);
+    }
+
     /** A request that no node decides on must be answered as undetermined, not held until its deadline. */
     @Test
     public void requestWithoutAnyAnswerIsUndetermined() {
