--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/PeerUsage.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/PeerUsage.java
@@ -6,11 +6,13 @@
 import java.util.Set;
 
 /**
- * Quota usage reported by other nodes or zones. Requests admitted by nodes that drop out of a report still count in the
- * window; without them a team could use its quota twice. The report that covers the most nodes is therefore retained
- * until another one covers as many, and decays linearly over the second half of the window.
+ * Quota usage reported by other nodes or zones. Requests admitted by nodes that drop out of a report, or have restarted,
+ * still count in the window; without them a team could use its quota twice. The report that covers the most is therefore
+ * retained until another one covers as much, and decays linearly over the second half of the window.
  */
 final class PeerUsage {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
     private final long windowNanos;
     private final Map<String, ReportHistory> histories = new HashMap<>();
     private UsageReport total = UsageReport.NONE;
@@ -42,12 +44,17 @@
         return total;
     }
 
-    private static ReportHistory append(ReportHistory previous, UsageReport report, long nowNanos) {
-        return previous == null || report.nodes() >= previous.mostComplete().nodes()
+    private ReportHistory append(ReportHistory previous, UsageReport report, long nowNanos) {
+        return previous == null || observedMillis(report) >= observedMillis(previous.mostComplete())
                 ? new ReportHistory(report, report, nowNanos)
                 : new ReportHistory(report, previous.mostComplete(), previous.mostCompleteNanos());
     }
 
+    /** Returns the part of the window that the nodes of a report have observed, summed over the nodes, ms. */
+    private long observedMillis(UsageReport report) {
+        return report.nodes() * (windowNanos / NANOS_PER_MILLI) - report.unobservedMillis();
+    }
+
     private UsageReport estimate(ReportHistory history, long nowNanos) {
         if (history.latest().equals(history.mostComplete())) {
             return history.latest();
