--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakMain.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakMain.java
@@ -44,9 +44,7 @@
         OptionSpec<RunnerEnd> runnerEnds = runnerEnds(parser);
         OptionSpec<Integer> chainCallers = integer(parser, "chain-callers", "callers of stored conversations", 0);
         ResponseFlags responses = new ResponseFlags(parser);
-        OptionSpec<Integer> quotaCallers =
-                integer(parser, "quota-callers", "callers of a team that asks for more than its quota", 0);
-        OptionSpec<Integer> quotaSpread = integer(parser, "quota-spread-ms", "time over which they begin, ms", 0);
+        QuotaFlags quotas = new QuotaFlags(parser);
         acceptDisturbances(parser);
         OptionSpec<String> former = parser.accepts(
                         "former-class-path", "class path of an earlier version, as which the processes start")
@@ -84,7 +82,7 @@
                     Duration.ofSeconds(options.valueOf(seconds)),
                     Optional.ofNullable(options.valueOf(former)),
                     responses.options(options),
-                    new QuotaOptions(options.valueOf(quotaCallers), Duration.ofMillis(options.valueOf(quotaSpread))));
+                    quotas.options(options));
             violations += run(one, Path.of(options.valueOf(folder)).toAbsolutePath());
         }
         System.exit(violations == 0 ? 0 : 1);
