A charge counts in the present counters of its team

A request that waited for a window or longer between its admission and its send was not counted at the send: the counters of its team had been dropped as unused with the report of usage, and the charge held on to the dropped ones. Found on reading the change. Now a charge looks its counters up.

QuotaTrackerTest.sendAfterAWindowOfWaitingIsCounted fails without the change (no usage is reported) and passes; all 24 cases of the class pass.

--- a/parsleydrift-placement/src/main/java/org/parsleydrift/placement/QuotaTracker.java
+++ b/parsleydrift-placement/src/main/java/org/parsleydrift/placement/QuotaTracker.java
@@ -188,8 +188,7 @@
         if (authority == QuotaAuthority.PROVISIONAL) {
             counters.addProvisional(now);
         }
-        return new QuotaDecision.Allowed(
-                Optional.of(charge(team, counters, request.inProgress() ? 0 : expectedRequests)));
+        return new QuotaDecision.Allowed(Optional.of(addCharge(team, request.inProgress() ? 0 : expectedRequests)));
     }
 
     /**
@@ -199,12 +198,12 @@
      */
     public void charge(Team team) {
         if (team.quota().isLimited()) {
-            charge(team, counters(team), 0);
+            addCharge(team, 0);
         }
     }
 
-    private QuotaCharge charge(Team team, TeamCounters counters, int plannedRequests) {
-        QuotaCharge charge = new CountedCharge(counters, plannedRequests);
+    private QuotaCharge addCharge(Team team, int plannedRequests) {
+        QuotaCharge charge = new CountedCharge(() -> counters(team), plannedRequests);
         if (remaining(team, usage(team).sent()) < 0) {
             LOG.log(Logger.Level.INFO, () -> describe("quota_overdrawn", team).toString());
         }
--- a/parsleydrift-placement/src/test/java/org/parsleydrift/placement/QuotaTrackerTest.java
+++ b/parsleydrift-placement/src/test/java/org/parsleydrift/placement/QuotaTrackerTest.java
@@ -132,6 +132,18 @@
         assertEquals(quotas.report().teams(), Map.of());
     }
 
+    /** Guards against a send that is not counted, as the counters of its team were dropped while it waited. */
+    @Test
+    public void sendAfterAWindowOfWaitingIsCounted() {
+        AtomicLong now = new AtomicLong(Duration.ofSeconds(60).toNanos());
+        QuotaTracker quotas = trackerAfterStart(now);
+        QuotaCharge charge = acquire(quotas, new Team("t", OptionalInt.empty(), new Quota(10, 10)));
+        now.addAndGet(Duration.ofSeconds(6).toNanos());
+        assertEquals(quotas.report().teams(), Map.of());
+        charge.recordSend();
+        assertEquals(sentRequests(quotas), 1);
+    }
+
     private static int sentRequests(QuotaTracker quotas) {
         return quotas.report().teams().get("t").sent().total();
     }
