A candidate that has declined and left is not asked again

If all candidates declined or were silent, the first one that had declined was asked to decide in any case. If it had left meanwhile, its address was unknown and the question went to the asking node itself, which then decided though it is no candidate, as a draining node may not. Found on reading the change. Now the request ends as undetermined (503).

QuotaExchangeTest.nodeIsNoSubstituteForOneThatHasDeclinedAndLeft fails without the change (the node counts 1 request) and passes; 12 tests of the class pass. The restart of a coordinator in these tests is one method.

--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/QuotaExchange.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/QuotaExchange.java
@@ -253,15 +253,15 @@
                     .allMatch(asked::contains);
             if (next.isEmpty() && !forced) {
                 forced = true;
-                declined.ifPresentOrElse(this::ask, () -> end(new QuotaDecision.Undetermined()));
-                return;
+                declined.filter(links::containsKey).ifPresentOrElse(this::ask, this::endUndetermined);
+            } else {
+                next.ifPresentOrElse(this::ask, this::endUndetermined);
             }
-            next.ifPresentOrElse(this::ask, () -> end(new QuotaDecision.Undetermined()));
         }
 
         private void ask(String node) {
             present = node;
-            presentLink = links.getOrDefault(node, self.link());
+            presentLink = links.get(node);
             asked.add(node);
             if (node.equals(self.name())) {
                 handleDecision(decide(team, request, isAfterDeclines(), forced));
@@ -319,6 +319,10 @@
             askNext();
         }
 
+        private void endUndetermined() {
+            end(new QuotaDecision.Undetermined());
+        }
+
         private void end(QuotaDecision decision) {
             String outcome = switch (decision) {
                 case QuotaDecision.Allowed ignored -> "granted";
--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/QuotaExchangeTest.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/QuotaExchangeTest.java
@@ -13,6 +13,7 @@
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.parsleydrift.conversation.FrameSender;
 import org.parsleydrift.kernel.ManualEventLoop;
@@ -23,7 +24,6 @@
 import org.parsleydrift.placement.QuotaPolicy;
 import org.parsleydrift.placement.QuotaRequest;
 import org.parsleydrift.placement.QuotaTracker;
-import org.parsleydrift.placement.UsageReport;
 import org.parsleydrift.registry.Quota;
 import org.parsleydrift.registry.Team;
 import org.testng.annotations.BeforeMethod;
@@ -192,15 +192,20 @@
         assertEquals(requester().charges().size(), 1);
     }
 
+    /** Restarts the coordinator, which hears from peers that have run for longer. */
+    private Member restartCoordinator() {
+        Member coordinator = ranked().getFirst();
+        coordinator.restart();
+        coordinator.tracker.updatePeers(members.values().stream()
+                .filter(each -> each != coordinator)
+                .collect(Collectors.toMap(each -> each.identity.name(), each -> each.tracker.report())));
+        return coordinator;
+    }
+
     /** A node that was restarted within the window must leave the decision to one that knows more. */
     @Test
     public void restartedCoordinatorDeclines() {
-        Member coordinator = ranked().getFirst();
-        coordinator.restart();
-        Map<String, UsageReport> reports = new TreeMap<>();
-        members.forEach((name, each) -> reports.put(name, each.tracker.report()));
-        reports.remove(coordinator.identity.name());
-        coordinator.tracker.updatePeers(reports);
+        Member coordinator = restartCoordinator();
         requester().request();
         advance(10);
         assertEquals(requester().charges().size(), 1);
@@ -211,12 +216,7 @@
     /** Guards against requests rejected below the quota for as long as a restarted coordinator leaves the decision to others. */
     @Test
     public void successorOfDecliningCoordinatorGrantsTheQuota() {
-        Member coordinator = ranked().getFirst();
-        coordinator.restart();
-        Map<String, UsageReport> reports = new TreeMap<>();
-        members.forEach((name, each) -> reports.put(name, each.tracker.report()));
-        reports.remove(coordinator.identity.name());
-        coordinator.tracker.updatePeers(reports);
+        Member coordinator = restartCoordinator();
         requester().request();
         advance(1000);
         IntStream.range(0, 2 * PROVISIONAL_LIMIT).forEach(any -> requester().request());
@@ -225,6 +225,21 @@
         assertEquals(coordinator.counted(), 0);
     }
 
+    /** Guards against a draining node that decides itself, as the candidate that has declined is gone. */
+    @Test
+    public void nodeIsNoSubstituteForOneThatHasDeclinedAndLeft() {
+        restartCoordinator();
+        ranked().subList(1, 3).forEach(each -> each.loop.pause());
+        requester().request();
+        advance(200);
+        requester().live = ranked().subList(1, 3).stream()
+                .map(each -> each.identity.name())
+                .toList();
+        advance(1000);
+        assertEquals(requester().counted(), 0);
+        assertEquals(requester().decisions.size(), 1);
+    }
+
     /** Guards against teams that nobody decides on because all candidates were restarted. */
     @Test
     public void firstCandidateDecidesIfAllDecline() {
