--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakOptions.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakOptions.java
@@ -77,25 +77,16 @@
     /** Returns the options of a run whose only callers are those that compare responses. */
     static StreamSoakOptions ofResponses(
             long seed, int entries, int runners, Duration time, ResponseOptions responses) {
-        return new StreamSoakOptions(
-                seed,
-                entries,
-                runners,
-                0,
-                0,
-                List.of(),
-                0,
-                false,
-                false,
-                false,
-                time,
-                Optional.empty(),
-                responses,
-                QuotaOptions.none());
+        return undisturbed(seed, entries, runners, time, responses, QuotaOptions.none());
     }
 
     /** Returns the options of a run whose only callers are those of teams with quotas. */
     static StreamSoakOptions ofQuotas(long seed, int entries, int runners, Duration time, QuotaOptions quotas) {
+        return undisturbed(seed, entries, runners, time, ResponseOptions.none(), quotas);
+    }
+
+    private static StreamSoakOptions undisturbed(
+            long seed, int entries, int runners, Duration time, ResponseOptions responses, QuotaOptions quotas) {
         return new StreamSoakOptions(
                 seed,
                 entries,
@@ -109,7 +100,7 @@
                 false,
                 time,
                 Optional.empty(),
-                ResponseOptions.none(),
+                responses,
                 quotas);
     }
 }
