RequestLifecycleTest: a request ends while its quota is decided on

The stage between a match and the queue, new with the coordinators of quotas, had no test of its own: a charge that is granted after the deadline, the end of the process or the caller's leaving is given back, and the request does not go on.

--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RequestLifecycleTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RequestLifecycleTest.java
@@ -57,6 +57,32 @@
         assertEquals(lifecycle.stage(), RequestStage.ENDED);
     }
 
+    private static RequestLifecycle acquiringQuota() {
+        return after(List.of(new RequestEvent.MatchingBegun(), new RequestEvent.Matched(false, Optional.empty())));
+    }
+
+    /** Events that end a request which waits for the decision on its team's quota. */
+    @DataProvider
+    public Object[][] endingsWithoutQuota() {
+        return new Object[][] {
+            {new RequestEvent.DeadlinePassed(false)},
+            {new RequestEvent.ProcessEnding()},
+            {new RequestEvent.CallerLeft()},
+        };
+    }
+
+    /** Guards against a charge that stays, as it is granted after its request has ended, and against a late send. */
+    @Test(dataProvider = "endingsWithoutQuota")
+    public void chargeGrantedAfterTheEndIsRefunded(RequestEvent ending) {
+        RequestLifecycle lifecycle = acquiringQuota();
+        lifecycle.apply(ending);
+        assertEquals(lifecycle.stage(), RequestStage.ENDED);
+        assertEquals(
+                lifecycle.apply(new RequestEvent.QuotaDecided(new QuotaDecision.Allowed(Optional.empty()))),
+                List.of(new RequestAction.RefundQuota()));
+        assertEquals(lifecycle.stage(), RequestStage.ENDED);
+    }
+
     /** Guards against a reservation that is released as "not run", though an attempt before the wait may have run. */
     @Test
     public void possibleRunKeepsItsReservationIfTheCallerLeaves() {
