--- a/parsleydrift-roles/src/test/java/org/parsleydrift/roles/QuotaExchangeTest.java
+++ b/parsleydrift-roles/src/test/java/org/parsleydrift/roles/QuotaExchangeTest.java
@@ -225,6 +225,22 @@
         assertEquals(coordinator.counted(), 0);
     }
 
+    /** Guards against a second grant of the quota when a coordinator decides again after others did so for it. */
+    @Test
+    public void coordinatorAdmitsWithinTheToleranceAfterItHasDeclined() {
+        Member coordinator = restartCoordinator();
+        advance(4900);
+        requester().request();
+        advance(150);
+        IntStream.range(0, LIMIT).forEach(any -> requester().request());
+        advance(20);
+        assertEquals(coordinator.counted(), PROVISIONAL_LIMIT);
+        advance(1000);
+        IntStream.range(0, LIMIT).forEach(any -> requester().request());
+        advance(20);
+        assertEquals(coordinator.counted(), LIMIT);
+    }
+
     /** Guards against a draining node that decides itself, as the candidate that has declined is gone. */
     @Test
     public void nodeIsNoSubstituteForOneThatHasDeclinedAndLeft() {
