Standstill: one piece of code holds the thread of a test

The loop that lets a network thread stand still stood in DrainTest, StreamFleet and FrameLinksTest and read System.nanoTime directly. It is one method now, beside ManualScheduler, and takes the clock of the runtime.

--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DrainTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/DrainTest.java
@@ -15,6 +15,8 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
+import org.parsleydrift.kernel.Standstill;
+import org.parsleydrift.kernel.SystemClock;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -315,10 +317,7 @@
         } catch (IOException failed) {
             throw new UncheckedIOException(failed);
         }
-        long endNanos = System.nanoTime() + STANDSTILL.toNanos();
-        while (System.nanoTime() - endNanos < 0) {
-            LockSupport.parkNanos(endNanos - System.nanoTime());
-        }
+        Standstill.hold(new SystemClock(), STANDSTILL);
     }
 
     private static void await(CountDownLatch latch) {
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/StreamFleet.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/StreamFleet.java
@@ -27,7 +27,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.parsleydrift.conversation.ConversationClient;
@@ -38,6 +37,7 @@
 import org.parsleydrift.conversation.ReplicaCalls;
 import org.parsleydrift.conversation.StoreMember;
 import org.parsleydrift.conversation.StoreSet;
+import org.parsleydrift.kernel.Standstill;
 import org.parsleydrift.kernel.SystemClock;
 import org.parsleydrift.placement.QuotaPolicy;
 import org.parsleydrift.placement.QuotaTracker;
@@ -250,10 +250,7 @@
                     public void channelRead(ChannelHandlerContext context, Object message) {
                         ReferenceCountUtil.release(message);
                         begun.countDown();
-                        long endNanos = System.nanoTime() + time.toNanos();
-                        while (System.nanoTime() - endNanos < 0) {
-                            LockSupport.parkNanos(endNanos - System.nanoTime());
-                        }
+                        Standstill.hold(new SystemClock(), time);
                     }
                 })
                 .bind(InetAddress.getLoopbackAddress(), 0)
--- a/parsleydrift-wire/src/test/java/org/parsleydrift/wire/FrameLinksTest.java
+++ b/parsleydrift-wire/src/test/java/org/parsleydrift/wire/FrameLinksTest.java
@@ -18,11 +18,11 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.locks.LockSupport;
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 import java.util.stream.IntStream;
+import org.parsleydrift.kernel.Standstill;
 import org.parsleydrift.kernel.SystemClock;
 import org.testng.annotations.Test;
 
@@ -154,10 +154,7 @@
             sender.send(proxy.address(), "first".getBytes(UTF_8));
             assertEquals(received.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS), "first");
             new NetworkLoop(ownThreads, new SystemClock()).execute(() -> {
-                long endNanos = System.nanoTime() + STANDSTILL.toNanos();
-                while (System.nanoTime() - endNanos < 0) {
-                    LockSupport.parkNanos(endNanos - System.nanoTime());
-                }
+                Standstill.hold(new SystemClock(), STANDSTILL);
                 sender.send(proxy.address(), "next".getBytes(UTF_8));
             });
             assertEquals(received.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS), "next");
