--- a/review/second/WipedStoreCase.java
+++ b/review/second/WipedStoreCase.java
@@ -12,8 +12,8 @@
 import java.util.stream.Stream;
 
 /**
- * One of three store machines loses its disk, as many as are tolerated, while the stores keep the records of many turns.
- * With TROUBLE=0 no disk is lost.
+ * One of three store machines loses its disk, as many as are tolerated at once, while the stores keep the records of many
+ * turns. With TROUBLE=0 no disk is lost.
  */
 public final class WipedStoreCase {
     /** Maximum time for the load, s. */
