--- a/review/second/Deployment.java
+++ b/review/second/Deployment.java
@@ -18,7 +18,6 @@
 final class Deployment implements AutoCloseable {
     static final String HOST = "review.example";
     static final int TOKENS_PER_EVENT = 12;
-    /** Memory of a store machine in the sheet of the smallest deployment, which a process may not exceed, MB. */
     private static final int RESTART_DELAY_MILLIS = 500;
 
     final Platform platform = new Platform();
@@ -125,12 +124,16 @@
     }
 
     Member startEntry(String name, String zone) throws IOException {
+        return startEntry(name, zone, platform.address());
+    }
+
+    Member startEntry(String name, String zone, String platformAddress) throws IOException {
         String callers = address();
         String link = address();
         String settings = "{\"role\":\"entry\",\"outside\":\"platform\",\"vm\":\"" + name + "\",\"zone\":\"" + zone
                 + "\",\"link\":\"" + link + "\",\"callers\":\"" + callers + "\",\"readiness\":\"" + address()
                 + "\",\"directory\":\"" + address() + "\",\"metrics\":\"" + address() + "\",\"platform\":\""
-                + platform.address() + "\",\"first_start\":true,\"contention\":{\"reserved_share\":0,"
+                + platformAddress + "\",\"first_start\":true,\"contention\":{\"reserved_share\":0,"
                 + "\"admit_share\":0.95,\"floor_share\":0.1,\"wait_share\":0.6,\"max_retry_after_s\":1.0,"
                 + "\"learn_speeds\":false},\"grace_s\":8}";
         return startMember(name, "entry", settings, callers, link);
--- a/review/second/Platform.java
+++ b/review/second/Platform.java
@@ -1,4 +1,5 @@
 import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpHandler;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -17,10 +18,17 @@
     private static final Pattern REVISION = Pattern.compile("\"revision\"\\s*:\\s*(\\d+)");
     private static final Pattern NAME = Pattern.compile("\"name\"\\s*:\\s*\"([^\"]*)\"");
 
+    /** Time for which changes are kept for watches, as in the settings of the small deployments. */
+    private static final long HISTORY_NANOS = 20_000_000_000L;
+
     private final HttpServer server;
+    /** Serves the same objects at another address, for the machines that can be turned away. */
+    private final HttpServer sideDoor;
+    private volatile boolean sideDoorRefuses;
     private final Map<String, TreeMap<String, Stored>> kinds = new HashMap<>();
     private final List<Event> history = new ArrayList<>();
     private long revision = 1;
+    private long droppedRevision;
 
     private record Stored(String name, long revision, String spec, String status) {
         String json() {
@@ -30,24 +38,47 @@
         }
     }
 
-    private record Event(String kind, long revision, boolean deleted, Stored object) {}
+    private record Event(String kind, long revision, boolean deleted, Stored object, long nanos) {}
 
     Platform() throws IOException {
-        server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 256);
-        server.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
-        server.createContext("/objects/", this::handle);
-        server.start();
+        server = listen(this::handle);
+        sideDoor = listen(exchange -> {
+            if (sideDoorRefuses) {
+                answer(exchange, 503, "{}");
+            } else {
+                handle(exchange);
+            }
+        });
+    }
+
+    private static HttpServer listen(HttpHandler handler) throws IOException {
+        HttpServer listener = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 256);
+        listener.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
+        listener.createContext("/objects/", handler);
+        listener.start();
+        return listener;
     }
 
     String address() {
         return "127.0.0.1:" + server.getAddress().getPort();
     }
 
+    /** Returns the address at which machines can be turned away. */
+    String sideDoorAddress() {
+        return "127.0.0.1:" + sideDoor.getAddress().getPort();
+    }
+
+    /** Turns the machines at the side door away with 503 and cuts off their watches, or serves them again. */
+    synchronized void setSideDoorRefuses(boolean refuses) {
+        sideDoorRefuses = refuses;
+        notifyAll();
+    }
+
     /** Creates or replaces an object without a condition, as the operator and the runners do. */
     synchronized long write(String kind, String name, String spec) {
         Stored stored = new Stored(name, ++revision, spec, "null");
         kinds.computeIfAbsent(kind, any -> new TreeMap<>()).put(name, stored);
-        history.add(new Event(kind, revision, false, stored));
+        history.add(new Event(kind, revision, false, stored, System.nanoTime()));
         notifyAll();
         return revision;
     }
@@ -56,7 +87,7 @@
         Stored removed = kinds.computeIfAbsent(kind, any -> new TreeMap<>()).remove(name);
         if (removed != null) {
             Stored gone = new Stored(name, ++revision, removed.spec(), removed.status());
-            history.add(new Event(kind, revision, true, gone));
+            history.add(new Event(kind, revision, true, gone, System.nanoTime()));
             notifyAll();
         }
     }
@@ -76,6 +107,7 @@
     @Override
     public void close() {
         server.stop(0);
+        sideDoor.stop(0);
     }
 
     private void handle(HttpExchange exchange) throws IOException {
@@ -132,9 +164,18 @@
     private void watch(HttpExchange exchange, String kind, long after, long waitMillis) throws IOException {
         long end = System.nanoTime() + waitMillis * 1_000_000;
         StringBuilder events = new StringBuilder();
+        boolean atSideDoor = exchange.getLocalAddress().getPort() == sideDoor.getAddress().getPort();
         long asOf;
         synchronized (this) {
             while (true) {
+                if (atSideDoor && sideDoorRefuses) {
+                    answer(exchange, 503, "{}");
+                    return;
+                }
+                if (isHistoryGone(after)) {
+                    answer(exchange, 410, "{}");
+                    return;
+                }
                 for (Event each : history) {
                     if (each.kind().equals(kind) && each.revision() > after) {
                         events.append(events.isEmpty() ? "" : ",")
@@ -160,6 +201,14 @@
         answer(exchange, 200, "{\"events\":[" + events + "],\"as_of\":" + asOf + "}");
     }
 
+    /** Drops the changes that are too old; returns whether one of them is newer than a revision. */
+    private boolean isHistoryGone(long after) {
+        while (!history.isEmpty() && System.nanoTime() - history.getFirst().nanos() > HISTORY_NANOS) {
+            droppedRevision = history.removeFirst().revision();
+        }
+        return after < droppedRevision;
+    }
+
     private void put(HttpExchange exchange, String kind, String name, String body, boolean creates) throws IOException {
         String metadata = body.substring(0, body.indexOf("\"spec\""));
         String condition = first(REVISION, metadata);
@@ -192,7 +241,7 @@
             }
             Stored next = new Stored(name, ++revision, known.spec(), status);
             kinds.get(kind).put(name, next);
-            history.add(new Event(kind, revision, false, next));
+            history.add(new Event(kind, revision, false, next, System.nanoTime()));
             notifyAll();
         }
         answer(exchange, 200, "{}");
--- a/review/second/StoreMemoryCase.java
+++ b/review/second/StoreMemoryCase.java
@@ -21,10 +21,10 @@
     private static final int EVENTS = 6;
     private static final String EVENT = "word ".repeat(18);
     private static final int LLM_RUNNERS = 8;
-    private static final int CALLERS = Integer.getInteger("callers", 64);
-    private static final int BURST_PROGRAMS = Integer.getInteger("programs", 12_000);
+    private static final int CALLERS = 160;
+    private static final int BURST_PROGRAMS = 14_000;
     private static final int CALM_PROGRAMS = 1_500;
-    private static final int LOAD_SECONDS = Integer.getInteger("load", 60);
+    private static final int LOAD_SECONDS = 70;
     private static final int MOST_CUT = 3;
     private static final int TRIES = 8;
     private static final byte[] INPUT = new byte[TURN_BYTES];
