--- a/review/second/Deployment.java
+++ b/review/second/Deployment.java
@@ -1,5 +1,6 @@
 import java.io.IOException;
 import java.io.PrintWriter;
+import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -8,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.regex.Matcher;
@@ -19,6 +21,8 @@
     static final String HOST = "review.example";
     static final int TOKENS_PER_EVENT = 12;
     private static final int RESTART_DELAY_MILLIS = 500;
+    private static final int MIN_PORT = 12_000;
+    private static final int MAX_PORT = 30_000;
 
     final Platform platform = new Platform();
     final List<Runner> runners = new ArrayList<>();
@@ -66,18 +70,26 @@
         System.out.println(line);
     }
 
-    int freePort() throws IOException {
+    /** Returns a free port below the range of outgoing connections, which could take it before its process does. */
+    int freePort() {
         while (true) {
-            try (ServerSocket socket = new ServerSocket(0)) {
-                if (!takenPorts.contains(socket.getLocalPort())) {
-                    takenPorts.add(socket.getLocalPort());
-                    return socket.getLocalPort();
-                }
+            int port = ThreadLocalRandom.current().nextInt(MIN_PORT, MAX_PORT);
+            if (!takenPorts.contains(port) && isFree(port)) {
+                takenPorts.add(port);
+                return port;
             }
         }
     }
 
-    private String address() throws IOException {
+    private static boolean isFree(int port) {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+            return true;
+        } catch (IOException taken) {
+            return false;
+        }
+    }
+
+    private String address() {
         return "127.0.0.1:" + freePort();
     }
 
