--- a/review/second/LongConversationCase.java
+++ b/review/6/LongConversationCase.java
@@ -29,6 +29,8 @@
                 deployment.noteLog(each, "quorum_lost", 2);
                 deployment.noteLog(each, "link_closed", 2);
             }
+        } catch (Exception | Error fault) {
+            fault.printStackTrace(); // the case could not run: no verdict
         }
         System.exit(code);
     }
