Frames above 64 KiB are sent in fragments, and none is sent that its receiver does not accept

Cause: only the receiver of a frame knew its limit of 4 MiB. A longer frame was written, refused with TooLongFrameException, and the connection closed, with the frames of others on it. A turn whose input has exactly max_body_bytes (4,194,304) ran at a runner and could not be kept, as its write has a few hundred bytes more. Small frames (heartbeats, other callers' turns) waited until a large one had been sent.

Change: FrameLinks sends a frame above 64 KiB in fragments as the connection takes them, with small frames in between. A frame above 16 MiB, or above what an earlier version accepts, is dropped by its sender with the log line frame_dropped. MalformedInputTest skips the announcement, a byte that each connection now begins with; its check that a malformed frame closes its connection is as before.

Ruled out: a larger frame alone, which would move the limit to the memory of the receiver and hold back other frames.

--- a/parsleydrift-wire/src/main/java/org/parsleydrift/wire/FrameLinks.java
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/FrameLinks.java
@@ -27,14 +27,26 @@
  * to, and connections carry frames in one direction only. Delivery is best effort; senders detect loss by their own
  * timeouts.
  *
+ * <p>A large frame is sent in fragments, between which small frames are sent, so that heartbeats and the requests of other
+ * callers do not wait for it. A frame above the size that its receiver accepts is not sent at all, since the receiver would
+ * close the connection, which carries the frames of others.
+ *
  * <p>Receivers acknowledge frames, so that a sender detects a stalled connection although responses arrive on another
  * one. If an acknowledgement is overdue, the next frame is sent on a new connection.
  */
 public final class FrameLinks implements AutoCloseable {
     private static final Logger LOG = System.getLogger(FrameLinks.class.getName());
     private static final int LENGTH_BYTES = 4;
-    private static final int MAX_FRAME_BYTES = 4 << 20;
+    /** Size of the largest frame that is sent and accepted, bytes. */
+    public static final int MAX_FRAME_BYTES = 16 << 20;
+    /** Size of the largest frame that peers accept which accept no fragments, as they are of an earlier version, bytes. */
+    private static final int MAX_WHOLE_FRAME_BYTES = (4 << 20) - LENGTH_BYTES;
+
     private static final int MAX_UNSENT_BYTES = 16 << 20;
+    private static final byte ACKNOWLEDGEMENT = 1;
+    /** Sent by a receiver on each new connection to announce that it accepts fragments. */
+    private static final byte ACCEPTS_FRAGMENTS = 2;
+
     /** A peer accepts a connection within a round trip; one that is gone never answers. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     /**
@@ -65,6 +77,7 @@
             protected void initChannel(Channel channel) {
                 channel.pipeline()
                         .addLast(new LengthFieldPrepender(LENGTH_BYTES))
+                        .addLast(new FragmentSender(MAX_WHOLE_FRAME_BYTES, MAX_UNSENT_BYTES))
                         .addLast(new AcknowledgementTracker());
             }
         });
@@ -96,7 +109,7 @@
                     protected void initChannel(Channel channel) {
                         channel.pipeline()
                                 .addLast(new LengthFieldBasedFrameDecoder(
-                                        MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+                                        MAX_FRAME_BYTES + LENGTH_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
                                 .addLast(new Receiver(receiver));
                     }
                 })
@@ -115,12 +128,24 @@
     }
 
     /**
-     * Sends a frame and opens a connection to the peer if there is none. The frame is dropped if the connection fails.
+     * Sends a frame and opens a connection to the peer if there is none. The frame is dropped if the connection fails. A
+     * small frame may overtake a large one.
      *
      * @param address the peer's link address, host and port
-     * @param frame the content of the frame, at most 4 MiB
+     * @param frame the content of the frame; dropped if it exceeds {@link #MAX_FRAME_BYTES}
      */
     public void send(String address, byte[] frame) {
+        if (frame.length > MAX_FRAME_BYTES) {
+            LOG.log(
+                    Logger.Level.WARNING,
+                    () -> LogLine.of("frame_dropped")
+                            .with("to", address)
+                            .with("bytes", frame.length)
+                            .with("limit", MAX_FRAME_BYTES)
+                            .with("reason", "larger than any receiver accepts")
+                            .toString());
+            return;
+        }
         ChannelFuture connection = connections.compute(
                 address,
                 (any, existing) -> existing != null
@@ -172,6 +197,11 @@
         AcknowledgementTracker tracker = channel.pipeline().get(AcknowledgementTracker.class);
         if (tracker != null && tracker.isOverdueOnWrite(channel)) {
             afterRead(channel, () -> sendUnlessSilent(address, channel, tracker, frame));
+        } else if (frame.length > Fragments.FRAGMENT_BYTES) {
+            FragmentSender fragments = channel.pipeline().get(FragmentSender.class);
+            if (fragments != null) {
+                fragments.send(frame);
+            }
         } else if (tracker != null && channel.eventLoop().inEventLoop()) {
             channel.write(Unpooled.wrappedBuffer(frame));
             flushLater(channel, tracker);
@@ -231,8 +261,15 @@
 
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
-            ReferenceCountUtil.release(message);
             unacknowledgedSince = NONE;
+            try {
+                if (message instanceof ByteBuf bytes
+                        && bytes.indexOf(bytes.readerIndex(), bytes.writerIndex(), ACCEPTS_FRAGMENTS) >= 0) {
+                    context.pipeline().get(FragmentSender.class).recordAnnouncement();
+                }
+            } finally {
+                ReferenceCountUtil.release(message);
+            }
         }
 
         /** Logs resets by the peer in one line, where Netty would log a stack trace. */
@@ -251,16 +288,20 @@
     /** Passes received frames on. A malformed frame closes only its own connection. */
     private static final class Receiver extends SimpleChannelInboundHandler<ByteBuf> {
         private final Consumer<byte[]> receiver;
+        private final Fragments.Assembler assembler = new Fragments.Assembler(MAX_FRAME_BYTES);
         private boolean acknowledgementScheduled;
 
         private Receiver(Consumer<byte[]> receiver) {
             this.receiver = receiver;
         }
 
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            context.writeAndFlush(Unpooled.wrappedBuffer(new byte[] {ACCEPTS_FRAGMENTS}));
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
-            byte[] bytes = new byte[frame.readableBytes()];
-            frame.readBytes(bytes);
             if (!acknowledgementScheduled) {
                 acknowledgementScheduled = true;
                 context.executor()
@@ -269,12 +310,38 @@
                                 ACKNOWLEDGEMENT_DELAY_MILLIS,
                                 TimeUnit.MILLISECONDS);
             }
-            receiver.accept(bytes);
+            if (Fragments.isFragment(frame)) {
+                join(context, frame);
+            } else {
+                byte[] bytes = new byte[frame.readableBytes()];
+                frame.readBytes(bytes);
+                receiver.accept(bytes);
+            }
+        }
+
+        private void join(ChannelHandlerContext context, ByteBuf fragment) {
+            Optional<byte[]> whole;
+            try {
+                whole = assembler.add(fragment);
+            } catch (IllegalArgumentException invalid) {
+                logDiscarded(context, invalid);
+                return;
+            }
+            whole.ifPresent(receiver);
+        }
+
+        private static void logDiscarded(ChannelHandlerContext context, Throwable cause) {
+            LOG.log(
+                    Logger.Level.WARNING,
+                    LogLine.of("frame_discarded")
+                            .with("from", context.channel().remoteAddress())
+                            .failure(cause)
+                            .toString());
         }
 
         private void sendAcknowledgement(ChannelHandlerContext context) {
             acknowledgementScheduled = false;
-            context.writeAndFlush(Unpooled.wrappedBuffer(new byte[] {1}));
+            context.writeAndFlush(Unpooled.wrappedBuffer(new byte[] {ACKNOWLEDGEMENT}));
         }
 
         @Override
--- a/parsleydrift-wire/src/test/java/org/parsleydrift/wire/FrameLinksTest.java
+++ b/parsleydrift-wire/src/test/java/org/parsleydrift/wire/FrameLinksTest.java
@@ -3,8 +3,11 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
 
 import io.netty.channel.DefaultChannelPipeline;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -13,7 +16,9 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -24,6 +29,7 @@
 import java.util.stream.IntStream;
 import org.parsleydrift.kernel.Standstill;
 import org.parsleydrift.kernel.SystemClock;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests frame connections that stall or are reset by the peer. */
@@ -141,6 +147,117 @@
         }
     }
 
+    /** Sizes of frames around those of a fragment and of a frame in one piece, bytes. */
+    @DataProvider
+    public static Object[][] frameSizes() {
+        return IntStream.of(
+                        Fragments.FRAGMENT_BYTES,
+                        Fragments.FRAGMENT_BYTES + 1,
+                        4 << 20,
+                        (4 << 20) + 1,
+                        FrameLinks.MAX_FRAME_BYTES)
+                .mapToObj(size -> new Object[] {size})
+                .toArray(Object[][]::new);
+    }
+
+    /** Guards against large frames that are lost or changed on the way. */
+    @Test(dataProvider = "frameSizes")
+    public void frameOfAnySizeArrivesWhole(int size) throws Exception {
+        BlockingQueue<byte[]> received = new LinkedBlockingQueue<>();
+        NetworkThreads threads = new NetworkThreads("links", 1);
+        try (FrameLinks receiver = new FrameLinks(threads, "127.0.0.1", 0, received::add);
+                FrameLinks sender = new FrameLinks(threads, "127.0.0.1", 0, frame -> {})) {
+            byte[] frame = new byte[size];
+            new SplittableRandom(size).nextBytes(frame);
+            frame[0] = 1;
+            sender.send("127.0.0.1:" + receiver.port(), frame);
+            assertTrue(Arrays.equals(received.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS), frame));
+        } finally {
+            threads.close();
+        }
+    }
+
+    /** Guards against a frame above the limit that takes the connection, and with it the frames of others, along. */
+    @Test
+    public void frameAboveTheLimitIsNotSent() throws Exception {
+        BlockingQueue<byte[]> received = new LinkedBlockingQueue<>();
+        NetworkThreads threads = new NetworkThreads("links", 1);
+        try (FrameLinks receiver = new FrameLinks(threads, "127.0.0.1", 0, received::add);
+                FrameLinks sender = new FrameLinks(threads, "127.0.0.1", 0, frame -> {});
+                StallingProxy proxy = new StallingProxy(receiver.port())) {
+            sender.send(proxy.address(), new byte[] {1});
+            sender.send(proxy.address(), new byte[FrameLinks.MAX_FRAME_BYTES + 1]);
+            sender.send(proxy.address(), new byte[] {2});
+            assertEquals(received.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS), new byte[] {1});
+            assertEquals(received.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS), new byte[] {2});
+            assertEquals(proxy.accepted.get(), 1);
+        } finally {
+            threads.close();
+        }
+    }
+
+    /** Guards against a receiver that closes a connection because a peer of another version sends a large whole frame. */
+    @Test
+    public void wholeFrameUpToTheLimitIsAccepted() throws Exception {
+        BlockingQueue<byte[]> received = new LinkedBlockingQueue<>();
+        NetworkThreads threads = new NetworkThreads("links", 1);
+        try (FrameLinks receiver = new FrameLinks(threads, "127.0.0.1", 0, received::add);
+                Socket peer = new Socket(InetAddress.getLoopbackAddress(), receiver.port())) {
+            DataOutputStream out = new DataOutputStream(peer.getOutputStream());
+            out.writeInt(FrameLinks.MAX_FRAME_BYTES);
+            out.write(new byte[FrameLinks.MAX_FRAME_BYTES]);
+            out.writeInt(1);
+            out.write(1);
+            out.flush();
+            assertEquals(received.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS).length, FrameLinks.MAX_FRAME_BYTES);
+            assertEquals(received.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS), new byte[] {1});
+        } finally {
+            threads.close();
+        }
+    }
+
+    /** Guards against heartbeats and other callers' requests that wait until a large frame has been sent. */
+    @Test
+    public void smallFramesOvertakeLargeOnes() throws Exception {
+        BlockingQueue<Integer> received = new LinkedBlockingQueue<>();
+        NetworkThreads threads = new NetworkThreads("links", 1);
+        try (FrameLinks receiver = new FrameLinks(threads, "127.0.0.1", 0, frame -> received.add(frame.length));
+                FrameLinks sender = new FrameLinks(threads, "127.0.0.1", 0, frame -> {})) {
+            String address = "127.0.0.1:" + receiver.port();
+            sender.send(address, new byte[1]);
+            assertEquals(received.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS), Integer.valueOf(1));
+            new NetworkLoop(threads, new SystemClock()).execute(() -> {
+                sender.send(address, new byte[FrameLinks.MAX_FRAME_BYTES]);
+                sender.send(address, new byte[2]);
+            });
+            assertEquals(received.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS), Integer.valueOf(2));
+            assertEquals(received.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS), Integer.valueOf(FrameLinks.MAX_FRAME_BYTES));
+        } finally {
+            threads.close();
+        }
+    }
+
+    /** Guards against frames in fragments, which peers of an earlier version would take for whole frames. */
+    @Test
+    public void peerThatAnnouncesNoFragmentsGetsWholeFrames() throws Exception {
+        NetworkThreads threads = new NetworkThreads("links", 1);
+        try (ServerSocket peer = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+                FrameLinks sender = new FrameLinks(threads, "127.0.0.1", 0, frame -> {})) {
+            String address = "127.0.0.1:" + peer.getLocalPort();
+            int accepted = (4 << 20) - Integer.BYTES;
+            sender.send(address, new byte[accepted + 1]);
+            sender.send(address, new byte[accepted]);
+            peer.setSoTimeout((int) TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS));
+            try (Socket connection = peer.accept()) {
+                DataInputStream in = new DataInputStream(connection.getInputStream());
+                assertEquals(in.readInt(), accepted);
+                assertEquals(in.readNBytes(accepted).length, accepted);
+            }
+        } finally {
+            threads.close();
+        }
+    }
+
     /** Guards against nodes that replace all connections after a standstill, in which they read no acknowledgements. */
     @Test
     public void connectionOutlivesAStandstillOfItsSender() throws Exception {
--- a/parsleydrift-wire/src/test/java/org/parsleydrift/wire/MalformedInputTest.java
+++ b/parsleydrift-wire/src/test/java/org/parsleydrift/wire/MalformedInputTest.java
@@ -21,6 +21,9 @@
 
 /** Tests malformed requests and frames and stalled connections on loopback sockets. */
 public class MalformedInputTest {
+    /** What a receiver of frames sends on each new connection. */
+    private static final int ANNOUNCEMENT = 2;
+
     private NetworkThreads threads;
     private HttpServer server;
     private HttpClient client;
@@ -106,12 +109,14 @@
         }
     }
 
+    /** Sends a frame; returns what the receiver sends after its announcement, -1 if it closes the connection. */
     private static int sendRawFrame(int port, byte[] bytes) throws IOException {
         try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
             socket.setSoTimeout(5000);
             socket.getOutputStream().write(bytes);
-            InputStream closed = socket.getInputStream();
-            return closed.read();
+            InputStream in = socket.getInputStream();
+            assertEquals(in.read(), ANNOUNCEMENT);
+            return in.read();
         }
     }
 }
