Chains are read in pages, so that a conversation of more than 4 MiB goes on

Cause: a store VM sent the texts of the whole chain in one frame. Above 4 MiB the receiver refused it and closed the connection; the entry process asked the other store VMs and peers, in vain, until the time for beginning the turn was over, and opened its circuit breaker for the turns of all programs. Ruled out: a limit towards the runner (none was asked) and full stores (no store_full; first turns were served).

Change: a read brings the IDs of the chain and its latest turns up to 256 KiB. ChainReader fetches the rest in pages of that size, one after another, from the nearest store VM that has them; a failure concerns this turn only. A request above the size of a frame fails at once with FrameTooLargeException. The chains under way on an entry node have a bound of bytes, beyond which turns are rejected as not run; inputs that could not be stored are rejected as not run; the body for the runner is not copied, and is written in slices, which need little direct memory.

--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/BeginResult.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/BeginResult.java
@@ -13,13 +13,15 @@
      * @param resumedOrigin the origin of the stream that the turn continues; empty if it is unknown or there is none
      * @param lineage the lineage of the turn, with which it is to be committed
      * @param attempts the grants of the program that record attempts at runners, in no order
+     * @param chainMemory the memory of the chain, to be released when the turn has ended
      */
     record Granted(
             List<Turn> chain,
             List<Grant> settled,
             Optional<StreamOrigin> resumedOrigin,
             TurnLineage lineage,
-            List<Grant> attempts)
+            List<Grant> attempts,
+            ChainReservation chainMemory)
             implements BeginResult {}
 
     /**
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationClient.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationClient.java
@@ -10,8 +10,10 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.parsleydrift.kernel.EventLoop;
 import org.parsleydrift.kernel.LogLine;
 import org.parsleydrift.kernel.Step;
@@ -150,8 +152,8 @@
 
     /**
      * Reads the grants of a program, a chain of turns and the origins of streams from the nearest read quorum. Only the
-     * nearest member sends the turns themselves, the others only their IDs, to limit the traffic between availability
-     * zones.
+     * nearest member sends turns themselves, the others only their IDs, to limit the traffic between availability zones.
+     * Of a chain larger than a page, only the latest turns are sent.
      *
      * @param program the program; empty for none
      * @param lastTurn the ID of the last turn of the chain; empty for none
@@ -164,7 +166,8 @@
     }
 
     /**
-     * Reads the grants of a program and a chain of turns from all members, each of which sends the turns themselves.
+     * Reads the grants of a program and a chain of turns from all members, each of which sends the latest turns that fit
+     * into a page.
      *
      * @param program the program; empty for none
      * @param lastTurn the ID of the last turn of the chain; empty for none
@@ -178,7 +181,8 @@
     private CompletableFuture<MergedRecords> read(
             String program, String lastTurn, List<String> streams, boolean nearestFirst, Duration timeout) {
         QuorumCall call = new QuorumCall(
-                (epoch, includesTexts) -> new ReplicaRequest.Read(epoch, program, lastTurn, includesTexts, streams),
+                (epoch, includesTexts) -> new ReplicaRequest.Read(
+                        epoch, program, lastTurn, includesTexts, streams, ReplicaRequest.PAGE_BYTES),
                 StoreSet::readQuorum,
                 nearestFirst,
                 timeout);
@@ -187,21 +191,34 @@
     }
 
     /**
-     * Reads single turns from all members without waiting for a quorum.
+     * Reads the first page of some turns from the nearest member that has the first of them.
      *
      * @param turnIds the IDs of the turns
-     * @return completes with the turns found, repeated if several members have them; never fails
+     * @param expectedBytes the expected size of their texts in the reply, bytes
+     * @return completes with the reply, or empty if no member has sent the first turn; never fails
      */
-    CompletableFuture<List<Turn>> fetch(List<String> turnIds) {
-        List<CompletableFuture<List<Turn>>> replies = set.stream()
-                .flatMap(known -> known.members().stream())
-                .map(each -> calls.send(each.address(), new ReplicaRequest.Fetch(turnIds), REQUEST_TIMEOUT)
-                        .handle((reply, failure) ->
-                                reply instanceof ReplicaReply.Found found ? found.turns() : List.<Turn>of()))
-                .toList();
-        return CompletableFuture.allOf(replies.toArray(CompletableFuture[]::new))
-                .thenApply(all ->
-                        replies.stream().flatMap(each -> each.join().stream()).toList());
+    CompletableFuture<Optional<ReplicaReply.Found>> fetchPage(List<String> turnIds, int expectedBytes) {
+        ReplicaRequest.Fetch request = new ReplicaRequest.Fetch(turnIds, ReplicaRequest.PAGE_BYTES, expectedBytes);
+        return fetchFromNext(request, set.stream().flatMap(this::nearestFirst).toList());
+    }
+
+    private CompletableFuture<Optional<ReplicaReply.Found>> fetchFromNext(
+            ReplicaRequest.Fetch request, List<StoreMember> members) {
+        if (members.isEmpty()) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+        return calls.send(members.getFirst().address(), request, REQUEST_TIMEOUT)
+                .handle((reply, failure) -> reply instanceof ReplicaReply.Found found
+                                && found.turnIds().contains(request.turnIds().getFirst())
+                        ? CompletableFuture.completedFuture(Optional.of(found))
+                        : fetchFromNext(request, members.subList(1, members.size())))
+                .thenCompose(Function.identity());
+    }
+
+    private Stream<StoreMember> nearestFirst(StoreSet target) {
+        return target.members().stream()
+                .sorted(Comparator.comparing((StoreMember each) -> !calls.isReachable(each.address()))
+                        .thenComparingDouble(each -> calls.readLatencyNanos(each.address())));
     }
 
     /**
@@ -212,13 +229,17 @@
      * @param turnPrograms the known programs of these turns, by ID of the turn
      * @param turnIds the IDs of all turns found, including those that were not sent
      * @param origins the origins of streams by ID; those of which members have different ones are omitted
+     * @param chainIds the IDs of the chain as far as one member has it, newest first
+     * @param chainBytes the sizes of the texts of these turns, bytes; empty if they are not known
      */
     record MergedRecords(
             Map<String, Grant> grants,
             Map<String, Turn> turns,
             Map<String, String> turnPrograms,
             Set<String> turnIds,
-            Map<String, StreamOrigin> origins) {
+            Map<String, StreamOrigin> origins,
+            List<String> chainIds,
+            List<Integer> chainBytes) {
         static MergedRecords of(List<ReplicaReply> replies) {
             Map<String, Grant> grants = new HashMap<>();
             Map<String, Turn> turns = new HashMap<>();
@@ -246,7 +267,19 @@
                 });
             });
             origins.keySet().removeAll(ambiguous);
-            return new MergedRecords(grants, turns, turnPrograms, turnIds, origins);
+            Optional<ReplicaReply.Found> longest = replies.stream()
+                    .map(ReplicaReply.Found.class::cast)
+                    .max(Comparator.comparingInt(
+                                    (ReplicaReply.Found each) -> each.turnIds().size())
+                            .thenComparingInt(each -> each.turnBytes().size()));
+            return new MergedRecords(
+                    grants,
+                    turns,
+                    turnPrograms,
+                    turnIds,
+                    origins,
+                    longest.map(ReplicaReply.Found::turnIds).orElse(List.of()),
+                    longest.map(ReplicaReply.Found::turnBytes).orElse(List.of()));
         }
     }
 
@@ -309,11 +342,8 @@
                 sendToRemaining(target);
                 return;
             }
-            List<StoreMember> nearest = target.members().stream()
-                    .sorted(Comparator.comparing((StoreMember each) -> !calls.isReachable(each.address()))
-                            .thenComparingDouble(each -> calls.readLatencyNanos(each.address())))
-                    .limit(quorumSize.of(target))
-                    .toList();
+            List<StoreMember> nearest =
+                    nearestFirst(target).limit(quorumSize.of(target)).toList();
             nearest.forEach(member -> send(target, member, member.equals(nearest.getFirst())));
             loop.schedule(HEDGE_DELAY, () -> sendToRemaining(target));
         }
@@ -340,6 +370,10 @@
             if (isFinished() || target.epoch() != epoch) {
                 return;
             }
+            if (StepException.unwrap(failure) instanceof FrameTooLargeException) {
+                result.completeExceptionally(failure);
+                return;
+            }
             if (failure != null) {
                 retry(target, member, includesTexts, "no reply from " + member.name());
                 return;
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationCodec.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationCodec.java
@@ -12,7 +12,7 @@
 
 /**
  * MessagePack encoding of requests, replies and records. Hand-written to avoid the startup cost of reflection. The last
- * fields of {@code Write}, {@code Read}, {@code Found} and {@code RecordList} are optional, since processes of an earlier
+ * fields of {@code Write}, {@code Read}, {@code Fetch}, {@code Found} and {@code RecordList} are optional, since processes of an earlier
  * version neither send nor read them.
  */
 final class ConversationCodec {
@@ -34,10 +34,12 @@
                         .packString(read.lastTurn())
                         .packBoolean(read.includesTexts());
                 list(out, read.streams(), MessagePacker::packString);
+                out.packInt(read.pageBytes());
             }
             case ReplicaRequest.Fetch fetch -> {
                 out.packByte((byte) 3);
                 list(out, fetch.turnIds(), MessagePacker::packString);
+                out.packInt(fetch.pageBytes());
             }
             case ReplicaRequest.ListRecords listRecords -> {
                 out.packByte((byte) 4);
@@ -67,8 +69,9 @@
                         in.unpackString(),
                         in.unpackString(),
                         in.unpackBoolean(),
-                        optionalList(in, MessageUnpacker::unpackString));
-            case 3 -> new ReplicaRequest.Fetch(list(in, MessageUnpacker::unpackString));
+                        optionalList(in, MessageUnpacker::unpackString),
+                        pageBytes(in));
+            case 3 -> new ReplicaRequest.Fetch(list(in, MessageUnpacker::unpackString), pageBytes(in), 0);
             case 4 -> new ReplicaRequest.ListRecords(set(in));
             case 5 -> new ReplicaRequest.Heartbeat(first(list(in, ConversationCodec::set)));
             default -> throw new IOException("unknown request type " + type);
@@ -85,6 +88,7 @@
                 list(out, found.turnIds(), MessagePacker::packString);
                 list(out, found.origins(), ConversationCodec::origin);
                 list(out, found.turnPrograms(), MessagePacker::packString);
+                list(out, found.turnBytes(), MessagePacker::packInt);
             }
             case ReplicaReply.Stale stale -> {
                 out.packByte((byte) 3);
@@ -122,7 +126,8 @@
                         list(in, ConversationCodec::turn),
                         list(in, MessageUnpacker::unpackString),
                         optionalList(in, ConversationCodec::origin),
-                        optionalList(in, MessageUnpacker::unpackString));
+                        optionalList(in, MessageUnpacker::unpackString),
+                        optionalList(in, MessageUnpacker::unpackInt));
             case 3 -> new ReplicaReply.Stale(set(in));
             case 4 -> new ReplicaReply.Behind();
             case 5 -> new ReplicaReply.Incomplete();
@@ -275,6 +280,11 @@
         return optionalList(in, reader).stream().collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
     }
 
+    /** Reads the size of a page, which processes of an earlier version omit. */
+    private static int pageBytes(MessageUnpacker in) throws IOException {
+        return in.hasNext() ? in.unpackInt() : ReplicaRequest.DEFAULT_PAGE_BYTES;
+    }
+
     private static <T> Optional<T> first(List<T> values) {
         return values.stream().findFirst();
     }
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationReplica.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationReplica.java
@@ -33,8 +33,8 @@
     private static final Duration SYNC_REQUEST_TIMEOUT = Duration.ofMillis(700);
     /** Maximum number of turns per fetch request. */
     private static final int FETCH_BATCH_SIZE = 64;
-    /** Size of the turns in a reply beyond which the rest is left to the next request; well below that of a frame. */
-    private static final int MAX_FETCHED_BYTES = 1 << 20;
+    /** Size of the texts per fetch request, which is larger than that of readers, as each page waits for the disk. */
+    private static final int FETCH_PAGE_BYTES = 1 << 20;
     /** Factor on the requested retention, as a margin for clock skew between VMs. */
     private static final int RETENTION_FACTOR = 3;
     /** Minimum life of synchronized records, of which members of an earlier version do not send the life, ms. */
@@ -256,27 +256,36 @@
         List<StreamOrigin> origins = read.streams().stream()
                 .flatMap(each -> records.origin(each).stream())
                 .toList();
-        return read.includesTexts()
-                ? ReplicaReply.Found.of(grants, chain, origins, programs(chain))
-                : new ReplicaReply.Found(
-                        grants, List.of(), chain.stream().map(Turn::id).toList(), origins, List.of());
+        List<String> ids = chain.stream().map(Turn::id).toList();
+        if (!read.includesTexts()) {
+            return new ReplicaReply.Found(grants, List.of(), ids, origins, List.of(), List.of());
+        }
+        List<Turn> page = firstPage(chain, read.pageBytes());
+        List<Integer> sizes = chain.stream().map(Turn::textBytes).toList();
+        return new ReplicaReply.Found(grants, page, ids, origins, programs(page), sizes);
     }
 
-    /** Returns the first turns of a fetch that fit into a reply, or the first one if it is larger. */
     private ReplicaReply fetch(ReplicaRequest.Fetch fetch) {
-        List<Turn> found = new ArrayList<>();
-        int bytes = 0;
-        for (Turn turn : fetch.turnIds().stream()
+        List<Turn> found = fetch.turnIds().stream()
                 .flatMap(id -> records.turn(id).stream())
-                .toList()) {
-            bytes += turn.input().length + turn.output().length;
-            if (!found.isEmpty() && bytes > MAX_FETCHED_BYTES) {
+                .toList();
+        List<Turn> page = firstPage(found, fetch.pageBytes());
+        return new ReplicaReply.Found(
+                List.of(), page, page.stream().map(Turn::id).toList(), List.of(), programs(page), List.of());
+    }
+
+    /** Returns the first turns whose texts fit into a page, or the first one if it is larger. */
+    private static List<Turn> firstPage(List<Turn> turns, int pageBytes) {
+        List<Turn> page = new ArrayList<>();
+        long bytes = 0;
+        for (Turn turn : turns) {
+            bytes += turn.textBytes();
+            if (!page.isEmpty() && bytes > pageBytes) {
                 break;
             }
-            found.add(turn);
+            page.add(turn);
         }
-        return new ReplicaReply.Found(
-                List.of(), found, found.stream().map(Turn::id).toList(), List.of(), programs(found));
+        return page;
     }
 
     private List<String> programs(List<Turn> turns) {
@@ -449,7 +458,10 @@
                 return;
             }
             List<String> batch = List.copyOf(missing.subList(0, Math.min(FETCH_BATCH_SIZE, missing.size())));
-            calls.send(address, new ReplicaRequest.Fetch(batch), SYNC_REQUEST_TIMEOUT)
+            calls.send(
+                            address,
+                            new ReplicaRequest.Fetch(batch, FETCH_PAGE_BYTES, FETCH_PAGE_BYTES),
+                            SYNC_REQUEST_TIMEOUT)
                     .whenComplete((reply, failure) -> loop.execute(() -> {
                         if (reply instanceof ReplicaReply.Found found) {
                             // A reply without turns shows that the source has none of the batch any more.
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/Conversations.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/Conversations.java
@@ -2,8 +2,6 @@
 
 import java.lang.System.Logger;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -25,19 +23,26 @@
     private final ConversationClient client;
     private final SettledTokenCache settledTokens = new SettledTokenCache();
     private final QuorumCircuitBreaker circuitBreaker;
+    private final ChainMemory chainMemory;
 
     /**
-     * Creates an instance.
+     * Creates an instance whose chains may use a share of the heap.
      *
      * @param client the client of the store VMs
      */
     public Conversations(ConversationClient client) {
+        this(client, ChainMemory.ofHeap());
+    }
+
+    Conversations(ConversationClient client, ChainMemory chainMemory) {
         this.client = client;
+        this.chainMemory = chainMemory;
         this.circuitBreaker = new QuorumCircuitBreaker(client::nanos);
     }
 
     /**
-     * Reserves the tokens of a turn and reads the chain of turns that precede it.
+     * Reserves the tokens of a turn and reads the chain of turns that precede it. The caller releases the memory of the
+     * chain when the turn has ended.
      *
      * @param request the turn to begin
      * @return completes with the outcome; never fails
@@ -243,8 +248,7 @@
         if (!request.previous().isEmpty() && !records.turnIds().contains(request.previous())) {
             return CompletableFuture.completedFuture(new BeginResult.NoSuchTurn());
         }
-        return resumedOrigin(request, records)
-                .thenCompose(origin -> assembleChain(request, records, settled, origin, true));
+        return resumedOrigin(request, records).thenCompose(origin -> readChain(request, records, settled, origin));
     }
 
     private static List<String> namedStream(BeginRequest request) {
@@ -287,45 +291,28 @@
         });
     }
 
-    /** Assembles the chain from the turns read; reads a missing turn and those before it from all members. */
-    private CompletableFuture<BeginResult> assembleChain(
-            BeginRequest request,
-            ConversationClient.MergedRecords records,
-            List<Grant> settled,
-            Optional<StreamOrigin> origin,
-            boolean canFetch) {
-        Deque<Turn> chain = new ArrayDeque<>();
-        String id = request.previous();
-        while (!id.isEmpty()) {
-            Turn turn = records.turns().get(id);
-            if (turn == null) {
-                return canFetch
-                        ? fetchMissingTurn(request, records, settled, origin, id)
-                        : CompletableFuture.completedFuture(new BeginResult.Unavailable(
-                                "turn " + id + " of the chain was not found at a read quorum"));
-            }
-            chain.addFirst(turn);
-            id = turn.previous();
-        }
-        TurnLineage lineage =
-                TurnLineage.of(request.program(), chain.stream().map(Turn::id).toList(), records.turnPrograms());
-        List<Grant> attempts =
-                records.grants().values().stream().filter(Grant::isAttempt).toList();
-        return CompletableFuture.completedFuture(
-                new BeginResult.Granted(List.copyOf(chain), settled, origin, lineage, attempts));
-    }
-
-    private CompletableFuture<BeginResult> fetchMissingTurn(
+    /** Reads the rest of the chain. A failure concerns this turn only, as a read quorum has answered. */
+    private CompletableFuture<BeginResult> readChain(
             BeginRequest request,
             ConversationClient.MergedRecords records,
             List<Grant> settled,
-            Optional<StreamOrigin> origin,
-            String missing) {
-        return client.readFromAll("", missing, request.timeout()).thenCompose(more -> {
-            records.turns().putAll(more.turns());
-            records.turnPrograms().putAll(more.turnPrograms());
-            return assembleChain(request, records, settled, origin, more.turns().containsKey(missing));
-        });
+            Optional<StreamOrigin> origin) {
+        ChainMemory.Reservation reservation = chainMemory.reservation();
+        return new ChainReader(client, records, reservation, request.timeout())
+                .read(request.previous())
+                .handle((chain, failure) -> {
+                    if (failure != null) {
+                        reservation.release();
+                        return new BeginResult.Unavailable(
+                                StepException.unwrap(failure).getMessage());
+                    }
+                    TurnLineage lineage = TurnLineage.of(
+                            request.program(), chain.stream().map(Turn::id).toList(), records.turnPrograms());
+                    List<Grant> attempts = records.grants().values().stream()
+                            .filter(Grant::isAttempt)
+                            .toList();
+                    return new BeginResult.Granted(chain, settled, origin, lineage, attempts, reservation);
+                });
     }
 
     private static Grant grant(BeginRequest request, GrantState state) {
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/FrameSender.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/FrameSender.java
@@ -10,6 +10,15 @@
      */
     void send(String address, byte[] frame);
 
+    /**
+     * Returns the size of the largest frame that the receivers accept; a larger one must not be sent.
+     *
+     * @return the size, bytes; unlimited by default
+     */
+    default int maxFrameBytes() {
+        return Integer.MAX_VALUE;
+    }
+
     /**
      * Closes the connection to a receiver; the next frame opens a new one.
      *
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaCalls.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaCalls.java
@@ -41,6 +41,14 @@
      */
     private static final Duration MAX_LOOP_DELAY = Duration.ofMillis(20);
 
+    /**
+     * Rate of the slowest path for which the timeouts of large requests and replies allow, bytes per ms; several of them may
+     * share a link.
+     */
+    private static final int MIN_BYTES_PER_MILLI = 4096;
+    /** Upper bound of what forwarding adds to the size of a frame, bytes. */
+    private static final int FORWARDING_OVERHEAD_BYTES = 1024;
+
     private static final byte REQUEST = 1;
     private static final byte REPLY = 2;
     /** A request that the receiving peer relays to a store VM. */
@@ -147,12 +155,29 @@
      *
      * @param address the address of the store VM
      * @param request the request
-     * @param timeout how long to wait for the reply
-     * @return completes with the reply, or with a StepException on a timeout
+     * @param timeout how long to wait for the reply, besides the time that large frames need on the way
+     * @return completes with the reply, or with a StepException on a timeout or if the request is too large to be sent
      */
     public CompletableFuture<ReplicaReply> send(String address, ReplicaRequest request, Duration timeout) {
         PendingRequest pendingRequest =
                 new PendingRequest(address, request, timeout, loop.clock().nanos());
+        try {
+            sendFirstCopies(pendingRequest);
+        } catch (FrameTooLargeException tooLarge) {
+            LOG.log(
+                    Logger.Level.WARNING,
+                    () -> LogLine.of("store_request_too_large")
+                            .failure(tooLarge)
+                            .toString());
+            pendingRequest.correlations.forEach(pending::remove);
+            return CompletableFuture.failedFuture(tooLarge);
+        }
+        scheduleCheck(pendingRequest);
+        return pendingRequest.reply;
+    }
+
+    private void sendFirstCopies(PendingRequest pendingRequest) {
+        String address = pendingRequest.address;
         StorePath path = path(address);
         path.recordRequest();
         Optional<String> forwarder = path.isBroken() ? forwarders.choose(address) : Optional.empty();
@@ -166,8 +191,6 @@
             pendingRequest.sentDirectly = true;
             frames.send(address, encodeCopy(pendingRequest, Optional.empty()));
         }
-        scheduleCheck(pendingRequest);
-        return pendingRequest.reply;
     }
 
     /**
@@ -201,10 +224,17 @@
         long correlation = ++lastCorrelation;
         request.correlations.add(correlation);
         pending.put(correlation, new Copy(request, forwarder, loop.clock().nanos()));
-        return encode(out -> {
+        byte[] copy = encode(out -> {
             out.packByte(REQUEST).packLong(correlation).packString(ownAddress);
             ConversationCodec.request(out, request.content);
         });
+        int maxBytes = frames.maxFrameBytes() - FORWARDING_OVERHEAD_BYTES;
+        if (copy.length > maxBytes) {
+            throw new FrameTooLargeException(
+                    request.address, request.content.getClass().getSimpleName(), copy.length, maxBytes);
+        }
+        request.allowTransferOf(copy.length + request.content.expectedReplyBytes());
+        return copy;
     }
 
     private void sendThrough(PendingRequest request, String forwarder) {
@@ -220,7 +250,8 @@
     private void scheduleCheck(PendingRequest request) {
         Duration remaining =
                 Duration.ofNanos(request.deadlineNanos - loop.clock().nanos());
-        Duration delay = REPLY_PATIENCE.compareTo(remaining) < 0 ? REPLY_PATIENCE : remaining;
+        Duration patience = REPLY_PATIENCE.plus(request.transferTime);
+        Duration delay = patience.compareTo(remaining) < 0 ? patience : remaining;
         Duration bounded = delay.isNegative() ? Duration.ZERO : delay;
         request.checkNanos = loop.clock().nanos() + bounded.toNanos();
         request.timer = loop.schedule(bounded, () -> checkUnanswered(request));
@@ -362,6 +393,18 @@
             out.packByte(REPLY).packLong(correlation).packString(ownAddress);
             ConversationCodec.reply(out, reply);
         });
+        int maxBytes = frames.maxFrameBytes() - FORWARDING_OVERHEAD_BYTES;
+        if (frame.length > maxBytes) {
+            LOG.log(
+                    Logger.Level.WARNING,
+                    () -> LogLine.of("store_reply_too_large")
+                            .with("to", to)
+                            .with("kind", reply.getClass().getSimpleName())
+                            .with("bytes", frame.length)
+                            .with("limit", maxBytes)
+                            .toString());
+            return;
+        }
         if (via.isEmpty()) {
             frames.send(to, frame);
         } else {
@@ -393,7 +436,8 @@
         private final ReplicaRequest content;
         private final Duration timeout;
         private final long startNanos;
-        private final long deadlineNanos;
+        private Duration transferTime = Duration.ZERO;
+        private long deadlineNanos;
         private final CompletableFuture<ReplicaReply> reply = new CompletableFuture<>();
         private final List<Long> correlations = new ArrayList<>();
         private Optional<String> awaitedForwarder = Optional.empty();
@@ -410,5 +454,11 @@
             this.startNanos = startNanos;
             this.deadlineNanos = startNanos + timeout.toNanos();
         }
+
+        /** Extends the timeouts by the time that the request and its reply need on the way. */
+        private void allowTransferOf(int bytes) {
+            transferTime = Duration.ofMillis(bytes / MIN_BYTES_PER_MILLI);
+            deadlineNanos = startNanos + timeout.plus(transferTime).toNanos();
+        }
     }
 }
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaReply.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaReply.java
@@ -15,17 +15,20 @@
      * The requested records that the member holds.
      *
      * @param grants the grants of the program, in no order
-     * @param turns the turns found; empty if only their IDs were requested
-     * @param turnIds the IDs of the turns found
+     * @param turns the first of the turns found, as many as fit into a page; empty if only their IDs were requested
+     * @param turnIds the IDs of the turns found, those of a chain newest first
      * @param origins the origins found of the streams
      * @param turnPrograms the programs of the turns in their order, each empty if unknown; empty from an earlier version
+     * @param turnBytes the sizes of the texts of the turns in {@code turnIds}, bytes; empty if only IDs were requested, and
+     *     from an earlier version
      */
     record Found(
             List<Grant> grants,
             List<Turn> turns,
             List<String> turnIds,
             List<StreamOrigin> origins,
-            List<String> turnPrograms)
+            List<String> turnPrograms,
+            List<Integer> turnBytes)
             implements ReplicaReply {
         /**
          * Creates a reply without origins of streams.
@@ -35,11 +38,7 @@
          * @param turnIds the IDs of the turns found
          */
         public Found(List<Grant> grants, List<Turn> turns, List<String> turnIds) {
-            this(grants, turns, turnIds, List.of(), List.of());
-        }
-
-        static Found of(List<Grant> grants, List<Turn> turns, List<StreamOrigin> origins, List<String> turnPrograms) {
-            return new Found(grants, turns, turns.stream().map(Turn::id).toList(), origins, turnPrograms);
+            this(grants, turns, turnIds, List.of(), List.of(), List.of());
         }
     }
 
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaRequest.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaRequest.java
@@ -5,6 +5,20 @@
 
 /** A request to a store VM. */
 public sealed interface ReplicaRequest {
+    /** Size of the texts in a reply to a reader, bytes; small, so that replies to others do not wait for it. */
+    int PAGE_BYTES = 256 << 10;
+    /** The same if a request does not state one, since its sender is of an earlier version. */
+    int DEFAULT_PAGE_BYTES = 1 << 20;
+
+    /**
+     * Returns the expected size of the texts in the reply, for which its sender allows additional time.
+     *
+     * @return the size if it is known to be large, otherwise 0, bytes
+     */
+    default int expectedReplyBytes() {
+        return 0;
+    }
+
     /**
      * Stores grants, a turn and the origin of a stream; answered once they are on disk.
      *
@@ -33,16 +47,21 @@
      * @param lastTurn the ID of the last turn of the chain; empty for none
      * @param includesTexts whether to return the turns with their text rather than only their IDs
      * @param streams the IDs of the streams
+     * @param pageBytes the size of the texts beyond which the earlier turns of the chain are left to further requests,
+     *     bytes
      */
-    record Read(long epoch, String program, String lastTurn, boolean includesTexts, List<String> streams)
+    record Read(long epoch, String program, String lastTurn, boolean includesTexts, List<String> streams, int pageBytes)
             implements ReplicaRequest {}
 
     /**
      * Reads single turns. Valid at every epoch, since turns are immutable.
      *
      * @param turnIds the IDs of the turns
+     * @param pageBytes the size of the texts beyond which the rest of the turns is left to further requests, bytes; the
+     *     reply contains at least one turn
+     * @param expectedReplyBytes the expected size of the texts in the reply, bytes; not sent
      */
-    record Fetch(List<String> turnIds) implements ReplicaRequest {}
+    record Fetch(List<String> turnIds, int pageBytes, int expectedReplyBytes) implements ReplicaRequest {}
 
     /**
      * Requests a list of all records, from which the sender synchronizes for a new epoch. The receiver adopts the set first,
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/Turn.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/Turn.java
@@ -8,4 +8,9 @@
  * @param input the request body sent by the caller
  * @param output the data of the response events, each followed by a line feed
  */
-public record Turn(String id, String previous, byte[] input, byte[] output) {}
+public record Turn(String id, String previous, byte[] input, byte[] output) {
+    /** Returns the size of the input and the output together, bytes. */
+    int textBytes() {
+        return input.length + output.length;
+    }
+}
--- a/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/StoreCluster.java
+++ b/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/StoreCluster.java
@@ -23,9 +23,6 @@
 /** Simulated store VMs and entry nodes on virtual time, with network partitions and disk losses. */
 final class StoreCluster {
     static final Duration RETENTION = Duration.ofSeconds(60);
-    /** Size of the largest frame that a receiver accepts. */
-    private static final int MAX_FRAME_BYTES = 4 << 20;
-
     private static final Duration LINK_LATENCY = Duration.ofMillis(1);
     private static final Duration POLL_PERIOD = Duration.ofMillis(50);
 
@@ -42,6 +39,8 @@
     private int toleratedLosses = 1;
     private int maxMembers = Integer.MAX_VALUE;
     private long maxRecordBytes = Long.MAX_VALUE;
+    /** Size of the largest frame that a receiver accepts, bytes. */
+    private int maxFrameBytes = 4 << 20;
 
     /** A frame in transit, which a test may delay. */
     record Frame(String from, String to, byte[] bytes) {}
@@ -184,12 +183,21 @@
         time.advance(span);
     }
 
+    void setMaxFrameBytes(int bytes) {
+        maxFrameBytes = bytes;
+    }
+
     Conversations entry(String name) {
         return entry(name, Optional.empty());
     }
 
     /** Starts an entry node that may relay requests to store VMs through a peer. */
     Conversations entry(String name, Optional<String> peer) {
+        return entry(name, peer, Long.MAX_VALUE);
+    }
+
+    /** Starts an entry node that may relay requests, and whose chains may have some size in all. */
+    Conversations entry(String name, Optional<String> peer, long maxChainBytes) {
         ManualEventLoop loop = time.newLoop();
         ReplicaCalls calls = new ReplicaCalls(loop, sender(name), name, request -> new CompletableFuture<>());
         receivers.put(name, frame -> loop.execute(() -> calls.receive(frame)));
@@ -199,7 +207,7 @@
                 loop,
                 ObjectKind.STORE_SET,
                 changes -> changes.forEach(each -> client.adopt(StoreSetJson.read(each.content()))));
-        return new Conversations(client);
+        return new Conversations(client, new ChainMemory(maxChainBytes));
     }
 
     static BeginRequest beginRequest(String program, String request, int budget, int maxTokens, String previous) {
@@ -231,7 +239,7 @@
                 sentFrames++;
                 boolean toStore = stores.containsKey(address) && partitionedFromStores.contains(from);
                 boolean fromStore = stores.containsKey(from) && partitionedFromStores.contains(address);
-                if (frame.length > MAX_FRAME_BYTES) {
+                if (frame.length > maxFrameBytes) {
                     return;
                 }
                 if (partitioned.contains(from) || partitioned.contains(address) || toStore || fromStore) {
@@ -244,6 +252,11 @@
                 deliver(address, frame);
             }
 
+            @Override
+            public int maxFrameBytes() {
+                return maxFrameBytes;
+            }
+
             @Override
             public void reset(String address) {}
         };
--- a/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/StreamOriginTest.java
+++ b/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/StreamOriginTest.java
@@ -107,7 +107,7 @@
     /** Guards against frames that processes of the version before cannot read, or that cannot be read from them. */
     @Test
     public void framesWithoutOriginsAreReadBothWays() {
-        ReplicaRequest.Read read = new ReplicaRequest.Read(3, "p", "t", true, List.of("q1"));
+        ReplicaRequest.Read read = new ReplicaRequest.Read(3, "p", "t", true, List.of("q1"), ReplicaRequest.PAGE_BYTES);
         byte[] former = MessagePackFrames.encode(out -> out.packByte((byte) 2)
                 .packLong(3)
                 .packString("p")
@@ -115,7 +115,7 @@
                 .packBoolean(true));
         assertEquals(
                 MessagePackFrames.decode(former, ConversationCodec::request),
-                new ReplicaRequest.Read(3, "p", "t", true, List.of()));
+                new ReplicaRequest.Read(3, "p", "t", true, List.of(), ReplicaRequest.DEFAULT_PAGE_BYTES));
         byte[] present = MessagePackFrames.encode(out -> ConversationCodec.request(out, read));
         assertEquals(MessagePackFrames.decode(present, ConversationCodec::request), read);
         // Readers of the version before stop after the fields that they know.
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayLimits.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayLimits.java
@@ -83,6 +83,9 @@
     /** Share of the heap that buffered responses may use in all, so that runners cannot use it up together. */
     static final double MAX_BUFFERED_HEAP_SHARE = 0.125;
 
+    /** Maximum size of the input of a turn that is stored, bytes; with its output it fits into a frame to the store VMs. */
+    static final int MAX_TURN_INPUT_BYTES = 7 << 20;
+
     /** Maximum number of bytes of an event stream without a complete event that has an id or data. */
     static final int MAX_EVENT_BYTES = 1 << 20;
 
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -42,7 +42,7 @@
     private Optional<TurnRecord> turn = Optional.empty();
     private List<CachedPart> reportedParts = List.of();
     private boolean hasHistory;
-    private byte[] body;
+    private List<byte[]> body;
     private RunnerExchange exchange;
 
     RelayedRequest(Relay relay, CallerRequest request, Optional<RequestParameters> params, CallerResponse response) {
@@ -52,7 +52,7 @@
         this.params = params.orElse(null);
         this.log = new RequestLog(params);
         this.startNanos = relay.loop().clock().nanos();
-        this.body = request.body();
+        this.body = ConversationInput.assemble(List.of(), request.body());
         this.team = new RequestTeam(relay, request, Optional.empty(), "");
         this.queueWait = new QueueWait(relay.loop(), relay.dispatcher()::dispatch);
     }
@@ -401,7 +401,8 @@
     private void beginTurn() {
         TurnRecord record = new TurnRecord(relay, params, route, team.owner(), binding);
         turn = Optional.of(record);
-        record.begin(service, RelayLimits.beginTimeout(leftMillis())).thenAccept(this::handleBegin);
+        record.begin(service, request.body().length, RelayLimits.beginTimeout(leftMillis()))
+                .thenAccept(this::handleBegin);
     }
 
     private void handleBegin(BeginResult result) {
@@ -467,6 +468,8 @@
             int forwardedEvents = exchange == null ? 0 : exchange.forwardedEvents();
             turn.ifPresent(each -> each.settleAborted(forwardedEvents, service));
         }
+        turn.ifPresent(TurnRecord::releaseChain);
+        body = List.of();
         deadlineTimer.cancel();
         preparationTimer.cancel();
         queueWait.cancel();
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnection.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerConnection.java
@@ -9,7 +9,9 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -25,6 +27,8 @@
 import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.SequencedSet;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.parsleydrift.kernel.LogLine;
 import org.parsleydrift.kernel.RuntimeClock;
 import org.parsleydrift.wire.StrictResponseDecoder;
@@ -40,6 +44,9 @@
     /** Size that a skipped head is counted with, bytes; that of a short status line. */
     private static final int SKIPPED_HEAD_BYTES = 20;
 
+    /** Size of the slices in which a body is written, bytes. */
+    private static final int SLICE_BYTES = 64 << 10;
+
     private static final int NO_CONTENT = 204;
     private static final int NOT_MODIFIED = 304;
 
@@ -131,14 +138,31 @@
         recordServed(next.id());
         HttpMethod method = HttpMethod.valueOf(next.method());
         decoder.expectResponseTo(method);
-        var message = new DefaultFullHttpRequest(
+        written = next.bodyBytes() <= SLICE_BYTES ? writeWhole(next, method) : writeInSlices(next, method);
+    }
+
+    private ChannelFuture writeWhole(RunnerRequest next, HttpMethod method) {
+        return channel.writeAndFlush(new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
                 method,
                 next.target(),
-                Unpooled.wrappedBuffer(next.body()),
+                Unpooled.copiedBuffer(next.body().toArray(byte[][]::new)),
                 next.headers(),
-                DefaultHttpHeadersFactory.trailersFactory().newHeaders());
-        written = channel.writeAndFlush(message);
+                DefaultHttpHeadersFactory.trailersFactory().newHeaders()));
+    }
+
+    private ChannelFuture writeInSlices(RunnerRequest next, HttpMethod method) {
+        channel.write(new DefaultHttpRequest(HttpVersion.HTTP_1_1, method, next.target(), next.headers()));
+        next.body().stream()
+                .flatMap(RunnerConnection::slices)
+                .forEach(slice -> channel.write(new DefaultHttpContent(slice)));
+        return channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+    }
+
+    /** Divides a part of a large body, as the runtime copies each buffer that it writes into direct memory. */
+    private static Stream<ByteBuf> slices(byte[] part) {
+        return IntStream.iterate(0, offset -> offset < part.length, offset -> offset + SLICE_BYTES)
+                .mapToObj(offset -> Unpooled.wrappedBuffer(part, offset, Math.min(SLICE_BYTES, part.length - offset)));
     }
 
     private void recordServed(String id) {
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerRequest.java
@@ -1,6 +1,7 @@
 package org.parsleydrift.relay;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
 import java.util.Optional;
 import org.parsleydrift.registry.Runner;
 import org.parsleydrift.registry.Team;
@@ -12,10 +13,11 @@
  * @param method the HTTP method
  * @param target path and query
  * @param headers headers to send
- * @param body the body; empty if there is none
+ * @param body the parts of the body in their order; empty if there is none
  * @param retriable whether the request may be retried after an unknown outcome
  */
-record RunnerRequest(String id, String method, String target, HttpHeaders headers, byte[] body, boolean retriable) {
+record RunnerRequest(
+        String id, String method, String target, HttpHeaders headers, List<byte[]> body, boolean retriable) {
     /** Builds the request to a runner from that of the caller, replacing the headers that only the system sets. */
     static RunnerRequest of(
             CallerRequest request,
@@ -24,7 +26,7 @@
             HeaderNames headerNames,
             Runner runner,
             long leftMillis,
-            byte[] body,
+            List<byte[]> body,
             boolean retriable) {
         HttpHeaders headers = ForwardedHeaders.toRunner(request.headers(), headerNames);
         headers.set(headerNames.requestId(), parameters.id());
@@ -32,9 +34,15 @@
         headers.set(headerNames.expectInstance(), runner.id());
         team.ifPresent(each -> headers.set(headerNames.team(), each.name()));
         headers.set("Host", request.host());
-        if (body.length > 0 || !"GET".equals(request.method())) {
-            headers.setInt("Content-Length", body.length);
+        var result = new RunnerRequest(parameters.id(), request.method(), request.target(), headers, body, retriable);
+        if (result.bodyBytes() > 0 || !"GET".equals(request.method())) {
+            headers.set("Content-Length", result.bodyBytes());
         }
-        return new RunnerRequest(parameters.id(), request.method(), request.target(), headers, body, retriable);
+        return result;
+    }
+
+    /** Returns the size of the body, bytes. */
+    long bodyBytes() {
+        return body.stream().mapToLong(part -> part.length).sum();
     }
 }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/TurnRecord.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/TurnRecord.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.parsleydrift.conversation.BeginRequest;
 import org.parsleydrift.conversation.BeginResult;
+import org.parsleydrift.conversation.ChainReservation;
 import org.parsleydrift.conversation.Grant;
 import org.parsleydrift.conversation.GrantState;
 import org.parsleydrift.conversation.StreamOrigin;
@@ -30,6 +31,8 @@
     private boolean beginning;
 
     private boolean released;
+    private boolean chainReleased;
+    private ChainReservation chainMemory = () -> {};
     private TurnLineage lineage;
 
     /**
@@ -55,8 +58,17 @@
     /**
      * Reserves tokens, binds a new stream to a software version if possible, and reads the conversation history and the
      * origin of a stream that is continued. The future completes on the relay's loop and never fails.
+     *
+     * @param service the service that the turn is sent to
+     * @param inputBytes size of the turn's own input, bytes
+     * @param timeout how long to retry each request to the store VMs
      */
-    CompletableFuture<BeginResult> begin(String service, Duration timeout) {
+    CompletableFuture<BeginResult> begin(String service, int inputBytes, Duration timeout) {
+        if (route.stateful() && inputBytes > RelayLimits.MAX_TURN_INPUT_BYTES) {
+            BeginResult tooLarge = new BeginResult.Unavailable("an input of " + inputBytes
+                    + " bytes cannot be stored, the limit is " + RelayLimits.MAX_TURN_INPUT_BYTES);
+            return CompletableFuture.supplyAsync(() -> tooLarge, relay.loop());
+        }
         OptionalInt budget = parameters.program().isEmpty() ? OptionalInt.empty() : parameters.budget();
         String previous = route.stateful() ? previousTurn() : "";
         Optional<StreamOrigin> origin = budget.isPresent() ? binding.bindNew(service) : Optional.empty();
@@ -79,6 +91,7 @@
                             reserved = result instanceof BeginResult.Granted && budget.isPresent() && !released;
                             if (result instanceof BeginResult.Granted granted) {
                                 lineage = granted.lineage();
+                                keepChain(granted.chainMemory());
                             }
                             if (reserved && origin.isPresent()) {
                                 binding.markRecorded();
@@ -89,6 +102,19 @@
                         relay.loop());
     }
 
+    private void keepChain(ChainReservation reservation) {
+        chainMemory = reservation;
+        if (chainReleased) {
+            reservation.release();
+        }
+    }
+
+    /** Releases the memory of the chain, also that of one which is still being read. */
+    void releaseChain() {
+        chainReleased = true;
+        chainMemory.release();
+    }
+
     private void logDenial(BeginResult result) {
         LogLine line =
                 LogLine.of("turn_denied").with("request", parameters.id()).with("program", parameters.program());
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RequestLifecycleTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RequestLifecycleTest.java
@@ -154,7 +154,7 @@
                 new RequestEvent.Matched(true, Optional.empty()),
                 new RequestEvent.CallerLeft()));
         BeginResult granted = new BeginResult.Granted(
-                List.of(), List.of(), Optional.empty(), new TurnLineage("", Optional.empty()), List.of());
+                List.of(), List.of(), Optional.empty(), new TurnLineage("", Optional.empty()), List.of(), () -> {});
         assertEquals(
                 lifecycle.apply(new RequestEvent.TurnBegun(granted)), List.of(new RequestAction.ReleaseReservation()));
     }
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RunnerConnectionFixture.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/RunnerConnectionFixture.java
@@ -86,7 +86,7 @@
 
     final void send(String id, String method) {
         HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
-        connection.send(new RunnerRequest(id, method, "/a/", headers, new byte[0], true), listener);
+        connection.send(new RunnerRequest(id, method, "/a/", headers, List.of(), true), listener);
     }
 
     static String head(String id, String headers) {
--- a/parsleydrift-roles/src/main/java/org/parsleydrift/roles/TcpFrameSender.java
+++ b/parsleydrift-roles/src/main/java/org/parsleydrift/roles/TcpFrameSender.java
@@ -24,6 +24,11 @@
         links.send(address, frame);
     }
 
+    @Override
+    public int maxFrameBytes() {
+        return FrameLinks.MAX_FRAME_BYTES;
+    }
+
     @Override
     public void reset(String address) {
         links.reset(address);
