The list of records is synchronized in pages, so that store VMs serve after a lost disk with any number of turns

Cause: each change of the store set makes its members list all records of others in one frame. Above some 41,600 turns it exceeded 4 MiB; its receiver closed the connection, and the synchronization began anew every 40 ms without end.

The sender of the list has adopted the set and accepts no earlier writes, so no page can miss one. ReplicaSynchronization is taken out of ConversationReplica; RecordKey creates the keys.

RecordLifeTest checks the pages in each of its histories.

--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationCodec.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationCodec.java
@@ -12,7 +12,7 @@
 
 /**
  * MessagePack encoding of requests, replies and records. Hand-written to avoid the startup cost of reflection. The last
- * fields of {@code Write}, {@code Read}, {@code Fetch}, {@code Found} and {@code RecordList} are optional, since processes of an earlier
+ * fields of {@code Write}, {@code Read}, {@code Fetch}, {@code ListRecords}, {@code Found} and {@code RecordList} are optional, since processes of an earlier
  * version neither send nor read them.
  */
 final class ConversationCodec {
@@ -44,6 +44,8 @@
             case ReplicaRequest.ListRecords listRecords -> {
                 out.packByte((byte) 4);
                 set(out, listRecords.set());
+                list(out, listRecords.after().stream().toList(), MessagePacker::packString);
+                out.packInt(listRecords.pageBytes());
             }
             case ReplicaRequest.Heartbeat heartbeat -> {
                 out.packByte((byte) 5);
@@ -72,7 +74,11 @@
                         optionalList(in, MessageUnpacker::unpackString),
                         pageBytes(in));
             case 3 -> new ReplicaRequest.Fetch(list(in, MessageUnpacker::unpackString), pageBytes(in), 0);
-            case 4 -> new ReplicaRequest.ListRecords(set(in));
+            case 4 ->
+                new ReplicaRequest.ListRecords(
+                        set(in),
+                        first(optionalList(in, MessageUnpacker::unpackString)),
+                        in.hasNext() ? in.unpackInt() : ReplicaRequest.ListRecords.ONE_PAGE_BYTES);
             case 5 -> new ReplicaRequest.Heartbeat(first(list(in, ConversationCodec::set)));
             default -> throw new IOException("unknown request type " + type);
         };
@@ -105,6 +111,7 @@
                 list(out, List.copyOf(recordList.lives().entrySet()), ConversationCodec::life);
                 list(out, recordList.chains(), ConversationCodec::chain);
                 list(out, List.copyOf(recordList.heirs().entrySet()), ConversationCodec::heir);
+                list(out, recordList.lastProgram().stream().toList(), MessagePacker::packString);
             }
             case ReplicaReply.Full ignored -> out.packByte((byte) 8);
             case ReplicaReply.Progress progress ->
@@ -139,7 +146,8 @@
                         optionalList(in, MessageUnpacker::unpackString),
                         optionalMap(in, ConversationCodec::life),
                         optionalList(in, ConversationCodec::chain),
-                        optionalMap(in, ConversationCodec::heir));
+                        optionalMap(in, ConversationCodec::heir),
+                        first(optionalList(in, MessageUnpacker::unpackString)));
             case 7 -> new ReplicaReply.Progress(in.unpackString(), in.unpackString(), in.unpackLong(), in.unpackLong());
             case 8 -> new ReplicaReply.Full();
             default -> throw new IOException("unknown reply type " + type);
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationReplica.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationReplica.java
@@ -3,17 +3,11 @@
 import java.lang.System.Logger;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import java.util.function.Function;
 import java.util.function.Supplier;
-import java.util.stream.Collectors;
-import java.util.stream.IntStream;
-import java.util.stream.Stream;
 import org.parsleydrift.kernel.EventLoop;
 import org.parsleydrift.kernel.LogLine;
 import org.parsleydrift.kernel.Step;
@@ -30,15 +24,8 @@
     /** Delay before a failed synchronization is retried. */
     private static final Duration SYNC_RETRY_DELAY = Duration.ofMillis(40);
 
-    private static final Duration SYNC_REQUEST_TIMEOUT = Duration.ofMillis(700);
-    /** Maximum number of turns per fetch request. */
-    private static final int FETCH_BATCH_SIZE = 64;
-    /** Size of the texts per fetch request, which is larger than that of readers, as each page waits for the disk. */
-    private static final int FETCH_PAGE_BYTES = 1 << 20;
     /** Factor on the requested retention, as a margin for clock skew between VMs. */
     private static final int RETENTION_FACTOR = 3;
-    /** Minimum life of synchronized records, of which members of an earlier version do not send the life, ms. */
-    private static final long MIN_SYNCED_LIFE_MILLIS = 180_000;
 
     private static final Duration EXPIRY_PERIOD = Duration.ofSeconds(5);
 
@@ -50,6 +37,22 @@
     private ReplicaCalls calls;
     private ReplicaState state;
     private boolean isSynchronizing;
+    private final ReplicaSynchronization.Owner synchronizationOwner = new ReplicaSynchronization.Owner() {
+        @Override
+        public long adoptedEpoch() {
+            return state.adoptedEpoch();
+        }
+
+        @Override
+        public void adoptNewer(StoreSet newer) {
+            adopt(newer);
+        }
+
+        @Override
+        public void onEnded(StoreSet set, boolean isComplete, int recordCount) {
+            onSynchronizationEnded(set, isComplete, recordCount);
+        }
+    };
 
     /**
      * Opens a replica without a limit of its memory and replays its log.
@@ -180,7 +183,7 @@
             case ReplicaRequest.Read read -> CompletableFuture.completedFuture(read(read));
             case ReplicaRequest.Fetch fetch -> CompletableFuture.completedFuture(fetch(fetch));
             case ReplicaRequest.ListRecords listRecords ->
-                adopt(listRecords.set()).thenApplyAsync(adopted -> listRecords(listRecords.set()), loop);
+                adopt(listRecords.set()).thenApplyAsync(adopted -> list(listRecords), loop);
             case ReplicaRequest.Heartbeat heartbeat -> {
                 heartbeat.set().ifPresent(this::adopt);
                 yield CompletableFuture.completedFuture(progress());
@@ -302,29 +305,14 @@
     }
 
     /** Lists the records for a member that synchronizes; requires that this replica completed the preceding epoch. */
-    private ReplicaReply listRecords(StoreSet set) {
+    private ReplicaReply list(ReplicaRequest.ListRecords request) {
+        StoreSet set = request.set();
         if (state.adoptedEpoch() > set.epoch()) {
             return new ReplicaReply.Stale(state.adoptedSet().orElseThrow());
         }
-        boolean wasMember =
-                set.previous().stream().anyMatch(each -> each.diskId().equals(state.diskId()));
-        return wasMember && state.completeEpoch() >= set.epoch() - 1 ? listRecords() : new ReplicaReply.Incomplete();
-    }
-
-    private ReplicaReply listRecords() {
-        long now = nowMillis();
-        List<StreamOrigin> origins = records.origins();
-        return new ReplicaReply.RecordList(
-                records.turnIds(),
-                records.grants(),
-                origins,
-                origins.stream()
-                        .map(each -> records.programOfOrigin(each.stream()))
-                        .toList(),
-                records.expiries().entrySet().stream()
-                        .collect(Collectors.toMap(Map.Entry::getKey, each -> each.getValue() - now)),
-                List.copyOf(records.inheritedChains()),
-                records.heirs());
+        return ReplicaSynchronization.isFormerMember(set, state.diskId()) && state.completeEpoch() >= set.epoch() - 1
+                ? records.list(request.after(), request.pageBytes(), nowMillis())
+                : new ReplicaReply.Incomplete();
     }
 
     private void synchronize() {
@@ -337,7 +325,7 @@
             return;
         }
         isSynchronizing = true;
-        new Synchronization(target.get()).start();
+        new ReplicaSynchronization(loop, log, records, calls, state, synchronizationOwner).start();
     }
 
     private void onSynchronizationEnded(StoreSet set, boolean isComplete, int recordCount) {
@@ -364,145 +352,7 @@
                 }));
     }
 
-    private static String elementOrEmpty(List<String> list, int index) {
-        return index < list.size() ? list.get(index) : "";
-    }
-
     private long nowMillis() {
         return loop.clock().instant().toEpochMilli();
     }
-
-    /** One attempt to synchronize all committed records of earlier epochs. */
-    private final class Synchronization {
-        private final StoreSet set;
-        private final Map<String, ReplicaReply.RecordList> recordLists = new HashMap<>();
-        private final Map<String, Long> lives = new HashMap<>();
-        private final int neededSources;
-        private int pendingReplies;
-        private int syncedRecords;
-        private boolean isFetching;
-
-        private Synchronization(StoreSet set) {
-            this.set = set;
-            boolean isOwnSource = state.completeEpoch() >= set.epoch() - 1
-                    && set.previous().stream().anyMatch(each -> each.diskId().equals(state.diskId()));
-            this.neededSources = set.syncQuorum() - (isOwnSource ? 1 : 0);
-        }
-
-        private void start() {
-            List<StoreMember> others = set.previous().stream()
-                    .filter(each -> !each.diskId().equals(state.diskId()))
-                    .toList();
-            pendingReplies = others.size();
-            if (neededSources <= 0) {
-                isFetching = true;
-                onSynchronizationEnded(set, true, 0);
-                return;
-            }
-            if (others.isEmpty()) {
-                onSynchronizationEnded(set, false, 0);
-                return;
-            }
-            others.forEach(other -> calls.send(
-                            other.address(), new ReplicaRequest.ListRecords(set), SYNC_REQUEST_TIMEOUT)
-                    .whenComplete((reply, failure) -> loop.execute(() -> onReply(other, reply))));
-        }
-
-        private void onReply(StoreMember from, ReplicaReply reply) {
-            pendingReplies--;
-            if (isFetching) {
-                return;
-            }
-            if (reply instanceof ReplicaReply.RecordList recordList) {
-                recordLists.put(from.address(), recordList);
-            } else if (reply instanceof ReplicaReply.Stale stale) {
-                adopt(stale.set());
-            }
-            if (recordLists.size() >= neededSources) {
-                isFetching = true;
-                fetchNextSource(new ArrayList<>(recordLists.entrySet()));
-            } else if (pendingReplies == 0) {
-                onSynchronizationEnded(set, false, syncedRecords);
-            }
-        }
-
-        /** Stores the grants and origins of each source, then fetches the turns that are missing here. */
-        private void fetchNextSource(List<Map.Entry<String, ReplicaReply.RecordList>> sources) {
-            if (sources.isEmpty()) {
-                append(List.of(), records.entriesToLogAgain(), () -> onSynchronizationEnded(set, true, syncedRecords));
-                return;
-            }
-            var source = sources.removeFirst();
-            var missing = new ArrayList<>(source.getValue().turnIds().stream()
-                    .filter(id -> records.turn(id).isEmpty())
-                    .toList());
-            ReplicaReply.RecordList list = source.getValue();
-            lives.putAll(list.lives());
-            Stream<ProgramRecords> grants = list.grants().stream()
-                    .map(each -> new ProgramRecords(each.program(), List.of(each), List.of(), List.of()));
-            Stream<ProgramRecords> origins = IntStream.range(0, list.origins().size())
-                    .mapToObj(each -> new ProgramRecords(
-                            elementOrEmpty(list.originPrograms(), each),
-                            List.of(),
-                            List.of(),
-                            List.of(list.origins().get(each))));
-            storeRecords(
-                    Stream.of(list.inheritedRecords(), grants, origins).flatMap(Function.identity()),
-                    () -> fetchTurns(source.getKey(), missing, sources));
-        }
-
-        private void fetchTurns(
-                String address, List<String> missing, List<Map.Entry<String, ReplicaReply.RecordList>> sources) {
-            if (missing.isEmpty()) {
-                fetchNextSource(sources);
-                return;
-            }
-            List<String> batch = List.copyOf(missing.subList(0, Math.min(FETCH_BATCH_SIZE, missing.size())));
-            calls.send(
-                            address,
-                            new ReplicaRequest.Fetch(batch, FETCH_PAGE_BYTES, FETCH_PAGE_BYTES),
-                            SYNC_REQUEST_TIMEOUT)
-                    .whenComplete((reply, failure) -> loop.execute(() -> {
-                        if (reply instanceof ReplicaReply.Found found) {
-                            // A reply without turns shows that the source has none of the batch any more.
-                            missing.removeAll(found.turnIds().isEmpty() ? batch : found.turnIds());
-                            Stream<ProgramRecords> turns = IntStream.range(
-                                            0, found.turns().size())
-                                    .mapToObj(each -> new ProgramRecords(
-                                            elementOrEmpty(found.turnPrograms(), each),
-                                            List.of(),
-                                            List.of(found.turns().get(each)),
-                                            List.of()));
-                            storeRecords(turns, () -> fetchTurns(address, missing, sources));
-                        } else {
-                            onSynchronizationEnded(set, false, syncedRecords);
-                        }
-                    }));
-        }
-
-        private long lifeMillis(String program) {
-            return Math.max(MIN_SYNCED_LIFE_MILLIS, lives.getOrDefault(program, 0L));
-        }
-
-        private void storeRecords(Stream<ProgramRecords> synced, Runnable onStored) {
-            List<ProgramRecords> stored = synced.toList();
-            List<DurableLog.Entry> entries = stored.stream()
-                    .flatMap(each -> records.add(each, nowMillis() + lifeMillis(each.program())).stream())
-                    .toList();
-            append(stored, entries, onStored);
-        }
-
-        private void append(List<ProgramRecords> stored, List<DurableLog.Entry> entries, Runnable onLogged) {
-            syncedRecords += entries.size();
-            log.append(entries)
-                    .whenComplete((done, failure) -> loop.execute(() -> {
-                        if (failure == null) {
-                            onLogged.run();
-                        } else {
-                            stored.forEach(records::markUnlogged);
-                            onSynchronizationEnded(set, false, syncedRecords);
-                        }
-                    }));
-        }
-    }
 }
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/RecordIndex.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/RecordIndex.java
@@ -1,18 +1,19 @@
 package org.parsleydrift.conversation;
 
 import java.util.ArrayList;
-import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Function;
-import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /**
@@ -27,7 +28,7 @@
     private final Map<String, Turn> turns = new HashMap<>();
     private final Map<String, Map<String, Grant>> ledgers = new HashMap<>();
     private final Map<String, StreamOrigin> origins = new HashMap<>();
-    private final Map<String, ProgramLife> lives = new HashMap<>();
+    private final NavigableMap<String, ProgramLife> lives = new TreeMap<>();
     /** Lives of turns and origins; those of grants are found by their program. */
     private final Map<RecordKey, ProgramLife> livesByRecord = new HashMap<>();
 
@@ -78,7 +79,7 @@
             case LoggedRecord.OfTurn(String program, Turn turn) -> {
                 if (isLiving) {
                     put(turn);
-                    restore(key(turn), lifeOfTurn(program, turn), expiresAtMillis);
+                    restore(RecordKey.of(turn), lifeOfTurn(program, turn), expiresAtMillis);
                 } else {
                     restoreHeldTurn(turn, expiresAtMillis);
                 }
@@ -87,18 +88,18 @@
             case LoggedRecord.OfGrant(Grant grant) -> {
                 if (isLiving) {
                     put(grant);
-                    life(grant.program()).addLogged(key(grant), expiresAtMillis);
+                    life(grant.program()).addLogged(RecordKey.of(grant), expiresAtMillis);
                 }
             }
             case LoggedRecord.OfOrigin(String program, StreamOrigin origin) -> {
                 if (isLiving) {
                     put(origin);
-                    restore(key(origin), lifeOfOrigin(program, origin), expiresAtMillis);
+                    restore(RecordKey.of(origin), lifeOfOrigin(program, origin), expiresAtMillis);
                 }
             }
             case LoggedRecord.OfChain(String program, InheritedChain chain) -> {
                 if (isLiving) {
-                    life(program).addLogged(key(chain), expiresAtMillis);
+                    life(program).addLogged(RecordKey.of(chain), expiresAtMillis);
                 }
             }
         }
@@ -130,18 +131,20 @@
             ProgramLife life = extend(life(grant.program()), untilMillis);
             extended.add(life);
             if (put(grant)) {
-                changed.add(new LifeRecord(life, key(grant)));
+                changed.add(new LifeRecord(life, RecordKey.of(grant)));
             }
         });
         records.chains().forEach(chain -> {
             ProgramLife life = extend(life(records.program()), untilMillis);
             extended.add(life);
             if (addHeir(life, chain)) {
-                changed.add(new LifeRecord(life, key(chain)));
+                changed.add(new LifeRecord(life, RecordKey.of(chain)));
             }
         });
         records.turns().forEach(turn -> {
-            if (records.program().isEmpty() && chains.holds(turn.id()) && !livesByRecord.containsKey(key(turn))) {
+            if (records.program().isEmpty()
+                    && chains.holds(turn.id())
+                    && !livesByRecord.containsKey(RecordKey.of(turn))) {
                 put(turn);
                 return;
             }
@@ -151,16 +154,16 @@
                 adoptRecordsBefore(turn, life).forEach(key -> changed.add(new LifeRecord(life, key)));
             }
             boolean isNew = put(turn);
-            if (assign(key(turn), life) || isNew) {
-                changed.add(new LifeRecord(life, key(turn)));
+            if (assign(RecordKey.of(turn), life) || isNew) {
+                changed.add(new LifeRecord(life, RecordKey.of(turn)));
             }
         });
         records.origins().forEach(origin -> {
             ProgramLife life = extend(lifeOfOrigin(records.program(), origin), untilMillis);
             extended.add(life);
             boolean isNew = put(origin);
-            if (assign(key(origin), life) || isNew) {
-                changed.add(new LifeRecord(life, key(origin)));
+            if (assign(RecordKey.of(origin), life) || isNew) {
+                changed.add(new LifeRecord(life, RecordKey.of(origin)));
             }
         });
         changed.forEach(each -> each.life().add(each.key()));
@@ -234,16 +237,6 @@
         return List.copyOf(turns.keySet());
     }
 
-    List<Grant> grants() {
-        return ledgers.values().stream()
-                .flatMap(ledger -> ledger.values().stream())
-                .toList();
-    }
-
-    List<StreamOrigin> origins() {
-        return List.copyOf(origins.values());
-    }
-
     Optional<StreamOrigin> origin(String stream) {
         return Optional.ofNullable(origins.get(stream));
     }
@@ -256,17 +249,6 @@
         return turns.size();
     }
 
-    Collection<InheritedChain> inheritedChains() {
-        return chains.chains();
-    }
-
-    /** Returns the last turns of the chains that programs have inherited, by program. */
-    Map<String, List<String>> heirs() {
-        return lives.values().stream()
-                .filter(each -> !each.inheritedChains().isEmpty())
-                .collect(Collectors.toMap(ProgramLife::program, each -> List.copyOf(each.inheritedChains())));
-    }
-
     /** Returns the memory that the records use, bytes. */
     long bytes() {
         return bytes + chains.bytes();
@@ -300,13 +282,13 @@
     private Stream<LifeRecord> keys(ProgramRecords records) {
         Stream<LifeRecord> grants = records.grants().stream()
                 .filter(each -> lives.containsKey(each.program()))
-                .map(each -> new LifeRecord(lives.get(each.program()), key(each)));
+                .map(each -> new LifeRecord(lives.get(each.program()), RecordKey.of(each)));
         Stream<RecordKey> others = Stream.concat(
-                records.turns().stream().map(RecordIndex::key),
-                records.origins().stream().map(RecordIndex::key));
+                records.turns().stream().map(RecordKey::of),
+                records.origins().stream().map(RecordKey::of));
         Stream<LifeRecord> inherited = records.chains().stream()
                 .filter(each -> lives.containsKey(records.program()))
-                .map(each -> new LifeRecord(lives.get(records.program()), key(each)));
+                .map(each -> new LifeRecord(lives.get(records.program()), RecordKey.of(each)));
         return Stream.of(
                         grants,
                         inherited,
@@ -315,23 +297,53 @@
                 .flatMap(Function.identity());
     }
 
-    /** Returns the times at which the programs expire, ms since the Unix epoch, by program. */
-    Map<String, Long> expiries() {
-        return lives.values().stream().collect(Collectors.toMap(ProgramLife::program, ProgramLife::expiresAtMillis));
+    /** Returns the programs that have records here. */
+    Set<String> programs() {
+        return Collections.unmodifiableSet(lives.keySet());
     }
 
-    /** Returns the program of a turn; empty if it has expired or is not known. */
-    String programOfTurn(String id) {
-        return program(new RecordKey(RecordKey.Kind.TURN, id));
+    /**
+     * Lists the records of programs in the order of their names, at least one and as many as fit into a page.
+     *
+     * @param after the program after which the page begins; empty for the first page
+     * @param pageBytes approximate size of the page, bytes
+     * @param nowMillis time of day, ms since the Unix epoch
+     */
+    ReplicaReply.RecordList list(Optional<String> after, long pageBytes, long nowMillis) {
+        RecordListBuilder page = new RecordListBuilder(nowMillis);
+        Optional<String> last = Optional.empty();
+        for (ProgramLife life :
+                after.map(each -> lives.tailMap(each, false)).orElse(lives).values()) {
+            if (last.isPresent() && page.bytes() >= pageBytes) {
+                return page.build(last);
+            }
+            addTo(page, life);
+            last = Optional.of(life.program());
+        }
+        return page.build(Optional.empty());
     }
 
-    /** Returns the program of the origin of a stream; empty if it is not known. */
-    String programOfOrigin(String stream) {
-        return program(new RecordKey(RecordKey.Kind.ORIGIN, stream));
+    private void addTo(RecordListBuilder page, ProgramLife life) {
+        page.addProgram(life.program(), life.expiresAtMillis());
+        page.addGrants(ledger(life.program()));
+        life.records().forEach(each -> {
+            switch (each.kind()) {
+                case TURN -> page.addTurn(each.id());
+                case ORIGIN -> origin(each.id()).ifPresent(origin -> page.addOrigin(life.program(), origin));
+                case GRANT, CHAIN -> {}
+            }
+        });
+        life.inheritedChains().stream()
+                .flatMap(each -> chains.chain(each).stream())
+                .forEach(chain -> {
+                    page.addHeir(life.program(), chain);
+                    chain.turnIds().stream().filter(turns::containsKey).forEach(page::addTurn);
+                });
     }
 
-    private String program(RecordKey record) {
-        ProgramLife life = livesByRecord.get(record);
+    /** Returns the program of a turn; empty if it has expired or is not known. */
+    String programOfTurn(String id) {
+        ProgramLife life = livesByRecord.get(new RecordKey(RecordKey.Kind.TURN, id));
         return life == null ? "" : life.program();
     }
 
@@ -378,7 +390,7 @@
 
     private void removeTurn(String id) {
         Turn turn = turns.remove(id);
-        bytes -= turn == null ? 0 : RECORD_OVERHEAD_BYTES + textBytes(turn);
+        bytes -= turn == null ? 0 : RECORD_OVERHEAD_BYTES + turn.textBytes();
     }
 
     private ProgramLife life(String program) {
@@ -410,7 +422,7 @@
         if (!program.isEmpty()) {
             return life(program);
         }
-        ProgramLife known = livesByRecord.get(key(turn));
+        ProgramLife known = livesByRecord.get(RecordKey.of(turn));
         ProgramLife previous = livesByRecord.get(new RecordKey(RecordKey.Kind.TURN, turn.previous()));
         return known != null ? known : previous != null ? previous : life(TurnLineage.unnamedProgram(turn.id()));
     }
@@ -419,7 +431,7 @@
         if (!program.isEmpty()) {
             return life(program);
         }
-        ProgramLife known = livesByRecord.get(key(origin));
+        ProgramLife known = livesByRecord.get(RecordKey.of(origin));
         return known != null ? known : life(TurnLineage.UNNAMED_PREFIX + "stream " + origin.stream());
     }
 
@@ -443,7 +455,7 @@
 
     private boolean put(Turn turn) {
         boolean isNew = turns.putIfAbsent(turn.id(), turn) == null;
-        bytes += isNew ? RECORD_OVERHEAD_BYTES + textBytes(turn) : 0;
+        bytes += isNew ? RECORD_OVERHEAD_BYTES + turn.textBytes() : 0;
         return isNew;
     }
 
@@ -453,10 +465,6 @@
         return isNew;
     }
 
-    private static int textBytes(Turn turn) {
-        return turn.input().length + turn.output().length;
-    }
-
     private boolean put(Grant grant) {
         Map<String, Grant> ledger = ledgers.computeIfAbsent(grant.program(), any -> new HashMap<>());
         Grant existing = ledger.get(grant.request());
@@ -469,22 +477,6 @@
         return true;
     }
 
-    private static RecordKey key(Turn turn) {
-        return new RecordKey(RecordKey.Kind.TURN, turn.id());
-    }
-
-    private static RecordKey key(Grant grant) {
-        return new RecordKey(RecordKey.Kind.GRANT, grant.request());
-    }
-
-    private static RecordKey key(StreamOrigin origin) {
-        return new RecordKey(RecordKey.Kind.ORIGIN, origin.stream());
-    }
-
-    private static RecordKey key(InheritedChain chain) {
-        return new RecordKey(RecordKey.Kind.CHAIN, chain.lastTurn());
-    }
-
     private DurableLog.Entry entry(ProgramLife life, RecordKey key) {
         LoggedRecord logged = switch (key.kind()) {
             case GRANT -> new LoggedRecord.OfGrant(ledgers.get(life.program()).get(key.id()));
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/RecordKey.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/RecordKey.java
@@ -14,4 +14,20 @@
         ORIGIN,
         CHAIN
     }
+
+    static RecordKey of(Turn turn) {
+        return new RecordKey(Kind.TURN, turn.id());
+    }
+
+    static RecordKey of(Grant grant) {
+        return new RecordKey(Kind.GRANT, grant.request());
+    }
+
+    static RecordKey of(StreamOrigin origin) {
+        return new RecordKey(Kind.ORIGIN, origin.stream());
+    }
+
+    static RecordKey of(InheritedChain chain) {
+        return new RecordKey(Kind.CHAIN, chain.lastTurn());
+    }
 }
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaReply.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaReply.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -59,7 +60,7 @@
     record Incomplete() implements ReplicaReply {}
 
     /**
-     * Lists all records that the member holds.
+     * A page of the list of all records that the member holds. The records of a program are not divided among pages.
      *
      * @param turnIds the IDs of its turns
      * @param grants its grants
@@ -69,6 +70,8 @@
      * @param lives for how long the records of each program are kept, ms; empty from an earlier version
      * @param chains the chains that programs have inherited; empty from an earlier version
      * @param heirs the last turns of the chains that each program has inherited; empty from an earlier version
+     * @param lastProgram the program after which the next page begins; empty on the last page, and from an earlier version,
+     *     which sends all records on one
      */
     record RecordList(
             List<String> turnIds,
@@ -77,7 +80,8 @@
             List<String> originPrograms,
             Map<String, Long> lives,
             List<InheritedChain> chains,
-            Map<String, List<String>> heirs)
+            Map<String, List<String>> heirs,
+            Optional<String> lastProgram)
             implements ReplicaReply {
         /** Returns the inherited chains as records of the programs that have inherited them. */
         Stream<ProgramRecords> inheritedRecords() {
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaRequest.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaRequest.java
@@ -64,12 +64,17 @@
     record Fetch(List<String> turnIds, int pageBytes, int expectedReplyBytes) implements ReplicaRequest {}
 
     /**
-     * Requests a list of all records, from which the sender synchronizes for a new epoch. The receiver adopts the set first,
-     * so that it accepts no further writes of earlier epochs.
+     * Requests a page of the list of all records, from which the sender synchronizes for a new epoch. The receiver adopts
+     * the set first, so that it accepts no further writes of earlier epochs, and no page can miss one.
      *
      * @param set the set at the new epoch
+     * @param after the last program of the page before; empty for the first page
+     * @param pageBytes the size of the page beyond which the rest of the records is left to further requests, bytes
      */
-    record ListRecords(StoreSet set) implements ReplicaRequest {}
+    record ListRecords(StoreSet set, Optional<String> after, int pageBytes) implements ReplicaRequest {
+        /** Size of a page for senders of an earlier version, which read one page only, bytes. */
+        static final int ONE_PAGE_BYTES = Integer.MAX_VALUE;
+    }
 
     /**
      * Heartbeat that may carry a newer set for the member to adopt; answered with {@link ReplicaReply.Progress}.
--- a/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/RecordLifeTest.java
+++ b/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/RecordLifeTest.java
@@ -26,6 +26,8 @@
     private static final int HISTORIES = Integer.getInteger("parsleydrift.histories", 3000);
     private static final int STEPS = 60;
     private static final int PROGRAMS = 6;
+    /** Number of steps after which the list of the records is checked. */
+    private static final int STEPS_PER_LIST = 10;
     /** One of so many writes does not reach the store VM. */
     private static final int MISSED_SHARE = 8;
 
@@ -158,7 +160,7 @@
         }
 
         private boolean isAlive(String program) {
-            return records.expiries().containsKey(program);
+            return records.programs().contains(program);
         }
 
         private void restart() {
@@ -200,6 +202,32 @@
             });
             records.turnIds()
                     .forEach(each -> assertTrue(allowed.contains(each), "step " + step + ": " + each + " is kept"));
+            if (step % STEPS_PER_LIST == 0) {
+                checkList(step);
+            }
+        }
+
+        /** Checks that the pages of the list have all records, each with a program that fits the page before. */
+        private void checkList(int step) {
+            Set<String> listedTurns = new HashSet<>();
+            Set<Grant> listedGrants = new HashSet<>();
+            List<String> listedPrograms = new ArrayList<>();
+            Optional<String> after = Optional.empty();
+            do {
+                ReplicaReply.RecordList page = records.list(after, random.nextInt(4000), nowMillis);
+                listedTurns.addAll(page.turnIds());
+                listedGrants.addAll(page.grants());
+                listedPrograms.addAll(page.lives().keySet());
+                after = page.lastProgram();
+            } while (after.isPresent());
+            assertEquals(listedTurns, Set.copyOf(records.turnIds()), "step " + step + ": listed turns");
+            assertEquals(listedPrograms, List.copyOf(records.programs()), "step " + step + ": listed programs");
+            assertEquals(
+                    listedGrants,
+                    listedPrograms.stream()
+                            .flatMap(each -> records.ledger(each).stream())
+                            .collect(Collectors.toSet()),
+                    "step " + step + ": listed grants");
         }
     }
 
@@ -227,7 +255,7 @@
         records.add(written, 1000);
         records.expire(1001);
         assertFalse(records.areUnlogged(written));
-        assertTrue(records.expiries().isEmpty(), records.expiries().toString());
+        assertTrue(records.programs().isEmpty(), records.programs().toString());
     }
 
     /** Guards against an upgrade that loses the turns of a log written by an earlier version, or their lives. */
