A stream ends at the tokens that were reserved for it

Cause: tokens were reserved before a turn and counted after it; nothing compared them while its stream was forwarded.

Change: EventStreamReader emits no event beyond the number that the reserved tokens allow (rounded up, since the last event may hold fewer tokens). The connection to the runner is closed, the caller sees the stream cut, and the events forwarded are settled. Events without id or data do not count. The data of a stored stream is bounded by 8 MiB, so that its turn fits a frame to the store VMs.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/EventStreamReader.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/EventStreamReader.java
@@ -16,16 +16,19 @@
     private final ByteArrayOutputStream data = new ByteArrayOutputStream();
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
     private final boolean collectData;
+    private final int maxEvents;
     private long lastId = Long.MIN_VALUE;
     private int eventCount;
+    private int eventsWithContent;
     private int bytesSinceEvent;
     private boolean eventHasLines;
     private boolean eventHasContent;
     private boolean outOfOrder;
+    private boolean beyondLimit;
 
-    /** Creates a reader of a new stream. */
+    /** Creates a reader of a new stream without a limit of its events. */
     EventStreamReader(boolean collectData) {
-        this(collectData, "");
+        this(collectData, "", Integer.MAX_VALUE);
     }
 
     /**
@@ -33,9 +36,11 @@
      *
      * @param collectData whether to collect the data of the events
      * @param lastEventId id of the event that precedes the first one; the empty string for a new stream
+     * @param maxEvents number of events with an id or data that the stream may have; further ones are not emitted
      */
-    EventStreamReader(boolean collectData, String lastEventId) {
+    EventStreamReader(boolean collectData, String lastEventId, int maxEvents) {
         this.collectData = collectData;
+        this.maxEvents = maxEvents;
         if (!lastEventId.isEmpty()) {
             checkId(lastEventId);
         }
@@ -65,9 +70,14 @@
         return bytesSinceEvent > RelayLimits.MAX_EVENT_BYTES;
     }
 
+    /** Returns whether the stream has more events, or more collected data, than it may have. */
+    boolean isBeyondLimit() {
+        return beyondLimit;
+    }
+
     /** Returns whether the stream so far consists of complete events with consecutive ids. */
     boolean isWellFormed() {
-        return pending.size() == 0 && !outOfOrder;
+        return pending.size() == 0 && !outOfOrder && !beyondLimit;
     }
 
     boolean isOutOfOrder() {
@@ -87,17 +97,17 @@
             parseField(text);
             return;
         }
-        if (eventHasLines) {
-            eventCount++;
-            eventHasLines = false;
-        }
         if (eventHasContent) {
             bytesSinceEvent = 0;
+            eventsWithContent++;
             eventHasContent = false;
         }
-        if (!outOfOrder) {
+        beyondLimit |= eventsWithContent > maxEvents || data.size() > RelayLimits.MAX_TURN_OUTPUT_BYTES;
+        eventCount += eventHasLines && !beyondLimit ? 1 : 0;
+        if (!outOfOrder && !beyondLimit) {
             complete.writeBytes(pending.toByteArray());
         }
+        eventHasLines = false;
         pending.reset();
     }
 
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayLimits.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayLimits.java
@@ -86,6 +86,9 @@
     /** Maximum size of the input of a turn that is stored, bytes; with its output it fits into a frame to the store VMs. */
     static final int MAX_TURN_INPUT_BYTES = 7 << 20;
 
+    /** Maximum size of the data of the events of a turn that is stored, bytes. */
+    static final int MAX_TURN_OUTPUT_BYTES = 8 << 20;
+
     /** Maximum number of bytes of an event stream without a complete event that has an id or data. */
     static final int MAX_EVENT_BYTES = 1 << 20;
 
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RelayedRequest.java
@@ -301,6 +301,10 @@
         return params.resumption().map(StreamResumption::lastEventId).orElse("");
     }
 
+    int maxEvents() {
+        return turn.map(each -> each.maxEvents(service)).orElse(Integer.MAX_VALUE);
+    }
+
     RequestWork work() {
         return work;
     }
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerExchange.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/RunnerExchange.java
@@ -40,7 +40,7 @@
         this.runner = chosen.runner();
         this.attempt = attempt;
         this.streaming = route.isStreaming();
-        this.events = new EventStreamReader(route.stateful(), request.lastEventId());
+        this.events = new EventStreamReader(route.stateful(), request.lastEventId(), request.maxEvents());
     }
 
     void start() {
@@ -179,12 +179,18 @@
         if (events.isOutOfOrder()) {
             connection.cancel();
             onFailure(true, "event ids out of order");
+            return;
+        }
+        if (complete.length > 0) {
+            request.binding().recordFirstEvent(runner);
+            request.response().sendEvents(complete);
+        }
+        if (events.isBeyondLimit()) {
+            connection.cancel();
+            onFailure(true, "more events than the turn may generate");
         } else if (events.isWithoutProgress()) {
             connection.cancel();
             onFailure(true, "no event in " + RelayLimits.MAX_EVENT_BYTES + " bytes");
-        } else if (complete.length > 0) {
-            request.binding().recordFirstEvent(runner);
-            request.response().sendEvents(complete);
         }
     }
 
--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/TurnRecord.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/TurnRecord.java
@@ -166,6 +166,19 @@
         }
     }
 
+    /**
+     * Returns the number of events that a runner may generate with the reserved tokens; the last one may hold fewer tokens
+     * than the others. Unlimited without a reservation, or if the tokens per event are not known.
+     */
+    int maxEvents(String service) {
+        return relay.registry()
+                .manifest()
+                .flatMap(each -> each.service(service))
+                .filter(each -> reserved && each.tokensPerEvent() > 0)
+                .map(each -> Math.ceilDiv(parameters.maxTokens(), each.tokensPerEvent()))
+                .orElse(Integer.MAX_VALUE);
+    }
+
     /**
      * Returns the number of tokens in forwarded events. If the service is gone from the manifest, the tokens per event
      * are unknown; the maximum of the turn is assumed, so that the program cannot exceed its budget.
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/EndlessResponseTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/EndlessResponseTest.java
@@ -98,6 +98,21 @@
         }
     }
 
+    /** Guards against a stream without end that hands out more tokens than were reserved for its turn. */
+    @Test
+    public void endlessStreamIsEndedAtItsReservedTokens() throws IOException, InterruptedException {
+        fleet.addRunner("r", "s", "v1", script(EndlessResponseTest::head, "data: e\n\n".repeat(1000)));
+        int tokens = 5 * FleetManifest.TOKENS_PER_EVENT;
+        String response = send(
+                "/events/",
+                "Parsleydrift-Program: p\r\nParsleydrift-Token-Budget: %d\r\nParsleydrift-Tokens: 10,%d\r\n"
+                        .formatted(100 * tokens, tokens));
+        assertEquals(response.split("data: e", -1).length - 1, 5, response);
+        assertFalse(response.endsWith("0\r\n\r\n"), "the response looks complete");
+        assertTrue(fleet.awaitDisconnection("r"), "the connection stays open");
+        assertEquals(fleet.load("a"), 0, "the slot is not given back");
+    }
+
     /** Guards against memory, connections and slots that are used up by bytes without end. */
     @Test(dataProvider = "replies")
     public void endlessResponseIsEnded(String name, String path, UnaryOperator<String> reply)
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/EventStreamReaderTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/EventStreamReaderTest.java
@@ -37,15 +37,37 @@
     /** Guards against a resumed stream with a gap or a repeated event where the two runs meet. */
     @Test
     public void resumedStreamFollowsItsLastEvent() {
-        EventStreamReader following = new EventStreamReader(false, "2");
+        EventStreamReader following = new EventStreamReader(false, "2", Integer.MAX_VALUE);
         assertEquals(parse(following, "id: 3\ndata: c\n\n"), "id: 3\ndata: c\n\n");
         for (String id : List.of("1", "2", "4")) {
-            EventStreamReader reader = new EventStreamReader(false, "2");
+            EventStreamReader reader = new EventStreamReader(false, "2", Integer.MAX_VALUE);
             assertEquals(parse(reader, "id: " + id + "\ndata: x\n\n"), "");
             assertTrue(reader.isOutOfOrder());
         }
     }
 
+    /** Guards against a runner that generates more tokens than were reserved for the turn. */
+    @Test
+    public void eventsBeyondTheLimitAreNotEmitted() {
+        EventStreamReader reader = new EventStreamReader(true, "", 2);
+        assertEquals(parse(reader, "data: a\n\n: ping\n\n"), "data: a\n\n: ping\n\n");
+        assertFalse(reader.isBeyondLimit());
+        assertEquals(parse(reader, "data: b\n\ndata: c\n\ndata: d\n\n"), "data: b\n\n");
+        assertTrue(reader.isBeyondLimit());
+        assertFalse(reader.isWellFormed());
+        assertEquals(reader.eventCount(), 3);
+    }
+
+    /** Guards against a stored turn whose output uses up the memory or fits no frame to the store VMs. */
+    @Test
+    public void collectedDataIsBounded() {
+        EventStreamReader reader = new EventStreamReader(true);
+        String event = "data: " + "x".repeat(RelayLimits.MAX_TURN_OUTPUT_BYTES / 2) + "\n\n";
+        assertEquals(parse(reader, event), event);
+        assertEquals(parse(reader, event), "");
+        assertTrue(reader.isBeyondLimit());
+    }
+
     @Test
     public void keepsUnknownFields() {
         EventStreamReader reader = new EventStreamReader(true);
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/FleetManifest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/FleetManifest.java
@@ -13,6 +13,8 @@
 
 /** The routing manifest of a {@link StreamFleet}. */
 final class FleetManifest {
+    static final int TOKENS_PER_EVENT = 10;
+
     private FleetManifest() {}
 
     /** Returns a manifest whose routes all lead to the given destinations. */
@@ -29,7 +31,7 @@
                         calls(destinations, "/orders/", CallKind.NON_IDEMPOTENT, Duration.ofMillis(100)),
                         calls(destinations, "/slow-orders/", CallKind.NON_IDEMPOTENT, Duration.ofSeconds(1))),
                 services.stream()
-                        .map(each -> new UpstreamService(each, 100, true, 10, "/health"))
+                        .map(each -> new UpstreamService(each, 100, true, TOKENS_PER_EVENT, "/health"))
                         .toList(),
                 CallerLimits.defaults());
     }
