A read sends no turn that is larger than a page

Cause: a read that begins a turn has a fixed timeout, as the size of its reply is not known. Its reply held at least the latest turn, so on a link of 6,000 bytes per ms a turn of 4 MiB would be sent in each attempt and be too late in each. By reading; no caller has seen it.

Change: a read brings no texts if the latest turn is larger than a page. The chain is then fetched by sizes that the read has brought, and each fetch allows time for them. Readers of the version before get up to 3 MiB at once, as their frames allow.

--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationClient.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationClient.java
@@ -162,7 +162,7 @@
      * @return completes with the merged replies; fails with StepException on a timeout
      */
     CompletableFuture<MergedRecords> read(String program, String lastTurn, List<String> streams, Duration timeout) {
-        return read(program, lastTurn, streams, true, timeout);
+        return read(program, lastTurn, streams, true, ReplicaRequest.PAGE_BYTES, timeout);
     }
 
     /**
@@ -175,14 +175,19 @@
      * @return completes with the merged replies of the first read quorum; fails with StepException on a timeout
      */
     CompletableFuture<MergedRecords> readFromAll(String program, String lastTurn, Duration timeout) {
-        return read(program, lastTurn, List.of(), false, timeout);
+        return read(program, lastTurn, List.of(), false, ReplicaRequest.LARGE_PAGE_BYTES, timeout);
     }
 
     private CompletableFuture<MergedRecords> read(
-            String program, String lastTurn, List<String> streams, boolean nearestFirst, Duration timeout) {
+            String program,
+            String lastTurn,
+            List<String> streams,
+            boolean nearestFirst,
+            int pageBytes,
+            Duration timeout) {
         QuorumCall call = new QuorumCall(
-                (epoch, includesTexts) -> new ReplicaRequest.Read(
-                        epoch, program, lastTurn, includesTexts, streams, ReplicaRequest.PAGE_BYTES),
+                (epoch, includesTexts) ->
+                        new ReplicaRequest.Read(epoch, program, lastTurn, includesTexts, streams, pageBytes),
                 StoreSet::readQuorum,
                 nearestFirst,
                 timeout);
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationCodec.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationCodec.java
@@ -72,13 +72,17 @@
                         in.unpackString(),
                         in.unpackBoolean(),
                         optionalList(in, MessageUnpacker::unpackString),
-                        pageBytes(in));
-            case 3 -> new ReplicaRequest.Fetch(list(in, MessageUnpacker::unpackString), pageBytes(in), 0);
+                        pageBytes(in, ReplicaRequest.LARGE_PAGE_BYTES));
+            case 3 ->
+                new ReplicaRequest.Fetch(
+                        list(in, MessageUnpacker::unpackString),
+                        pageBytes(in, ReplicaRequest.FORMER_FETCH_PAGE_BYTES),
+                        0);
             case 4 ->
                 new ReplicaRequest.ListRecords(
                         set(in),
                         first(optionalList(in, MessageUnpacker::unpackString)),
-                        in.hasNext() ? in.unpackInt() : ReplicaRequest.ListRecords.ONE_PAGE_BYTES);
+                        pageBytes(in, ReplicaRequest.ListRecords.ONE_PAGE_BYTES));
             case 5 -> new ReplicaRequest.Heartbeat(first(list(in, ConversationCodec::set)));
             default -> throw new IOException("unknown request type " + type);
         };
@@ -289,8 +293,8 @@
     }
 
     /** Reads the size of a page, which processes of an earlier version omit. */
-    private static int pageBytes(MessageUnpacker in) throws IOException {
-        return in.hasNext() ? in.unpackInt() : ReplicaRequest.DEFAULT_PAGE_BYTES;
+    private static int pageBytes(MessageUnpacker in, int former) throws IOException {
+        return in.hasNext() ? in.unpackInt() : former;
     }
 
     private static <T> Optional<T> first(List<T> values) {
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationReplica.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationReplica.java
@@ -263,7 +263,8 @@
         if (!read.includesTexts()) {
             return new ReplicaReply.Found(grants, List.of(), ids, origins, List.of(), List.of());
         }
-        List<Turn> page = firstPage(chain, read.pageBytes());
+        boolean fits = !chain.isEmpty() && chain.getFirst().textBytes() <= read.pageBytes();
+        List<Turn> page = fits ? firstPage(chain, read.pageBytes()) : List.of();
         List<Integer> sizes = chain.stream().map(Turn::textBytes).toList();
         return new ReplicaReply.Found(grants, page, ids, origins, programs(page), sizes);
     }
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaRequest.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ReplicaRequest.java
@@ -7,8 +7,12 @@
 public sealed interface ReplicaRequest {
     /** Size of the texts in a reply to a reader, bytes; small, so that replies to others do not wait for it. */
     int PAGE_BYTES = 256 << 10;
-    /** The same if a request does not state one, since its sender is of an earlier version. */
-    int DEFAULT_PAGE_BYTES = 1 << 20;
+    /**
+     * The same for readers that fetch no further turns, such as those of an earlier version, which accept frames of 4 MiB.
+     */
+    int LARGE_PAGE_BYTES = 3 << 20;
+    /** The same for members of an earlier version that fetch turns. */
+    int FORMER_FETCH_PAGE_BYTES = 1 << 20;
 
     /**
      * Returns the expected size of the texts in the reply, for which its sender allows additional time.
@@ -48,7 +52,7 @@
      * @param includesTexts whether to return the turns with their text rather than only their IDs
      * @param streams the IDs of the streams
      * @param pageBytes the size of the texts beyond which the earlier turns of the chain are left to further requests,
-     *     bytes
+     *     bytes; none is sent if the latest one is larger
      */
     record Read(long epoch, String program, String lastTurn, boolean includesTexts, List<String> streams, int pageBytes)
             implements ReplicaRequest {}
--- a/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/LongChainTest.java
+++ b/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/LongChainTest.java
@@ -159,6 +159,22 @@
         assertChain(begin(entry, "next", "t2"), 3, maxBodyBytes);
     }
 
+    /** Guards against large turns that are sent again and again, as they need more time than a request usually takes. */
+    @Test
+    public void largestInputsPassSlowLinks() {
+        cluster.setMaxFrameBytes(16 << 20);
+        cluster.setLinkRate(6000);
+        int maxBodyBytes = 4 << 20;
+        commitChain(3, maxBodyBytes);
+        AtomicLong bytes = new AtomicLong();
+        cluster.delayFrames(frame -> {
+            bytes.addAndGet(frame.bytes().length);
+            return false;
+        });
+        assertChain(begin(entry, "next", "t2"), 3, maxBodyBytes);
+        assertTrue(bytes.get() < 3.5 * maxBodyBytes, "texts were sent more than once: " + bytes + " bytes");
+    }
+
     /** Guards against a request above the size of a frame that is sent again until the time is over. */
     @Test
     public void requestAboveTheFrameSizeFailsAtOnce() {
--- a/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/StoreCluster.java
+++ b/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/StoreCluster.java
@@ -42,6 +42,8 @@
     /** Size of the largest frame that a receiver accepts, bytes. */
     private int maxFrameBytes = 4 << 20;
 
+    private int bytesPerMilli = Integer.MAX_VALUE;
+
     /** A frame in transit, which a test may delay. */
     record Frame(String from, String to, byte[] bytes) {}
 
@@ -187,6 +189,11 @@
         maxFrameBytes = bytes;
     }
 
+    /** Sets the rate of the links, each of which delays a frame by its size, bytes per ms. */
+    void setLinkRate(int bytes) {
+        bytesPerMilli = bytes;
+    }
+
     Conversations entry(String name) {
         return entry(name, Optional.empty());
     }
@@ -263,7 +270,7 @@
     }
 
     private void deliver(String address, byte[] frame) {
-        time.newLoop().schedule(LINK_LATENCY, () -> {
+        time.newLoop().schedule(LINK_LATENCY.plusMillis(frame.length / bytesPerMilli), () -> {
             Consumer<byte[]> receiver = receivers.get(address);
             if (receiver != null) {
                 receiver.accept(frame);
--- a/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/StreamOriginTest.java
+++ b/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/StreamOriginTest.java
@@ -115,7 +115,7 @@
                 .packBoolean(true));
         assertEquals(
                 MessagePackFrames.decode(former, ConversationCodec::request),
-                new ReplicaRequest.Read(3, "p", "t", true, List.of(), ReplicaRequest.DEFAULT_PAGE_BYTES));
+                new ReplicaRequest.Read(3, "p", "t", true, List.of(), ReplicaRequest.LARGE_PAGE_BYTES));
         byte[] present = MessagePackFrames.encode(out -> ConversationCodec.request(out, read));
         assertEquals(MessagePackFrames.decode(present, ConversationCodec::request), read);
         // Readers of the version before stop after the fields that they know.
