Objects are listed again if the changes since the known revision exceed a response

Cause: the changes that it had missed had 4.8 MB, and HttpClient accepts 4 MiB.

Change: a read whose response is too large fails with StoreFailure.TOO_LARGE, on which ObjectWatcher lists the objects again, as it does after a lost history; a list comes in pages and holds each object once (changes_too_large). The outcome of a write with such a response is unknown, as before.

--- a/parsleydrift-journal/src/main/java/org/parsleydrift/journal/JournalWriter.java
+++ b/parsleydrift-journal/src/main/java/org/parsleydrift/journal/JournalWriter.java
@@ -217,7 +217,7 @@
                                 return;
                             }
                             switch (StoreException.of(failure)) {
-                                case CONFLICT, UNKNOWN -> readBack(segment, bytes);
+                                case CONFLICT, UNKNOWN, TOO_LARGE -> readBack(segment, bytes);
                                 case REFUSED, ABSENT -> retryLater(() -> create(segment, bytes));
                             }
                         },
--- a/parsleydrift-kernel/src/main/java/org/parsleydrift/kernel/platform/StoreFailure.java
+++ b/parsleydrift-kernel/src/main/java/org/parsleydrift/kernel/platform/StoreFailure.java
@@ -9,5 +9,7 @@
     /** No response was received. The change may have taken effect or may still do so. */
     UNKNOWN,
     /** The object does not exist. */
-    ABSENT
+    ABSENT,
+    /** The response to a read is larger than this process accepts. The same request would fail again. */
+    TOO_LARGE
 }
--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/ObjectWatcher.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/ObjectWatcher.java
@@ -13,7 +13,8 @@
 /**
  * Keeps a local copy of one kind of shared objects up to date: one list, then consecutive watches, each starting at the
  * revision where the previous one ended. Failed requests are retried with exponential backoff and jitter. If the
- * platform no longer has the history after the known revision, the objects are listed again.
+ * platform no longer has the history after the known revision, or the changes since then exceed a response, the objects
+ * are listed again, which is done in pages.
  *
  * <p>Peers that watch the same kind exchange the staleness of their copies. When a copy becomes stale, a node requests
  * the changes without waiting, since a pending watch cannot be distinguished from a dead connection.
@@ -242,8 +243,8 @@
     }
 
     private void retryAfterFailure(StoreFailure failure, long generation) {
-        if (failure == StoreFailure.ABSENT) {
-            relistAfterLostHistory();
+        if (isWatchUseless(failure)) {
+            relist(failure);
         }
         recordFailure(requestNanos, failure.toString());
         long delayMillis = backoffMillis / 2 + random.nextLong(backoffMillis);
@@ -251,11 +252,16 @@
         loop.schedule(Duration.ofMillis(delayMillis), () -> requestNext(generation));
     }
 
-    private void relistAfterLostHistory() {
+    /** Returns whether further requests for the changes since the known revision would fail as well. */
+    private static boolean isWatchUseless(StoreFailure failure) {
+        return failure == StoreFailure.ABSENT || failure == StoreFailure.TOO_LARGE;
+    }
+
+    private void relist(StoreFailure failure) {
         listed = false;
         LOG.log(
                 Logger.Level.INFO,
-                () -> LogLine.of("history_gone")
+                () -> LogLine.of(failure == StoreFailure.ABSENT ? "history_gone" : "changes_too_large")
                         .with("kind", kind)
                         .with("as_of", table.asOf())
                         .toString());
@@ -304,8 +310,8 @@
                         .with("reason", failure)
                         .with("staleness_ms", staleness().toMillis())
                         .toString());
-        if (failure == StoreFailure.ABSENT) {
-            relistAfterLostHistory();
+        if (isWatchUseless(failure)) {
+            relist(failure);
             restart();
         }
     }
--- a/parsleydrift-registry/src/main/java/org/parsleydrift/registry/SharedObjects.java
+++ b/parsleydrift-registry/src/main/java/org/parsleydrift/registry/SharedObjects.java
@@ -7,7 +7,7 @@
 /**
  * Client of the platform's object store, with revisions, conditional updates and watches. Futures fail with
  * {@link org.parsleydrift.kernel.platform.StoreException}; a watch fails with {@code ABSENT} if the history after its
- * revision is no longer available.
+ * revision is no longer available, and with {@code TOO_LARGE} if the changes are more than a response may hold.
  */
 public interface SharedObjects {
     /**
--- a/parsleydrift-standin/src/main/java/org/parsleydrift/standin/PlatformServer.java
+++ b/parsleydrift-standin/src/main/java/org/parsleydrift/standin/PlatformServer.java
@@ -112,7 +112,7 @@
             case CONFLICT -> 409;
             case REFUSED -> 429;
             case ABSENT -> 404;
-            case UNKNOWN -> 500;
+            case UNKNOWN, TOO_LARGE -> 500;
         };
         exchange.respond(status, JSON, "{}", Map.of());
     }
--- a/parsleydrift-standin/src/main/java/org/parsleydrift/standin/SharedObjectsServer.java
+++ b/parsleydrift-standin/src/main/java/org/parsleydrift/standin/SharedObjectsServer.java
@@ -143,7 +143,7 @@
                 case CONFLICT -> 409;
                 case REFUSED -> 503;
                 case ABSENT -> 404;
-                case UNKNOWN -> 500;
+                case UNKNOWN, TOO_LARGE -> 500;
             };
             exchange.respond(status, JSON, NOTHING, Map.of());
         });
--- a/parsleydrift-wire/src/main/java/org/parsleydrift/wire/HttpClient.java
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/HttpClient.java
@@ -206,7 +206,11 @@
         }
 
         private void fail(boolean possiblySent, String reason) {
-            response.completeExceptionally(new HttpException(request.address(), possiblySent, reason));
+            fail(new HttpException(request.address(), possiblySent, reason));
+        }
+
+        private void fail(HttpException failure) {
+            response.completeExceptionally(failure);
         }
     }
 
@@ -295,7 +299,7 @@
             }
             body.writeBytes(bytes);
             if (body.size() > MAX_RESPONSE_BYTES) {
-                attempt.fail(true, "answer larger than " + MAX_RESPONSE_BYTES + " bytes");
+                attempt.fail(HttpException.tooLarge(attempt.request.address(), MAX_RESPONSE_BYTES));
                 context.close();
             }
         }
