--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationReplica.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/ConversationReplica.java
@@ -201,8 +201,14 @@
             // on behalf of the lost disk.
             return CompletableFuture.completedFuture(new ReplicaReply.Incomplete());
         }
-        if (beginsProgram(write) && room.isExceededBy(records)) {
-            return CompletableFuture.completedFuture(new ReplicaReply.Full());
+        if (room.isExceededBy(records)) {
+            if (room.isExceededBy(records, growth(write))) {
+                return CompletableFuture.completedFuture(new ReplicaReply.Full());
+            }
+            if (releasesUnknownProgram(write)) {
+                // Nothing is reserved here. The program would count as known, and its next reservation be accepted.
+                return CompletableFuture.completedFuture(new ReplicaReply.Written());
+            }
         }
         long untilMillis = nowMillis() + RETENTION_FACTOR * write.retentionMillis();
         ProgramRecords written = ProgramRecords.of(write);
@@ -225,9 +231,22 @@
         return new ReplicaReply.Written();
     }
 
-    private boolean beginsProgram(ReplicaRequest.Write write) {
-        return write.grants().stream()
-                .anyMatch(each -> each.state() == GrantState.RESERVED && !records.knows(each.program()));
+    private RecordRoom.Growth growth(ReplicaRequest.Write write) {
+        List<Grant> reserved = write.grants().stream()
+                .filter(each -> each.state() == GrantState.RESERVED)
+                .toList();
+        if (reserved.isEmpty()) {
+            return RecordRoom.Growth.RESULT;
+        }
+        return reserved.stream().allMatch(each -> records.knows(each.program()))
+                ? RecordRoom.Growth.FURTHER_TURN
+                : RecordRoom.Growth.NEW_PROGRAM;
+    }
+
+    private boolean releasesUnknownProgram(ReplicaRequest.Write write) {
+        return write.turn().isEmpty()
+                && write.grants().stream()
+                        .allMatch(each -> each.state() == GrantState.RELEASED && !records.knows(each.program()));
     }
 
     private void expire() {
--- a/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/RecordIndex.java
+++ b/parsleydrift-conversation/src/main/java/org/parsleydrift/conversation/RecordIndex.java
@@ -254,9 +254,10 @@
         return bytes + chains.bytes();
     }
 
-    /** Returns whether a program has grants here. */
+    /** Returns whether a program has grants here which were not released. */
     boolean knows(String program) {
-        return ledgers.containsKey(program);
+        return ledgers.getOrDefault(program, Map.of()).values().stream()
+                .anyMatch(each -> each.state() != GrantState.RELEASED);
     }
 
     /** Records that the log has failed to write records; the next write of their programs logs all of them again. */
--- a/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/StoreRoomTest.java
+++ b/parsleydrift-conversation/src/test/java/org/parsleydrift/conversation/StoreRoomTest.java
@@ -6,6 +6,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -57,6 +58,52 @@
         assertTrue(cluster.time.nanos() - before < Duration.ofMillis(20).toNanos(), "the rejection took too long");
     }
 
+    /** Guards against a program that is accepted at its next try, as the store VMs know it from its rejection. */
+    @Test
+    public void rejectedProgramStaysRejectedWhileTheStoresAreFull() {
+        fill();
+        for (int attempt = 0; attempt < 5; attempt++) {
+            BeginResult rejected = runTurn("late", "late" + attempt, "");
+            assertTrue(rejected instanceof BeginResult.Unavailable, "try " + attempt + ": " + rejected);
+            cluster.run(Duration.ofMillis(300));
+        }
+    }
+
+    /** Guards against the turns of programs that are kept, which use up the heap of the store VMs. */
+    @Test
+    public void furtherTurnsAreRejectedBeforeTheHeapIsUsedUp() {
+        fill();
+        int turns = 0;
+        while (turns < 100 && runTurn("p0", "more" + turns, "t0") instanceof BeginResult.Granted) {
+            turns++;
+        }
+        assertTrue(turns > 0 && turns < 100, turns + " turns");
+        assertBytesBelow(1.4);
+        assertTrue(runTurn("p0", "again", "t0") instanceof BeginResult.Unavailable);
+    }
+
+    /** Guards against results of running turns which use up the heap of the store VMs. */
+    @Test
+    public void resultsAreRejectedBeforeTheHeapIsUsedUp() {
+        fill();
+        for (int turn = 0; turn < 100; turn++) {
+            CompletableFuture<Void> commit = entry.commit(
+                    Optional.empty(),
+                    Optional.of(new Turn("run" + turn, "t0", INPUT.getBytes(UTF_8), new byte[0])),
+                    StoreCluster.RETENTION,
+                    Duration.ofSeconds(1));
+            cluster.await(commit.handle((done, failure) -> failure));
+        }
+        assertBytesBelow(1.5);
+    }
+
+    private void assertBytesBelow(double share) {
+        cluster.stores.values().forEach(each -> {
+            long bytes = each.replica.recordBytes();
+            assertTrue(bytes < share * MAX_BYTES, each.name + ": " + bytes + " bytes");
+        });
+    }
+
     /** Guards against programs that cannot go on, as others have used up the room. */
     @Test
     public void keptProgramsGoOnWhenTheStoresAreFull() {
