stream-soak: conversations with long inputs beside short ones

Cause: no soak had chains larger than a frame between processes.

The soak's manifest allows bodies of 4,194,304 bytes, and HttpServer takes the size of the largest body, as the runners of the soak refused long chains with 413. StreamSoakTest.longChainsGoOnWhileProcessesFail is a disturbed run of 20 s.

--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/ChainCaller.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/ChainCaller.java
@@ -32,6 +32,9 @@
     private static final int MAX_TOKENS = VersionedRunner.EVENTS * TOKENS_PER_EVENT;
     private static final int SMALL_BUDGET = 12 * MAX_TOKENS;
     private static final int LARGE_BUDGET = 10_000 * MAX_TOKENS;
+    /** Length of a history, characters, after which a new chain begins. */
+    private static final int MAX_HISTORY = 10_000_000;
+
     private static final Duration RETRY_PAUSE = Duration.ofMillis(250);
 
     private final String name;
@@ -40,6 +43,7 @@
     private final SplittableRandom random;
     private final RuntimeClock clock;
     private final StreamSoakReport report;
+    private final int inputBytes;
     private int attempts;
     private int programs;
     private Program program;
@@ -59,7 +63,19 @@
         }
     }
 
-    ChainCaller(String name, SoakFleet fleet, HttpClient client, SplittableRandom random, StreamSoakReport report) {
+    /**
+     * Creates a caller.
+     *
+     * @param inputBytes greatest size of its inputs, bytes; 0 for short ones
+     */
+    ChainCaller(
+            String name,
+            SoakFleet fleet,
+            HttpClient client,
+            SplittableRandom random,
+            StreamSoakReport report,
+            int inputBytes) {
+        this.inputBytes = inputBytes;
         this.name = name;
         this.fleet = fleet;
         this.client = client;
@@ -99,6 +115,9 @@
 
     /** Chooses the last turn, at times an earlier one, that may still be continued; empty for the start of a chain. */
     private Optional<Answered> choosePrevious(List<Answered> line) {
+        if (!line.isEmpty() && line.getLast().history().length() > MAX_HISTORY) {
+            line.clear();
+        }
         if (line.isEmpty() || random.nextInt(60) == 0) {
             return Optional.empty();
         }
@@ -115,7 +134,8 @@
 
     /** Sends a turn until it is answered whole; empty if it can't be in time. */
     private Optional<Answered> runTurn(Optional<Answered> previous, long endNanos) throws InterruptedException {
-        String input = "input of " + name + " " + attempts + "\n";
+        int padding = inputBytes == 0 ? 0 : random.nextInt(inputBytes / 2, inputBytes);
+        String input = "input of " + name + " " + attempts + "x".repeat(padding) + "\n";
         Optional<StreamCaller.Node> last = Optional.empty();
         int triesInTouch = 0;
         while (clock.nanos() - endNanos < 0 && previous.map(this::isUsable).orElse(true)) {
@@ -127,6 +147,7 @@
             int status = send(node, id, previous, input, output);
             report.count("chain_" + status);
             if (status == 200) {
+                report.count(previous.isPresent() && inputBytes > 0 ? "long_chain_turns" : "short_chain_turns");
                 String history = previous.map(Answered::history).orElse("") + input;
                 check(id, history);
                 return Optional.of(new Answered(id, history + output, clock.nanos()));
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/SoakManifest.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/SoakManifest.java
@@ -10,6 +10,7 @@
     /** Retention period of stored conversations; short, so that a run lasts for many of them. */
     static final Duration RETENTION = Duration.ofSeconds(6);
 
+    private static final String LIMITS = "\"max_body_bytes\": 4194304";
     private static final String LOWERED_LIMITS = "\"max_body_bytes\": 2000, \"idle_timeout_ms\": 1000";
     private static final String ROUTE = """
             ,
@@ -73,7 +74,7 @@
                    "service": "desk", "timeout_ms": 3000, "target_latency_ms": 1000, "max_attempts": 3}%s%s%s]}
                 """.formatted(
                         version,
-                        isReduced ? LOWERED_LIMITS : "",
+                        isReduced ? LOWERED_LIMITS : LIMITS,
                         RETENTION.toSeconds(),
                         ROUTE.formatted("answers", CallerAttempt.REPEATABLE, "idempotent"),
                         ROUTE.formatted("single", CallerAttempt.ONCE, "non_idempotent"),
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoak.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoak.java
@@ -14,6 +14,9 @@
 
 /** One randomised run: callers stream through a fleet of processes that is disturbed meanwhile. */
 final class StreamSoak {
+    /** Number of callers whose conversations may have long inputs, beside those of others with short ones. */
+    private static final int LONG_CHAIN_CALLERS = 2;
+
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     /** Time before the callers of teams with quotas begin; longer than a window. */
     private static final Duration QUOTA_BEGIN = Duration.ofSeconds(9);
@@ -87,7 +90,8 @@
                 submit(callers, () -> caller.run(endNanos), report);
             }
             for (int i = 1; i <= options.chainCallers(); i++) {
-                ChainCaller caller = new ChainCaller("h" + i, fleet, client, random.split(), report);
+                int inputBytes = i <= LONG_CHAIN_CALLERS ? options.chainInputBytes() : 0;
+                ChainCaller caller = new ChainCaller("h" + i, fleet, client, random.split(), report, inputBytes);
                 submit(callers, () -> caller.run(endNanos), report);
             }
             startQuotaCallers(fleet, random, report, callers);
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakMain.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakMain.java
@@ -43,6 +43,8 @@
                 integer(parser, "ending-callers", "callers whose requests end their runners", 0);
         OptionSpec<RunnerEnd> runnerEnds = runnerEnds(parser);
         OptionSpec<Integer> chainCallers = integer(parser, "chain-callers", "callers of stored conversations", 0);
+        OptionSpec<Integer> chainInputBytes = integer(
+                parser, "chain-input-bytes", "size of the inputs of the first two callers of stored conversations", 0);
         ResponseFlags responses = new ResponseFlags(parser);
         QuotaFlags quotas = new QuotaFlags(parser);
         acceptDisturbances(parser);
@@ -76,6 +78,7 @@
                     options.valueOf(endingCallers),
                     options.valuesOf(runnerEnds),
                     options.valueOf(chainCallers),
+                    options.valueOf(chainInputBytes),
                     !options.has("undisturbed"),
                     options.has("entry-kills"),
                     options.has("rejoining"),
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakOptions.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakOptions.java
@@ -14,6 +14,7 @@
  * @param endingCallers number of callers whose requests end their runners
  * @param runnerEnds how runners end under these requests, drawn for each piece of work
  * @param chainCallers number of callers of stored conversations; with them, disks of store VMs are lost as well
+ * @param chainInputBytes size of the inputs of the first chain callers, bytes; 0 for short inputs only
  * @param disturbed whether processes, runners and the platform are disturbed
  * @param entryKills whether all entry processes are killed at once, three times in short series
  * @param rejoining whether all entry processes are killed during upgrades of the runners
@@ -31,6 +32,7 @@
         int endingCallers,
         List<RunnerEnd> runnerEnds,
         int chainCallers,
+        int chainInputBytes,
         boolean disturbed,
         boolean entryKills,
         boolean rejoining,
@@ -65,6 +67,7 @@
                 endingCallers,
                 runnerEnds,
                 chainCallers,
+                0,
                 disturbed,
                 entryKills,
                 rejoining,
@@ -80,6 +83,27 @@
         return undisturbed(seed, entries, runners, time, responses, QuotaOptions.none());
     }
 
+    /** Returns the options of a run whose only callers are those of stored conversations, some of them with long inputs. */
+    static StreamSoakOptions ofLongChains(
+            long seed, int entries, int runners, int callers, int inputBytes, boolean disturbed, Duration time) {
+        return new StreamSoakOptions(
+                seed,
+                entries,
+                runners,
+                0,
+                0,
+                List.of(),
+                callers,
+                inputBytes,
+                disturbed,
+                false,
+                false,
+                time,
+                Optional.empty(),
+                ResponseOptions.none(),
+                QuotaOptions.none());
+    }
+
     /** Returns the options of a run whose only callers are those of teams with quotas. */
     static StreamSoakOptions ofQuotas(long seed, int entries, int runners, Duration time, QuotaOptions quotas) {
         return undisturbed(seed, entries, runners, time, ResponseOptions.none(), quotas);
@@ -95,6 +119,7 @@
                 0,
                 List.of(),
                 0,
+                0,
                 false,
                 false,
                 false,
--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/VersionedRunner.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/VersionedRunner.java
@@ -30,6 +30,9 @@
 
     private static final Duration STEP = Duration.ofMillis(60);
     private static final int MAX_CONNECTIONS = 512;
+    /** Size of the longest conversation that is accepted, bytes. */
+    private static final int MAX_BODY_BYTES = 32 << 20;
+
     private static final int SLOTS = 8;
     private static final String TEXT = "text/plain";
     /** Time for which connections other than that of the request answer after {@link RunnerEnd#LISTENER_FIRST}. */
@@ -82,7 +85,7 @@
         this.version = version;
         this.loop = loop;
         this.threads = new NetworkThreads(id, 1);
-        this.server = new HttpServer(threads, "127.0.0.1", port, MAX_CONNECTIONS, this);
+        this.server = new HttpServer(threads, "127.0.0.1", port, MAX_CONNECTIONS, MAX_BODY_BYTES, this);
     }
 
     int port() {
--- a/parsleydrift-bench/src/test/java/org/parsleydrift/bench/streams/StreamSoakTest.java
+++ b/parsleydrift-bench/src/test/java/org/parsleydrift/bench/streams/StreamSoakTest.java
@@ -38,6 +38,17 @@
         assertTrue(report.toString().contains("chains_continued_by_other_program"), report.toString());
     }
 
+    /** Guards against conversations larger than a frame that cannot go on while processes fail and disks are lost. */
+    @Test
+    public void longChainsGoOnWhileProcessesFail() throws IOException {
+        Path folder = Files.createTempDirectory(Files.createDirectories(Path.of("target", "stream-soak")), "long");
+        StreamSoakOptions options =
+                StreamSoakOptions.ofLongChains(SEED, 3, 6, 6, 900_000, true, Duration.ofSeconds(20));
+        StreamSoakReport report = new StreamSoak(options).run(folder.toAbsolutePath());
+        assertEquals(report.violations(), List.of(), report.toString());
+        assertTrue(report.toString().contains("long_chain_turns"), report.toString());
+    }
+
     /** Guards against a request that ends runner after runner, as entry processes do not hear of each other's losses. */
     @Test
     public void requestEndsThreeRunnersAtMost() throws IOException {
--- a/parsleydrift-wire/src/main/java/org/parsleydrift/wire/HttpServer.java
+++ b/parsleydrift-wire/src/main/java/org/parsleydrift/wire/HttpServer.java
@@ -35,7 +35,7 @@
 /** An HTTP/1.1 server based on Netty. It limits the number of connections and closes idle ones. */
 public final class HttpServer implements AutoCloseable {
     private static final Logger LOG = System.getLogger(HttpServer.class.getName());
-    private static final int MAX_BODY_BYTES = 1 << 20;
+    private static final int DEFAULT_MAX_BODY_BYTES = 1 << 20;
     private static final int IDLE_TIMEOUT_SECONDS = 120;
     /** Number of requests sent ahead above which a connection is not read. */
     private static final int MAX_PENDING_REQUESTS = 16;
@@ -63,6 +63,7 @@
     private final NetworkThreads threads;
     private final HttpHandler handler;
     private final int maxConnections;
+    private final int maxBodyBytes;
     private final AtomicInteger connections = new AtomicInteger();
     private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final Channel listener;
@@ -71,7 +72,7 @@
     private volatile boolean ending;
 
     /**
-     * Starts a server.
+     * Starts a server that accepts bodies of up to 1 MiB.
      *
      * @param threads the network threads
      * @param host the address to listen on
@@ -80,9 +81,25 @@
      * @param handler handles the requests
      */
     public HttpServer(NetworkThreads threads, String host, int port, int maxConnections, HttpHandler handler) {
+        this(threads, host, port, maxConnections, DEFAULT_MAX_BODY_BYTES, handler);
+    }
+
+    /**
+     * Starts a server.
+     *
+     * @param threads the network threads
+     * @param host the address to listen on
+     * @param port the port to listen on, 0 for any free port
+     * @param maxConnections the maximum number of connections; requests on further ones are rejected with status 503
+     * @param maxBodyBytes the size of the largest accepted body, bytes; requests with larger ones get status 413
+     * @param handler handles the requests
+     */
+    public HttpServer(
+            NetworkThreads threads, String host, int port, int maxConnections, int maxBodyBytes, HttpHandler handler) {
         this.threads = threads;
         this.handler = handler;
         this.maxConnections = maxConnections;
+        this.maxBodyBytes = maxBodyBytes;
         this.listener = threads.serverBootstrap()
                 .childHandler(new Initializer())
                 .bind(host, port)
@@ -165,7 +182,7 @@
             channel.pipeline()
                     .addLast(new IdleStateHandler(IDLE_TIMEOUT_SECONDS, 0, 0))
                     .addLast(new HttpServerCodec())
-                    .addLast(new HttpObjectAggregator(MAX_BODY_BYTES) {
+                    .addLast(new HttpObjectAggregator(maxBodyBytes) {
                         @Override
                         protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
                             requests.rejectIncomplete((HttpRequest) oversized, OVERSIZED);
