--- a/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakMain.java
+++ b/parsleydrift-bench/src/main/java/org/parsleydrift/bench/streams/StreamSoakMain.java
@@ -43,14 +43,11 @@
                 integer(parser, "ending-callers", "callers whose requests end their runners", 0);
         OptionSpec<RunnerEnd> runnerEnds = runnerEnds(parser);
         OptionSpec<Integer> chainCallers = integer(parser, "chain-callers", "callers of stored conversations", 0);
-        OptionSpec<Integer> chainInputBytes = integer(
-                parser, "chain-input-bytes", "size of the inputs of the first two callers of stored conversations", 0);
+        OptionSpec<Integer> chainInputBytes = chainInputBytes(parser);
         ResponseFlags responses = new ResponseFlags(parser);
         QuotaFlags quotas = new QuotaFlags(parser);
         acceptDisturbances(parser);
-        OptionSpec<String> former = parser.accepts(
-                        "former-class-path", "class path of an earlier version, as which the processes start")
-                .withRequiredArg();
+        OptionSpec<String> former = formerClassPath(parser);
         OptionSpec<String> folder = folder(parser);
         parser.accepts("help", "print this").forHelp();
         OptionSet options;
@@ -91,6 +88,16 @@
         System.exit(violations == 0 ? 0 : 1);
     }
 
+    private static OptionSpec<Integer> chainInputBytes(OptionParser parser) {
+        return integer(
+                parser, "chain-input-bytes", "size of the inputs of the first two callers of stored conversations", 0);
+    }
+
+    private static OptionSpec<String> formerClassPath(OptionParser parser) {
+        return parser.accepts("former-class-path", "class path of an earlier version, as which the processes start")
+                .withRequiredArg();
+    }
+
     private static OptionSpec<String> folder(OptionParser parser) {
         return parser.accepts("folder", "where settings, logs and data of the runs go")
                 .withRequiredArg()
