A turn without a stated maximum of tokens may use its budget

Cause: the limit of a stream was derived from the maximum of the turn, which is 0 if the caller states none, so that such a stream was cut at its first event. Found by reading, before its landing. Change: without a stated maximum the budget is the limit. Result: EndlessResponseTest and EventStreamReaderTest, 21 tests, none failed; streamWithoutStatedMaximumEndsAtItsBudget was not run without the change.

--- a/parsleydrift-relay/src/main/java/org/parsleydrift/relay/TurnRecord.java
+++ b/parsleydrift-relay/src/main/java/org/parsleydrift/relay/TurnRecord.java
@@ -167,15 +167,18 @@
     }
 
     /**
-     * Returns the number of events that a runner may generate with the reserved tokens; the last one may hold fewer tokens
-     * than the others. Unlimited without a reservation, or if the tokens per event are not known.
+     * Returns the number of events that a runner may generate with the reserved tokens, or with the budget if the caller
+     * states no maximum; the last event may hold fewer tokens than the others. Unlimited without a reservation, or if the
+     * tokens per event are not known.
      */
     int maxEvents(String service) {
+        int budget = parameters.budget().orElse(Integer.MAX_VALUE);
+        int tokens = parameters.maxTokens() > 0 ? parameters.maxTokens() : budget;
         return relay.registry()
                 .manifest()
                 .flatMap(each -> each.service(service))
                 .filter(each -> reserved && each.tokensPerEvent() > 0)
-                .map(each -> Math.ceilDiv(parameters.maxTokens(), each.tokensPerEvent()))
+                .map(each -> Math.ceilDiv(tokens, each.tokensPerEvent()))
                 .orElse(Integer.MAX_VALUE);
     }
 
--- a/parsleydrift-relay/src/test/java/org/parsleydrift/relay/EndlessResponseTest.java
+++ b/parsleydrift-relay/src/test/java/org/parsleydrift/relay/EndlessResponseTest.java
@@ -113,6 +113,16 @@
         assertEquals(fleet.load("a"), 0, "the slot is not given back");
     }
 
+    /** Guards against a stream that is cut at once, as its caller states no maximum of tokens for the turn. */
+    @Test
+    public void streamWithoutStatedMaximumEndsAtItsBudget() throws IOException {
+        fleet.addRunner("r", "s", "v1", script(EndlessResponseTest::head, "data: e\n\n".repeat(1000)));
+        int budget = 7 * FleetManifest.TOKENS_PER_EVENT;
+        String response =
+                send("/events/", "Parsleydrift-Program: p\r\nParsleydrift-Token-Budget: %d\r\n".formatted(budget));
+        assertEquals(response.split("data: e", -1).length - 1, 7, response);
+    }
+
     /** Guards against memory, connections and slots that are used up by bytes without end. */
     @Test(dataProvider = "replies")
     public void endlessResponseIsEnded(String name, String path, UnaryOperator<String> reply)
